Add design page, build, base library and generated messages

Cause: the project is empty; parts that are written in parallel need common ids, verdicts, errors, messages and a build.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Entry points for people and CI. CMake does the work.
+PACKAGES = g++ cmake ninja-build ccache libboost1.81-dev libcereal-dev prometheus-cpp-dev libcli11-dev \
+  libspdlog-dev libexpected-dev nlohmann-json3-dev libvalijson-dev libssl-dev libxxhash-dev \
+  libgtest-dev libgmock-dev libbenchmark-dev
+CHECK_PACKAGES = clang-format clang-tidy clang libclang-rt-14-dev python3 curl jq
+SUDO = $(shell [ "$$(id -u)" = 0 ] || echo sudo)
+
+.PHONY: all build packages check-packages test format lint generate-check demo bench capacity clean
+
+all: build
+
+packages:
+	tools/install_packages $(PACKAGES)
+
+check-packages:
+	tools/install_packages $(CHECK_PACKAGES)
+
+build/build.ninja:
+	cmake -S . -B build -G Ninja
+
+build: build/build.ninja
+	cmake --build build
+
+test: packages build
+	cd build && ctest --output-on-failure --no-tests=error -j 4
+
+format:
+	tools/check_format
+
+lint: build/build.ninja
+	tools/check_lint
+
+generate-check:
+	tools/generate --check
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/cmake/library.cmake
@@ -0,0 +1,23 @@
+# Defines library persimmonstair_<name> from the sources in the current folder, and one test
+# program <name>_test from the *_test.cpp files beside them.
+#
+#   persimmonstair_library(limits DEPENDS base schema membership LINK OpenSSL::Crypto)
+function(persimmonstair_library name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS;LINK" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+  set(tests ${sources})
+  list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
+  list(FILTER sources EXCLUDE REGEX "_test\\.cpp$")
+  add_library(persimmonstair_${name} STATIC ${sources})
+  target_include_directories(persimmonstair_${name} PUBLIC ${PROJECT_SOURCE_DIR}/include)
+  foreach(dep ${ARG_DEPENDS})
+    target_link_libraries(persimmonstair_${name} PUBLIC persimmonstair_${dep})
+  endforeach()
+  target_link_libraries(persimmonstair_${name} PUBLIC Threads::Threads ${ARG_LINK})
+  if(tests)
+    add_executable(${name}_test ${tests})
+    target_link_libraries(${name}_test PRIVATE persimmonstair_${name} GTest::gmock GTest::gtest
+                                               GTest::gtest_main)
+    add_test(NAME ${name}_test COMMAND ${name}_test)
+  endif()
+endfunction()
--- /dev/null
+++ b/src/persimmonstair/base/base_test.cpp
@@ -0,0 +1,70 @@
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "persimmonstair/base/error.hpp"
+#include "persimmonstair/base/ids.hpp"
+#include "persimmonstair/base/rendezvous.hpp"
+#include "persimmonstair/base/ring.hpp"
+#include "persimmonstair/base/verdict.hpp"
+
+namespace persimmonstair::base {
+namespace {
+
+// Guards against a verdict that goes back to not_run after a byte left the process.
+TEST(VerdictTest, CombineNeverLowers) {
+  EXPECT_EQ(Combine(Verdict::kMayHaveRun, Verdict::kNotRun), Verdict::kMayHaveRun);
+  EXPECT_EQ(Combine(Verdict::kMayHaveRun, Verdict::kRan), Verdict::kRan);
+}
+
+TEST(VerdictTest, NamesRoundTrip) {
+  for (const Verdict verdict : {Verdict::kNotRun, Verdict::kMayHaveRun, Verdict::kRan}) {
+    EXPECT_EQ(ParseVerdict(ToString(verdict)), verdict);
+  }
+  EXPECT_FALSE(ParseVerdict("maybe").has_value());
+}
+
+// Guards against a code without a name: callers match on names.
+TEST(ErrorTest, EveryCodeHasItsOwnNameAndAClientOrServerStatus) {
+  std::set<std::string_view> names;
+  for (int n = 0; n <= static_cast<int>(ErrorCode::kInternal); ++n) {
+    const auto code = static_cast<ErrorCode>(n);
+    EXPECT_TRUE(names.insert(ToString(code)).second) << ToString(code);
+    EXPECT_GE(HttpStatus(code), 400);
+  }
+}
+
+// Guards against unbounded growth: a full ring refuses and keeps what it holds.
+TEST(RingTest, RefusesWhenFullAndKeepsOrder) {
+  Ring<int> ring{2};
+  EXPECT_TRUE(ring.TryPush(1));
+  EXPECT_TRUE(ring.TryPush(2));
+  EXPECT_FALSE(ring.TryPush(3));
+  EXPECT_EQ(ring.PopAll(std::chrono::microseconds{0}), (std::vector<int>{1, 2}));
+  ring.Close();
+  EXPECT_FALSE(ring.TryPush(4));
+}
+
+// Guards against a change of the hash, which would move every program during a rolling upgrade.
+TEST(RendezvousTest, WeightIsStable) {
+  EXPECT_EQ(RendezvousWeight("p.dc1.42", "i1"), 15588578041981925932ULL);
+}
+
+// Guards against mass movement: losing one node moves only the keys of that node.
+TEST(RendezvousTest, RemovingANodeMovesOnlyItsKeys) {
+  const std::vector<std::string> all = {"a", "b", "c", "d"};
+  const std::vector<std::string> fewer = {"a", "b", "c"};
+  const auto name = [](const std::string& node) { return node; };
+  for (int n = 0; n < 200; ++n) {
+    const std::string key = "key" + std::to_string(n);
+    const std::string before = RendezvousPick(key, all, name);
+    if (before != "d") {
+      EXPECT_EQ(RendezvousPick(key, fewer, name), before);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace persimmonstair::base
