--- a/include/persimmonstair/base/time.hpp
+++ b/include/persimmonstair/base/time.hpp
@@ -14,14 +14,12 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<MonotonicClock, duration>;
-  static constexpr bool is_steady = true;
 };
 struct WallClock {
   using duration = Duration;
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<WallClock, duration>;
-  static constexpr bool is_steady = false;
 };
 
 /// Time of one process, in microseconds from an arbitrary start; never goes back.
