--- a/include/persimmonstair/catalogue/catalogue.hpp
+++ b/include/persimmonstair/catalogue/catalogue.hpp
@@ -22,6 +22,8 @@
   std::string author;
   std::string reason;
   std::int64_t at_ms = 0;
+  /// Record id of the change; a repeated append within the kept entries is recognised by it.
+  base::RecordId id;
   /// "put keys/desk-1" or "remove keys/desk-1".
   std::vector<std::string> edits;
 };
@@ -74,6 +76,7 @@
 
   base::Result<std::map<EntryKey, Entry>> Edited(const schema::CatalogueChange& change,
                                                  std::uint64_t version) const;
+  bool WasApplied(const base::RecordId& id) const;
   void Record(const schema::CatalogueChange& change, std::uint64_t version);
 
   std::uint64_t version_ = 0;
@@ -81,7 +84,6 @@
   Document document_;
   std::vector<AuditEntry> audit_;
   std::set<base::KeyId> denied_;
-  std::set<base::RecordId> applied_;
 };
 
 }  // namespace persimmonstair::catalogue
--- /dev/null
+++ b/src/persimmonstair/catalogue/check.cpp
@@ -0,0 +1,191 @@
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+#include <vector>
+
+#include "persimmonstair/catalogue/document.hpp"
+
+namespace persimmonstair::catalogue {
+namespace {
+
+using Json = nlohmann::json;
+
+// Values are shortened in messages; a wrong document may hold very long strings.
+constexpr std::size_t kMaxShownBytes = 80;
+
+std::string Shown(const Json& value) {
+  std::string text = value.dump(-1, ' ', false, Json::error_handler_t::replace);
+  if (text.size() > kMaxShownBytes) text = text.substr(0, kMaxShownBytes) + "...";
+  return text;
+}
+
+const valijson::Schema& ParsedSchema() {
+  static const valijson::Schema* const kSchema = [] {
+    auto* schema = new valijson::Schema;
+    const Json json = Json::parse(SchemaText());
+    valijson::SchemaParser parser;
+    parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(json), *schema);
+    return schema;
+  }();
+  return *kSchema;
+}
+
+// valijson states a path as "<root>[a][b]"; users expect a JSON pointer.
+Json::json_pointer ToPointer(const std::vector<std::string>& context) {
+  Json::json_pointer pointer;
+  for (std::size_t n = 1; n < context.size(); ++n) {
+    const std::string& part = context[n];
+    pointer /= part.size() > 2 && part.front() == '[' ? part.substr(1, part.size() - 2) : part;
+  }
+  return pointer;
+}
+
+std::string ValueAt(const Json& json, const Json::json_pointer& pointer) {
+  try {
+    return Shown(json.at(pointer));
+  } catch (const Json::exception&) {
+    return "";
+  }
+}
+
+std::vector<Violation> CheckSchema(const Json& json) {
+  valijson::Validator validator;
+  valijson::ValidationResults results;
+  const valijson::adapters::NlohmannJsonAdapter adapter(json);
+  std::vector<Violation> out;
+  if (validator.validate(ParsedSchema(), adapter, &results)) return out;
+  valijson::ValidationResults::Error error;
+  while (results.popError(error)) {
+    const auto pointer = ToPointer(error.context);
+    // Enclosing objects repeat the error of their member without detail.
+    if (error.description.starts_with("Failed to validate against schema associated") ||
+        error.description.starts_with("Failed to validate against child schema")) {
+      continue;
+    }
+    out.push_back({pointer.to_string(), ValueAt(json, pointer), error.description});
+  }
+  if (out.empty()) out.push_back({"", "", "document does not match the schema"});
+  return out;
+}
+
+// Checks that names used in one section exist in another, and sums over entries.
+class ReferenceCheck {
+ public:
+  explicit ReferenceCheck(const Json& json) : json_(json) {}
+
+  std::vector<Violation> Run() {
+    CheckKeys();
+    CheckNames();
+    CheckTargets();
+    CheckFloors();
+    return std::move(out_);
+  }
+
+ private:
+  const Json& Section(const char* name) const {
+    static const Json kEmpty = Json::object();
+    const auto it = json_.find(name);
+    return it == json_.end() ? kEmpty : *it;
+  }
+
+  void Add(std::string path, const Json& value, std::string rule) {
+    out_.push_back({std::move(path), Shown(value), std::move(rule)});
+  }
+
+  void CheckKeys() {
+    std::map<std::string, std::string> digests;
+    for (const auto& [name, key] : Section("keys").items()) {
+      const std::string path = "/keys/" + name;
+      const bool is_operator = key.value("role", "caller") == "operator";
+      const std::string workspace = key.value("workspace", "");
+      if (is_operator && !workspace.empty()) {
+        Add(path + "/workspace", workspace, "an operator's key has no workspace");
+      } else if (!is_operator && !Section("workspaces").contains(workspace)) {
+        Add(path + "/workspace", workspace, "must name an entry of /workspaces");
+      }
+      const auto [it, added] = digests.emplace(key.value("sha256", ""), name);
+      if (!added) Add(path + "/sha256", key["sha256"], "is also the digest of key " + it->second);
+    }
+  }
+
+  void CheckNames() {
+    static constexpr std::string_view kAllowed = "abcdefghijklmnopqrstuvwxyz0123456789._-";
+    for (const auto& [section, entries] : json_.items()) {
+      for (const auto& [name, entry] : entries.items()) {
+        if (name.empty() || name.size() > 64 ||
+            name.find_first_not_of(kAllowed) != std::string::npos || name.front() == '.' ||
+            name.front() == '-' || name.front() == '_') {
+          Add("/" + section + "/" + name, name, "entry names match ^[a-z0-9][a-z0-9._-]{0,63}$");
+        }
+      }
+    }
+  }
+
+  void CheckList(const std::string& path, const Json& target, const char* field,
+                 const char* section) {
+    const auto it = target.find(field);
+    if (it == target.end()) return;
+    for (std::size_t n = 0; n < it->size(); ++n) {
+      if (Section(section).contains((*it)[n].get<std::string>())) continue;
+      Add(path + "/" + field + "/" + std::to_string(n), (*it)[n],
+          std::string("must name an entry of /") + section);
+    }
+  }
+
+  void CheckTargets() {
+    for (const auto& [name, target] : Section("targets").items()) {
+      const std::string path = "/targets/" + name;
+      CheckList(path, target, "models", "models");
+      CheckList(path, target, "routes", "routes");
+      const bool engine = target.value("kind", "") == "engine";
+      if (engine && target.contains("routes")) {
+        Add(path + "/routes", target["routes"], "an engine serves models, not routes");
+      }
+      if (!engine && target.contains("models")) {
+        Add(path + "/models", target["models"], "a service serves routes, not models");
+      }
+    }
+  }
+
+  void CheckFloors() {
+    std::uint64_t sum = 0;
+    for (const auto& [name, instance] : Section("instances").items()) {
+      sum += instance.value("floor_ppm", std::uint64_t{0});
+    }
+    if (sum > kFloorPoolPpm) {
+      Add("/instances", sum,
+          "the sum of floor_ppm must not exceed " + std::to_string(kFloorPoolPpm));
+    }
+  }
+
+  const Json& json_;
+  std::vector<Violation> out_;
+};
+
+}  // namespace
+
+std::vector<Violation> Check(std::string_view json_text) {
+  const Json json = Json::parse(json_text, nullptr, false);
+  if (json.is_discarded()) return {{"", "", "not valid JSON"}};
+  std::vector<Violation> out = CheckSchema(json);
+  // References are only meaningful in a document whose entries have the right types.
+  if (out.empty()) out = ReferenceCheck(json).Run();
+  return out;
+}
+
+std::string Describe(const std::vector<Violation>& violations) {
+  std::string out;
+  for (const Violation& violation : violations) {
+    if (!out.empty()) out += "\n";
+    out += (violation.path.empty() ? "/" : violation.path) + ": " + violation.rule;
+    if (!violation.value.empty()) out += " (value: " + violation.value + ")";
+  }
+  return out;
+}
+
+}  // namespace persimmonstair::catalogue
