--- a/include/persimmonstair/scheduler/actions.hpp
+++ b/include/persimmonstair/scheduler/actions.hpp
@@ -21,6 +21,10 @@
   std::uint32_t status = 200;
   std::map<std::string, std::string> headers;
   std::string body;
+  /// Labels of metrics: workspace and class of the request; empty if it was refused before its key
+  /// was known.
+  base::WorkspaceId workspace;
+  std::string entry_class;
 };
 
 /// @brief Sends a request to a target. When `relay` is set, body chunks go to the caller of
--- a/include/persimmonstair/schema/peer.hpp
+++ b/include/persimmonstair/schema/peer.hpp
@@ -30,6 +30,8 @@
   std::map<base::TargetId, std::uint32_t> in_flight;
   /// Engine time received for each workspace since the sender's start, in microseconds.
   std::map<base::WorkspaceId, std::uint64_t> attained_us;
+  /// Sender's incarnation in the control stream; 0 before it is registered.
+  base::Incarnation registered;
 
   bool operator==(const Heartbeat&) const = default;
 };
@@ -42,6 +44,7 @@
   Field(archive, value.log_reachable);
   Field(archive, value.in_flight);
   Field(archive, value.attained_us);
+  Field(archive, value.registered);
 }
 
 /// @brief A key stops working at once.
--- a/include/persimmonstair/schema/records.hpp
+++ b/include/persimmonstair/schema/records.hpp
@@ -78,30 +78,34 @@
   if (const auto it = json.find("edits"); it != json.end()) it->get_to(value.edits);
 }
 
-/// @brief Whole catalogue, written again before retention ends.
-struct CatalogueSnapshot {
+/// @brief State of a stream's readers, for readers that start after earlier records expired.
+struct StreamSnapshot {
   /// Unique id.
   base::RecordId id;
-  /// Catalogue version the document has.
-  std::uint64_t version = 0;
-  /// Catalogue with entry versions as JSON text.
-  std::string document;
+  /// Stream it was written to.
+  base::StreamName stream;
+  /// Offset of the first record that the state does not contain.
+  base::Offset next;
+  /// State as JSON text.
+  std::string state;
 
-  bool operator==(const CatalogueSnapshot&) const = default;
+  bool operator==(const StreamSnapshot&) const = default;
 };
 
-inline void to_json(nlohmann::json& json, const CatalogueSnapshot& value) {
+inline void to_json(nlohmann::json& json, const StreamSnapshot& value) {
   json = nlohmann::json{
       {"id", value.id},
-      {"version", value.version},
-      {"document", value.document},
+      {"stream", value.stream},
+      {"next", value.next},
+      {"state", value.state},
   };
 }
 
-inline void from_json(const nlohmann::json& json, CatalogueSnapshot& value) {
+inline void from_json(const nlohmann::json& json, StreamSnapshot& value) {
   if (const auto it = json.find("id"); it != json.end()) it->get_to(value.id);
-  if (const auto it = json.find("version"); it != json.end()) it->get_to(value.version);
-  if (const auto it = json.find("document"); it != json.end()) it->get_to(value.document);
+  if (const auto it = json.find("stream"); it != json.end()) it->get_to(value.stream);
+  if (const auto it = json.find("next"); it != json.end()) it->get_to(value.next);
+  if (const auto it = json.find("state"); it != json.end()) it->get_to(value.state);
 }
 
 /// @brief A process lifetime begins.
@@ -662,16 +666,16 @@
 
 /// @brief Any of the types above.
 using Record =
-    std::variant<CatalogueChange, CatalogueSnapshot, InstanceRegistered, InstanceLeft, LeaseRecord,
-                 ReclaimRecord, ShareClaim, ShareMove, ClaimRecord, ClaimReleased, OutcomeRecord,
-                 ProgramOpened, OwnerRecord, TurnRecord, ProgramSnapshot, ProgramEnded>;
+    std::variant<CatalogueChange, InstanceRegistered, InstanceLeft, LeaseRecord, ReclaimRecord,
+                 ShareClaim, ShareMove, ClaimRecord, ClaimReleased, OutcomeRecord, ProgramOpened,
+                 OwnerRecord, TurnRecord, ProgramSnapshot, ProgramEnded, StreamSnapshot>;
 
 /// Type names in the order of the variant's alternatives.
 inline constexpr std::array<std::string_view, 16> kRecordTypes = {
-    "CatalogueChange", "CatalogueSnapshot", "InstanceRegistered", "InstanceLeft",
-    "LeaseRecord",     "ReclaimRecord",     "ShareClaim",         "ShareMove",
-    "ClaimRecord",     "ClaimReleased",     "OutcomeRecord",      "ProgramOpened",
-    "OwnerRecord",     "TurnRecord",        "ProgramSnapshot",    "ProgramEnded"};
+    "CatalogueChange", "InstanceRegistered", "InstanceLeft",  "LeaseRecord",
+    "ReclaimRecord",   "ShareClaim",         "ShareMove",     "ClaimRecord",
+    "ClaimReleased",   "OutcomeRecord",      "ProgramOpened", "OwnerRecord",
+    "TurnRecord",      "ProgramSnapshot",    "ProgramEnded",  "StreamSnapshot"};
 
 }  // namespace persimmonstair::schema
 
