Add public headers of membership and limits

Cause: other libraries program against them. Change: headers only. Schema additions, appended to their structs: LeaseRecord.floors_version, ShareClaim.lease_sequence, ShareMove.lease_sequence, LeaseConsent.newest_incarnation. The sequence in share records fences a delayed append: after the writer's next renewal the record can no longer be valid, so a lost answer settles by reading.

--- /dev/null
+++ b/include/persimmonstair/limits/bucket.hpp
@@ -0,0 +1,60 @@
+#ifndef PERSIMMONSTAIR_LIMITS_BUCKET_HPP_
+#define PERSIMMONSTAIR_LIMITS_BUCKET_HPP_
+
+#include <deque>
+
+#include "persimmonstair/base/time.hpp"
+
+namespace persimmonstair::limits {
+
+/// @brief A token bucket that lends: lent tokens occupy capacity until they can no longer be used.
+/// It starts empty.
+///
+///     Bucket bucket;
+///     bucket.SetLimits(now, 5.0, 10.0);
+///     if (bucket.Level(now) >= 1) bucket.Take(1);
+class Bucket {
+ public:
+  /// @brief Changes refill rate (tokens a second) and capacity. Tokens above the capacity are lost.
+  void SetLimits(base::TimePoint now, double rate_per_s, double capacity);
+
+  /// @brief Refills up to now and returns the tokens that may be taken.
+  double Level(base::TimePoint now);
+
+  /// @brief Removes tokens; at most Level() of the same time.
+  void Take(double tokens) { level_ -= tokens; }
+
+  /// @brief Removes tokens for a loan, which occupies capacity until `until`.
+  void Lend(double tokens, base::TimePoint until);
+
+  /// @brief Adds tokens up to the free capacity; the rest is lost.
+  void Put(base::TimePoint now, double tokens);
+
+  /// @brief Forgets tokens and loans.
+  void Clear();
+
+  /// Tokens lent and not yet expired at the time of the last call.
+  double lent() const { return lent_; }
+  double capacity() const { return capacity_; }
+  double rate_per_s() const { return rate_; }
+
+ private:
+  struct Loan {
+    base::TimePoint until;
+    double tokens = 0;
+  };
+
+  void ExpireLoans(base::TimePoint now);
+  void Clamp();
+
+  double rate_ = 0;
+  double capacity_ = 0;
+  double level_ = 0;
+  double lent_ = 0;
+  base::TimePoint at_;
+  std::deque<Loan> loans_;
+};
+
+}  // namespace persimmonstair::limits
+
+#endif  // PERSIMMONSTAIR_LIMITS_BUCKET_HPP_
--- a/include/persimmonstair/schema/peer.hpp
+++ b/include/persimmonstair/schema/peer.hpp
@@ -264,8 +264,10 @@
   std::uint64_t lease_sequence = 0;
   /// From the request.
   std::uint64_t nonce = 0;
-  /// Promised time in milliseconds.
+  /// Promised time in milliseconds; 0 refuses.
   std::uint64_t duration_ms = 0;
+  /// Newest lifetime of the asking instance that the sender knows.
+  base::Incarnation newest_incarnation;
 
   bool operator==(const LeaseConsent&) const = default;
 };
@@ -275,6 +277,7 @@
   Field(archive, value.lease_sequence);
   Field(archive, value.nonce);
   Field(archive, value.duration_ms);
+  Field(archive, value.newest_incarnation);
 }
 
 /// @brief Copy of a record that could not be appended yet.
--- a/include/persimmonstair/schema/records.hpp
+++ b/include/persimmonstair/schema/records.hpp
@@ -172,10 +172,13 @@
   base::Incarnation incarnation;
   /// Number of this renewal, counted by the holder from 1.
   std::uint64_t sequence = 0;
-  /// Offset of the lease record this one follows; 0 for the first.
+  /// Named lease: offset of the lease record this one follows, 0 for the first. Instance lease:
+  /// offset of the holder's last registration or renewal that it has read back.
   base::Offset previous;
   /// Length of the lease in milliseconds.
   std::uint64_t duration_ms = 0;
+  /// Catalogue version of the floors that the holder applies; only in instance leases.
+  std::uint64_t floors_version = 0;
 
   bool operator==(const LeaseRecord&) const = default;
 };
@@ -189,6 +192,7 @@
       {"sequence", value.sequence},
       {"previous", value.previous},
       {"duration_ms", value.duration_ms},
+      {"floors_version", value.floors_version},
   };
 }
 
@@ -200,6 +204,8 @@
   if (const auto it = json.find("sequence"); it != json.end()) it->get_to(value.sequence);
   if (const auto it = json.find("previous"); it != json.end()) it->get_to(value.previous);
   if (const auto it = json.find("duration_ms"); it != json.end()) it->get_to(value.duration_ms);
+  if (const auto it = json.find("floors_version"); it != json.end())
+    it->get_to(value.floors_version);
 }
 
 /// @brief Ends the lease of a silent instance and takes its shares.
@@ -253,6 +259,8 @@
   base::InstanceId by;
   /// Writer's lifetime.
   base::Incarnation by_incarnation;
+  /// Writer's last renewal; invalid if a later one lies before this record.
+  std::uint64_t lease_sequence = 0;
 
   bool operator==(const ShareClaim&) const = default;
 };
@@ -263,6 +271,7 @@
       {"workspace", value.workspace},
       {"by", value.by},
       {"by_incarnation", value.by_incarnation},
+      {"lease_sequence", value.lease_sequence},
   };
 }
 
@@ -272,6 +281,8 @@
   if (const auto it = json.find("by"); it != json.end()) it->get_to(value.by);
   if (const auto it = json.find("by_incarnation"); it != json.end())
     it->get_to(value.by_incarnation);
+  if (const auto it = json.find("lease_sequence"); it != json.end())
+    it->get_to(value.lease_sequence);
 }
 
 /// @brief A holder gives part of its share to another.
@@ -292,6 +303,8 @@
   std::uint32_t share_ppm = 0;
   /// Bucket tokens handed over, in thousandths.
   std::uint64_t tokens_milli = 0;
+  /// Giver's last renewal; invalid if a later one lies before this record.
+  std::uint64_t lease_sequence = 0;
 
   bool operator==(const ShareMove&) const = default;
 };
@@ -306,6 +319,7 @@
       {"to_incarnation", value.to_incarnation},
       {"share_ppm", value.share_ppm},
       {"tokens_milli", value.tokens_milli},
+      {"lease_sequence", value.lease_sequence},
   };
 }
 
@@ -320,6 +334,8 @@
     it->get_to(value.to_incarnation);
   if (const auto it = json.find("share_ppm"); it != json.end()) it->get_to(value.share_ppm);
   if (const auto it = json.find("tokens_milli"); it != json.end()) it->get_to(value.tokens_milli);
+  if (const auto it = json.find("lease_sequence"); it != json.end())
+    it->get_to(value.lease_sequence);
 }
 
 /// @brief Claims an idempotency key; the first valid one may dispatch.
