--- /dev/null
+++ b/include/persimmonstair/programs/program_index.hpp
@@ -0,0 +1,128 @@
+#ifndef PERSIMMONSTAIR_PROGRAMS_PROGRAM_INDEX_HPP_
+#define PERSIMMONSTAIR_PROGRAMS_PROGRAM_INDEX_HPP_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "persimmonstair/base/error.hpp"
+#include "persimmonstair/base/ids.hpp"
+#include "persimmonstair/base/time.hpp"
+#include "persimmonstair/schema/records.hpp"
+
+namespace persimmonstair::programs {
+
+/// @brief What every instance knows of a program, without its text.
+struct ProgramEntry {
+  base::WorkspaceId workspace;
+  /// The program at the top of the chain of parents; the program's own id if it has no parent.
+  base::ProgramId root;
+  base::ModelId model;
+  /// Engine that holds the program's prefix; empty for none.
+  base::TargetId target;
+  /// Offset of the newest turn, snapshot or opening record; the start of the chain.
+  base::Offset chain;
+  /// Offset of the newest snapshot or opening record.
+  base::Offset snapshot;
+  std::uint32_t last_turn = 0;
+  /// Changes of owner since the newest turn; each may have lost a running turn.
+  std::uint32_t takeovers = 0;
+  /// Tokens of this program's recorded turns.
+  std::int64_t charged_tokens = 0;
+
+  bool operator==(const ProgramEntry&) const = default;
+};
+
+/// @brief Owner and budget, which a program shares with all programs under the same root.
+struct FamilyEntry {
+  base::InstanceId owner;
+  base::Incarnation incarnation;
+  base::Epoch epoch;
+  /// Epoch that the newest OwnerRecord replaced.
+  base::Epoch previous;
+  std::int64_t budget_tokens = 0;
+  /// Tokens of sub-programs that have ended.
+  std::int64_t closed_tokens = 0;
+  /// False after an OwnerRecord of a program whose state was not read yet.
+  bool known = true;
+  /// Programs of the family, the root among them.
+  std::vector<base::ProgramId> members;
+
+  bool operator==(const FamilyEntry&) const = default;
+};
+
+/// @brief The switches of tests that show that the checks detect a fault. All true elsewhere.
+struct IndexChecks {
+  bool epoch = true;
+  bool turn_number = true;
+};
+
+/// @brief State of all programs as a pure function of the retained prefix of the `programs`
+/// stream. A program and its sub-programs change owner together by one OwnerRecord of the root.
+///
+///     index.Apply(offset, record);
+///     if (const ProgramEntry* entry = index.Find(program)) Forward(index.Family(*entry).owner);
+class ProgramIndex {
+ public:
+  explicit ProgramIndex(IndexChecks checks = {}) : checks_(checks) {}
+
+  /// Applies one record; records of other types change nothing. Returns true if it was valid.
+  bool Apply(base::Offset offset, const schema::Record& record);
+
+  /// Forgets repeated-record checks and ends of programs before `oldest`.
+  void Retain(base::Offset oldest);
+
+  /// Null for unknown and ended programs.
+  const ProgramEntry* Find(const base::ProgramId& program) const;
+  const FamilyEntry& Family(const ProgramEntry& entry) const;
+  /// Roots of the families an instance owns under any incarnation.
+  std::vector<base::ProgramId> RootsOf(const base::InstanceId& owner) const;
+
+  const std::unordered_map<base::ProgramId, ProgramEntry>& programs() const { return programs_; }
+  /// Offset behind the newest applied record.
+  base::Offset next() const { return next_; }
+  std::size_t size() const { return programs_.size(); }
+  /// Estimated heap bytes.
+  std::size_t bytes() const;
+  std::uint64_t skipped() const { return skipped_; }
+
+  /// JSON text of the whole state, equal for equal states.
+  std::string Snapshot() const;
+  /// Replaces the state by a snapshot; kInvalidRequest leaves the state unchanged.
+  base::Result<void> Restore(std::string_view snapshot);
+
+ private:
+  bool ApplyOne(base::Offset offset, const schema::ProgramOpened& record);
+  bool ApplyOne(base::Offset offset, const schema::OwnerRecord& record);
+  bool ApplyOne(base::Offset offset, const schema::TurnRecord& record);
+  bool ApplyOne(base::Offset offset, const schema::ProgramSnapshot& record);
+  bool ApplyOne(base::Offset offset, const schema::ProgramEnded& record);
+  template <class T>
+  bool ApplyOne(base::Offset /*offset*/, const T& /*other*/) {
+    return false;
+  }
+  bool Remember(base::Offset offset, const base::RecordId& id);
+  bool EpochHolds(const FamilyEntry& family, base::Epoch epoch) const;
+  bool SnapshotHolds(const schema::ProgramSnapshot& record, const base::ProgramId& root) const;
+  void EraseMember(const base::ProgramId& program, base::Offset offset);
+
+  IndexChecks checks_;
+  std::unordered_map<base::ProgramId, ProgramEntry> programs_;
+  std::unordered_map<base::ProgramId, FamilyEntry> families_;
+  /// Hash of each ended program's id and the offset of its end.
+  std::unordered_map<std::uint64_t, std::uint64_t> ended_;
+  std::unordered_map<std::uint64_t, std::uint64_t> applied_;
+  std::map<std::uint64_t, std::uint64_t> applied_by_offset_;
+  base::Offset next_;
+  /// First offset this index read; epochs before it were not seen.
+  std::optional<base::Offset> start_;
+  std::uint64_t skipped_ = 0;
+};
+
+}  // namespace persimmonstair::programs
+
+#endif  // PERSIMMONSTAIR_PROGRAMS_PROGRAM_INDEX_HPP_
--- a/include/persimmonstair/schema/records.hpp
+++ b/include/persimmonstair/schema/records.hpp
@@ -556,6 +556,9 @@
   std::int64_t charged_tokens = 0;
   /// Engine that holds the program's prefix; empty for none.
   base::TargetId target;
+  /// Prompt and completion tokens of the conversation after this turn, as the engine counted; 0 if
+  /// unknown.
+  std::int64_t context_tokens = 0;
 
   bool operator==(const TurnRecord&) const = default;
 };
@@ -575,6 +578,7 @@
       {"response", value.response},
       {"charged_tokens", value.charged_tokens},
       {"target", value.target},
+      {"context_tokens", value.context_tokens},
   };
 }
 
@@ -593,6 +597,8 @@
   if (const auto it = json.find("charged_tokens"); it != json.end())
     it->get_to(value.charged_tokens);
   if (const auto it = json.find("target"); it != json.end()) it->get_to(value.target);
+  if (const auto it = json.find("context_tokens"); it != json.end())
+    it->get_to(value.context_tokens);
 }
 
 /// @brief Whole program state; starts a new chain.
