Compile Asio and Beast once in a shared library

Cause: platform, net, the stand-ins and the command line all use Asio and Beast, whose header-only form compiles slowly in each source file. Change: target persimmonstair_asio_impl holds the separately compiled implementation and exports the two definitions. Conclusion: users link persimmonstair_asio_impl and include the ordinary headers.

--- /dev/null
+++ b/src/persimmonstair/asio_impl/asio_impl.cpp
@@ -0,0 +1,2 @@
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
