--- /dev/null
+++ b/include/persimmonstair/net/stream_assembler.hpp
@@ -0,0 +1,69 @@
+#ifndef PERSIMMONSTAIR_NET_STREAM_ASSEMBLER_HPP_
+#define PERSIMMONSTAIR_NET_STREAM_ASSEMBLER_HPP_
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "persimmonstair/base/error.hpp"
+
+namespace persimmonstair::net {
+
+/// @brief Token counts of an answer.
+struct Usage {
+  std::int64_t prompt_tokens = 0;
+  std::int64_t cached_tokens = 0;
+  std::int64_t completion_tokens = 0;
+};
+
+/// @brief Reads `usage` of a chat completion object; zeros where it is missing.
+Usage ReadUsage(const nlohmann::json& completion);
+
+/// @brief Splits server-sent events of a chat completion and assembles their text.
+///
+///     StreamAssembler assembler{16 << 20};
+///     if (auto part = assembler.Add(bytes)) Relay(*part); else Fail(part.error());
+///     if (assembler.ended()) Done(assembler.Completion());
+class StreamAssembler {
+ public:
+  /// Larger streams are an error.
+  explicit StreamAssembler(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+
+  /// Returns the whole events that may go to the caller now, without `data: [DONE]` and anything
+  /// after it. Fails with kIncompleteAnswer for events that are not completion chunks.
+  base::Result<std::string> Add(std::string_view bytes);
+
+  /// True once `data: [DONE]` was read.
+  bool ended() const { return ended_; }
+  /// True if bytes other than white space followed the end.
+  bool trailing() const { return trailing_; }
+  const Usage& usage() const { return usage_; }
+  /// The chat completion object as JSON text.
+  std::string Completion() const;
+
+ private:
+  base::Result<void> AddEvent(std::string_view event);
+  base::Result<void> AddChunk(std::string_view data);
+  void AddChoice(const nlohmann::json& choice);
+  void AddToolCalls(const nlohmann::json& calls);
+
+  std::size_t max_bytes_;
+  std::size_t total_ = 0;
+  std::string pending_;
+  bool ended_ = false;
+  bool trailing_ = false;
+  std::string id_;
+  std::string model_;
+  std::int64_t created_ = 0;
+  std::string content_;
+  std::string finish_reason_;
+  std::map<std::int64_t, nlohmann::json> tool_calls_;
+  nlohmann::json usage_json_;
+  Usage usage_;
+};
+
+}  // namespace persimmonstair::net
+
+#endif  // PERSIMMONSTAIR_NET_STREAM_ASSEMBLER_HPP_
