--- /dev/null
+++ b/src/persimmonstair/scheduler/core.hpp
@@ -0,0 +1,261 @@
+#ifndef PERSIMMONSTAIR_SCHEDULER_CORE_HPP_
+#define PERSIMMONSTAIR_SCHEDULER_CORE_HPP_
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "append_queue.hpp"
+#include "persimmonstair/catalogue/catalogue.hpp"
+#include "persimmonstair/effects/effect_coordinator.hpp"
+#include "persimmonstair/limits/limiter.hpp"
+#include "persimmonstair/membership/lease_keeper.hpp"
+#include "persimmonstair/membership/liveness.hpp"
+#include "persimmonstair/membership/named_lease.hpp"
+#include "persimmonstair/membership/registry.hpp"
+#include "persimmonstair/programs/program_store.hpp"
+#include "persimmonstair/routing/router.hpp"
+#include "persimmonstair/scheduler/scheduler.hpp"
+#include "request.hpp"
+#include "stream_reader.hpp"
+
+namespace persimmonstair::scheduler {
+
+inline const base::StreamName kCatalogueStream{"catalogue"};
+inline const base::StreamName kControlStream{"control"};
+inline const base::StreamName kClaimsStream{"claims"};
+inline const base::StreamName kProgramsStream{"programs"};
+
+/// @brief Composes the decision libraries. Each part of the behaviour is in a source file of its
+/// own: callers.cpp, turns.cpp, attempts.cpp, effects.cpp, log.cpp, peers.cpp, members.cpp,
+/// engines.cpp, operators.cpp, stop.cpp.
+class Scheduler::Core {
+ public:
+  explicit Core(Options options);
+
+  std::vector<Action> Handle(const base::Now& now, Event event);
+  Status GetStatus(const base::Now& now) const;
+
+ private:
+  // callers.cpp: entry, admission and end of requests.
+  void On(CallerRequest& event);
+  void On(const CallerGone& event);
+  void Accept(Request request);
+  base::Result<void> Authenticate(Request& request);
+  base::Result<void> CheckIsolation() const;
+  bool KeyStillValid(const Request& request) const;
+  void Admit(Request& request);
+  void Proceed(base::RequestId id);
+  void Perform(limits::LimiterOutput output);
+  void Finish(base::RequestId id, std::uint32_t status, std::map<std::string, std::string> headers,
+              std::string body);
+  void FinishError(base::RequestId id, const base::Error& error);
+  void Abort(base::RequestId id, const base::Error& error);
+  void AbandonRouting(base::RequestId id);
+  void ExpireRequests();
+  void EndRequestsOfInvalidKeys();
+  Request* Find(base::RequestId id);
+
+  // turns.cpp: programs.
+  void ProceedProgram(base::RequestId id);
+  void HandleProgramHere(base::RequestId id);
+  void OpenProgram(base::RequestId id);
+  void StartTurn(base::RequestId id);
+  void ReadProgram(base::RequestId id);
+  std::optional<base::InstanceId> OwnerOf(const base::ProgramId& program) const;
+  base::InstanceId HeirOf(const base::ProgramId& program) const;
+  bool OwnerIsGone(const programs::FamilyEntry& family) const;
+  void TakeOverFrom(const base::InstanceId& gone);
+  void Perform(programs::ProgramActions actions);
+  void Do(const programs::AppendRecord& action);
+  void Do(const programs::FetchRecords& action);
+  void Do(const programs::RunTurn& action);
+  void Do(const programs::CancelTurn& action);
+  void Do(const programs::TurnAnswer& action);
+  void Do(const programs::ProgramReady& action);
+  void Do(const programs::CallAccepted& action);
+  void Do(const programs::ProgramRefusal& action);
+  void Do(const programs::ReleaseMemory& action);
+  void Do(const programs::Replicate& action);
+  void Do(const programs::ReplicationDone& action);
+  void Do(const programs::SendTo& action);
+
+  // effects.cpp: service calls.
+  void ProceedService(base::RequestId id);
+  void QueueService(base::RequestId id);
+  void Perform(effects::EffectActions actions);
+  void Do(const effects::AppendRecord& action);
+  void Do(const effects::ReadyToDispatch& action);
+  void Do(const effects::EffectAnswer& action);
+  void Do(const effects::EffectRefusal& action);
+
+  // attempts.cpp: routing decisions and answers of targets.
+  void On(const TargetFirstByte& event);
+  void On(TargetDone& event);
+  void On(const TargetFailed& event);
+  void On(const TargetReport& event);
+  void Route(const routing::Event& event);
+  void Do(const routing::Dispatch& decision);
+  void Do(const routing::Refuse& decision);
+  void Do(const routing::CancelAttempt& decision);
+  void Do(const routing::CloseIdle& decision);
+  void Do(const routing::Probe& decision);
+  void Do(const routing::SharePoison& decision);
+  void Do(const routing::ShareSuspect& decision);
+  bool MaySend(base::RequestId id, Request& request);
+  Dispatch MakeDispatch(const routing::Dispatch& decision, const Request& request,
+                        const catalogue::Target& target) const;
+  void Complete(base::RequestId id, const TargetDone& event, const base::TargetId& target);
+  void Fail(base::RequestId id, const base::Error& error);
+
+  // log.cpp: streams.
+  void On(const LogRead& event);
+  void On(const LogReadFailed& event);
+  void On(const AppendDone& event);
+  void On(const RecordsFetched& event);
+  void ApplyCatalogue(base::Offset offset, const schema::Record& record);
+  void ApplyControl(base::Offset offset, const schema::Record& record);
+  void AppendRecord(const base::StreamName& stream, const schema::Record& record);
+  void Settle(const AppendQueue::Settled& settled);
+  void WriteSnapshots();
+  bool RestoreStream(const base::StreamName& stream, const std::string& state);
+  std::string StreamState(const base::StreamName& stream) const;
+  bool LogReachable() const;
+  bool Ready() const;
+  base::RecordId NextRecordId();
+  StreamReader& Reader(const base::StreamName& stream) { return readers_.at(stream); }
+
+  // peers.cpp: messages of other instances.
+  void On(PeerReceived& event);
+  void On(const PeerSendFailed& event);
+  void OnMessage(const PeerReceived& event, const schema::Heartbeat& message);
+  void OnMessage(const PeerReceived& event, const schema::KeyWithdrawn& message);
+  void OnMessage(const PeerReceived& event, const schema::PoisonReport& message);
+  void OnMessage(const PeerReceived& event, const schema::TargetSuspect& message);
+  void OnMessage(const PeerReceived& event, const schema::ForwardedRequest& message);
+  void OnMessage(const PeerReceived& event, const schema::ForwardedReply& message);
+  void OnMessage(const PeerReceived& event, const schema::ForwardedCancel& message);
+  void OnMessage(const PeerReceived& event, const schema::TokenLoanRequest& message);
+  void OnMessage(const PeerReceived& event, const schema::TokenLoan& message);
+  void OnMessage(const PeerReceived& event, const schema::LeaseConsentRequest& message);
+  void OnMessage(const PeerReceived& event, const schema::LeaseConsent& message);
+  void OnMessage(const PeerReceived& event, const schema::ReplicateTurnAck& message);
+  void OnMessage(const PeerReceived& event, const schema::SnapshotRequest& message);
+  void OnMessage(const PeerReceived& event, const schema::Snapshot& message);
+  template <class Message>
+  void OnMessage(const PeerReceived& event, const Message& message) {
+    Perform(store_.OnPeer(now_, event.from, message));
+  }
+  void Forward(base::RequestId id, const base::InstanceId& to);
+  void SendReliable(const base::InstanceId& to, schema::PeerMessage message);
+  void SendHeartbeat();
+  void AskForSnapshot();
+  /// Registered incarnation of a message's sender; 0 if its process is not the one that sent the
+  /// last heartbeat.
+  base::Incarnation RegisteredIncarnation(const PeerReceived& event) const;
+
+  // members.cpp: leases, limits and the instance list.
+  void On(const InstanceListRead& event);
+  void Perform(const membership::Output& output);
+  void TickMembership();
+  void UseLease();
+  void ApplyLimits();
+
+  // engines.cpp: load reports, held programs and release.
+  void PollEngines();
+  void CompareHeld();
+  void StartInternal(const catalogue::Target& target, int kind, const base::ProgramId& program);
+  bool EndInternal(base::AttemptId attempt, const TargetDone* done);
+  void OnLoad(const base::TargetId& target, const TargetDone& done);
+  void OnHeld(const base::TargetId& target, const TargetDone& done);
+
+  // operators.cpp: catalogue.
+  void ProceedOperator(base::RequestId id);
+  void StartChange(base::RequestId id);
+  void EndChange(const base::RecordId& record, const base::Result<void>& result);
+  void UseCatalogue();
+
+  // stop.cpp: planned stop.
+  void On(const StopRequested& event);
+  void ContinueStop();
+  bool RefusesNew() const;
+  std::string Unfinished() const;
+  void HandOverPrograms();
+
+  void On(const Tick& event);
+  void FlushAppends();
+  template <class T>
+  void Emit(T action) {
+    out_.emplace_back(std::move(action));
+  }
+  const catalogue::Document& document() const { return catalogue_.document(); }
+
+  struct InternalAttempt {
+    int kind = 0;
+    base::TargetId target;
+    base::ProgramId program;
+  };
+  struct PeerState {
+    base::Incarnation process;
+    base::Incarnation registered;
+    base::DataCentreId data_centre;
+  };
+  struct PendingChange {
+    base::RequestId request;
+    std::vector<base::KeyId> withdrawn;
+  };
+
+  Options options_;
+  std::mt19937_64 random_;
+  base::Now now_{};
+  std::vector<Action> out_;
+
+  catalogue::Catalogue catalogue_;
+  membership::Registry registry_;
+  membership::LeaseKeeper keeper_;
+  membership::NamedLease orders_;
+  membership::Liveness liveness_;
+  limits::Limiter limiter_;
+  effects::EffectCoordinator effects_;
+  programs::ProgramStore store_;
+  routing::Router router_;
+  AppendQueue appends_;
+  std::map<base::StreamName, StreamReader> readers_;
+
+  std::map<base::RequestId, Request> requests_;
+  std::map<base::AttemptId, base::RequestId> attempts_;
+  std::map<base::AttemptId, base::TargetId> attempt_targets_;
+  std::map<base::AttemptId, InternalAttempt> internal_;
+  std::map<base::InstanceId, PeerState> peers_;
+  std::map<base::RecordId, PendingChange> changes_;
+  std::map<std::pair<base::InstanceId, base::RequestId>, base::RequestId> forwarded_in_;
+
+  std::uint64_t last_record_ = 0;
+  std::uint64_t last_program_ = 0;
+  /// Internal attempts have odd high numbers, which the router does not give out.
+  std::uint64_t last_internal_ = 0;
+  std::optional<base::TimePoint> started_;
+  std::optional<base::TimePoint> log_read_at_;
+  bool log_failed_ = false;
+  base::WallTime oldest_at_;
+  base::TimePoint last_heartbeat_;
+  base::TimePoint last_load_;
+  base::TimePoint last_held_;
+  base::TimePoint last_snapshot_ask_;
+  base::TimePoint last_snapshot_write_;
+  base::TimePoint last_maintenance_;
+  std::optional<base::TimePoint> stopping_since_;
+  bool leaving_ = false;
+  bool stopped_ = false;
+  std::uint64_t forwarded_ = 0;
+  std::uint64_t rate_refusals_ = 0;
+  std::uint64_t heartbeat_rotation_ = 0;
+};
+
+}  // namespace persimmonstair::scheduler
+
+#endif  // PERSIMMONSTAIR_SCHEDULER_CORE_HPP_
--- /dev/null
+++ b/src/persimmonstair/scheduler/effects.cpp
@@ -0,0 +1,70 @@
+#include "core.hpp"
+
+namespace persimmonstair::scheduler {
+namespace {
+
+using base::ErrorCode;
+using base::Verdict;
+
+std::int64_t UnixSeconds(const base::Now& now) { return base::UnixMillis(now.wall) / 1000; }
+
+}  // namespace
+
+void Scheduler::Core::ProceedService(base::RequestId id) {
+  Request& request = *Find(id);
+  if (request.idempotent) return QueueService(id);
+  if (request.call.idempotency_key.empty()) {
+    // Without a key of the caller's, a repeated call is a new request; it still runs at most once.
+    request.call.idempotency_key = std::to_string(UnixSeconds(now_)) + "." + options_.process +
+                                   "-" + std::to_string(id.value);
+  }
+  request.stage = Stage::kEffect;
+  effects::EffectRequest effect;
+  effect.request = id;
+  effect.key = {request.workspace, request.call.route, request.call.idempotency_key};
+  effect.fingerprint = effects::FingerprintBody(request.call.body);
+  Perform(effects_.Begin(now_, effect));
+}
+
+void Scheduler::Core::QueueService(base::RequestId id) {
+  Request& request = *Find(id);
+  request.stage = Stage::kRouting;
+  routing::RequestQueued queued;
+  queued.request = id;
+  queued.workspace = request.workspace;
+  queued.route = request.call.route;
+  queued.deadline = request.deadline - now_.monotonic;
+  queued.idempotent = request.idempotent;
+  queued.fingerprint =
+      effects::FingerprintBody(request.call.route.value + "\n" + request.call.body);
+  Route(queued);
+}
+
+void Scheduler::Core::Perform(effects::EffectActions actions) {
+  for (const auto& action : actions) {
+    std::visit([this](const auto& value) { Do(value); }, action);
+  }
+}
+
+void Scheduler::Core::Do(const effects::AppendRecord& action) {
+  AppendRecord(kClaimsStream, action.record);
+}
+
+void Scheduler::Core::Do(const effects::ReadyToDispatch& action) {
+  if (Find(action.request) != nullptr) return QueueService(action.request);
+  Perform(effects_.Withdraw(now_, action.request,
+                            {ErrorCode::kTimeout, "the caller is gone", Verdict::kNotRun, {}}));
+}
+
+void Scheduler::Core::Do(const effects::EffectAnswer& action) {
+  std::map<std::string, std::string> headers{
+      {"persimmonstair-verdict", std::string(base::ToString(action.verdict))}};
+  if (action.replayed) headers["persimmonstair-replayed"] = "true";
+  Finish(action.request, action.status, std::move(headers), action.body);
+}
+
+void Scheduler::Core::Do(const effects::EffectRefusal& action) {
+  FinishError(action.request, action.error);
+}
+
+}  // namespace persimmonstair::scheduler
--- /dev/null
+++ b/src/persimmonstair/scheduler/members.cpp
@@ -0,0 +1,48 @@
+#include "core.hpp"
+
+namespace persimmonstair::scheduler {
+
+void Scheduler::Core::On(const InstanceListRead& event) {
+  std::vector<membership::Listed> listed;
+  for (const auto& it : event.instances) listed.push_back({it.instance, it.data_centre, it.leaving});
+  liveness_.OnList(now_.monotonic, listed);
+  Route(routing::InstanceListApplied{{event.leaving_targets.begin(), event.leaving_targets.end()}});
+}
+
+void Scheduler::Core::Perform(const membership::Output& output) {
+  for (const auto& record : output.records) AppendRecord(kControlStream, record);
+  for (const auto& message : output.messages) SendReliable(message.to, message.message);
+}
+
+void Scheduler::Core::UseLease() {
+  limiter_.SetLease(now_.monotonic, keeper_.view());
+  Perform(store_.SetAuthority(now_, keeper_.view().LeasedUsable(now_.monotonic)));
+}
+
+void Scheduler::Core::TickMembership() {
+  // Nothing is registered before the stream was read: a registration made blindly could repeat an
+  // incarnation.
+  const bool reachable = LogReachable() && Reader(kControlStream).started();
+  if (Reader(kControlStream).started()) {
+    Perform(keeper_.Tick(now_.monotonic, registry_, reachable));
+  }
+  UseLease();
+  Perform(limiter_.Tick(now_.monotonic, registry_, reachable));
+  const bool wanted = !stopping_since_ && reachable;
+  if (auto record = orders_.Tick(now_.monotonic, registry_, keeper_.view(), wanted)) {
+    AppendRecord(kControlStream, *record);
+  }
+  if (keeper_.superseded()) Emit(Superseded{});
+}
+
+void Scheduler::Core::ApplyLimits() {
+  for (const auto& [id, workspace] : document().workspaces) {
+    limiter_.SetLimit(now_.monotonic, id, {workspace.rate_per_s, workspace.burst});
+  }
+  std::map<base::InstanceId, std::uint32_t> floors;
+  for (const auto& [id, instance] : document().instances) floors[id] = instance.floor_ppm;
+  limiter_.SetFloors(now_.monotonic, catalogue_.version(), floors);
+  keeper_.SetFloorsVersion(limiter_.floors_version());
+}
+
+}  // namespace persimmonstair::scheduler
--- /dev/null
+++ b/src/persimmonstair/scheduler/peers.cpp
@@ -0,0 +1,236 @@
+#include <nlohmann/json.hpp>
+
+#include "core.hpp"
+
+namespace persimmonstair::scheduler {
+namespace {
+
+using base::ErrorCode;
+using base::Verdict;
+
+constexpr std::chrono::milliseconds kHeartbeatInterval{500};
+/// Entries of one heartbeat, so that it fits a datagram whatever the size of the fleet; larger
+/// tables are sent in turns.
+constexpr std::size_t kHeartbeatTargets = 20;
+constexpr std::size_t kHeartbeatWorkspaces = 12;
+
+/// A part of a map of at most `most` entries, a different one at each turn.
+template <class Map>
+Map Rotate(const Map& all, std::size_t most, std::uint64_t turn) {
+  if (all.size() <= most) return all;
+  Map out;
+  auto it = std::next(all.begin(), static_cast<std::ptrdiff_t>(turn * most % all.size()));
+  while (out.size() < most) {
+    out.insert(*it);
+    if (++it == all.end()) it = all.begin();
+  }
+  return out;
+}
+
+}  // namespace
+
+void Scheduler::Core::SendReliable(const base::InstanceId& to, schema::PeerMessage message) {
+  Emit(SendPeer{to, std::move(message), true});
+}
+
+void Scheduler::Core::On(PeerReceived& event) {
+  std::visit([this, &event](const auto& message) { OnMessage(event, message); }, event.message);
+}
+
+base::Incarnation Scheduler::Core::RegisteredIncarnation(const PeerReceived& event) const {
+  const auto it = peers_.find(event.from);
+  if (it == peers_.end() || it->second.process != event.incarnation) return {};
+  return it->second.registered;
+}
+
+void Scheduler::Core::SendHeartbeat() {
+  if (now_.monotonic - last_heartbeat_ < kHeartbeatInterval) return;
+  last_heartbeat_ = now_.monotonic;
+  ++heartbeat_rotation_;
+  schema::Heartbeat heartbeat;
+  heartbeat.data_centre = options_.data_centre;
+  heartbeat.state = stopping_since_ ? "leaving" : Ready() ? "live" : "starting";
+  heartbeat.catalogue_version = catalogue_.version();
+  heartbeat.log_reachable = LogReachable();
+  heartbeat.in_flight = Rotate(router_.InFlight(), kHeartbeatTargets, heartbeat_rotation_);
+  heartbeat.attained_us =
+      Rotate(router_.AttainedMicros(), kHeartbeatWorkspaces, heartbeat_rotation_);
+  heartbeat.registered = keeper_.view().incarnation;
+  Emit(BroadcastPeer{std::move(heartbeat)});
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& event, const schema::Heartbeat& message) {
+  PeerState& peer = peers_[event.from];
+  if (event.incarnation < peer.process) return;
+  peer = {event.incarnation, message.registered, message.data_centre};
+  // An instance that is still starting cannot own programs yet, but it does run.
+  liveness_.OnHeartbeat(now_.monotonic, event.from, event.incarnation, message.data_centre,
+                        message.state == "leaving");
+  keeper_.OnPeerSeen(event.from, message.registered);
+  Route(routing::PeerLoad{event.from, message.in_flight, message.attained_us});
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& /*event*/,
+                                const schema::KeyWithdrawn& message) {
+  // A message about a version that is in force already says nothing new.
+  if (message.catalogue_version != 0 && message.catalogue_version <= catalogue_.version()) return;
+  catalogue_.DenyKey(message.key);
+  EndRequestsOfInvalidKeys();
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& /*event*/,
+                                const schema::PoisonReport& message) {
+  Route(routing::PeerPoison{message.workspace, message.fingerprint, message.target});
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& /*event*/,
+                                const schema::TargetSuspect& message) {
+  Route(routing::PeerSuspect{message.target, message.leaving});
+}
+
+void Scheduler::Core::Forward(base::RequestId id, const base::InstanceId& to) {
+  Request& request = *Find(id);
+  request.stage = Stage::kForwarded;
+  request.handler = to;
+  ++forwarded_;
+  schema::ForwardedRequest message;
+  message.request = id;
+  message.workspace = request.workspace;
+  message.key = request.key;
+  message.kind = static_cast<std::uint32_t>(request.call.kind);
+  message.route = request.call.route;
+  message.program = request.call.program;
+  message.parent = request.call.parent;
+  message.turn = request.call.turn;
+  message.idempotency_key = request.call.idempotency_key;
+  message.model = request.call.model;
+  message.body = request.call.body;
+  message.stream = request.call.stream;
+  message.deadline_ms =
+      static_cast<std::uint64_t>(base::ToMillis(request.deadline - now_.monotonic));
+  message.budget_tokens = request.call.budget_tokens;
+  message.admitted = true;
+  SendReliable(to, std::move(message));
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& event,
+                                const schema::ForwardedRequest& message) {
+  if (!forwarded_in_.emplace(std::pair(event.from, message.request), event.request).second) return;
+  Request request;
+  request.origin = event.from;
+  request.origin_request = message.request;
+  request.workspace = message.workspace;
+  request.key = message.key;
+  CallerRequest& call = request.call;
+  call.request = event.request;
+  call.kind = static_cast<CallKind>(message.kind);
+  call.route = message.route;
+  call.program = message.program;
+  call.parent = message.parent;
+  call.turn = message.turn;
+  call.idempotency_key = message.idempotency_key;
+  call.model = message.model;
+  call.body = message.body;
+  call.stream = message.stream;
+  call.deadline = std::chrono::milliseconds(message.deadline_ms);
+  call.budget_tokens = message.budget_tokens;
+  if (const auto key = document().keys.find(request.key); key != document().keys.end()) {
+    request.entry_class = key->second.ownership.entry_class;
+  }
+  Accept(std::move(request));
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& event, const schema::ForwardedReply& message) {
+  const Request* request = Find(message.request);
+  // Only the instance that got the request may answer it.
+  if (request == nullptr || request->stage != Stage::kForwarded || request->handler != event.from) {
+    return;
+  }
+  Finish(message.request, message.status, message.headers, message.body);
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& event, const schema::ForwardedCancel& message) {
+  const auto it = forwarded_in_.find({event.from, message.request});
+  if (it != forwarded_in_.end()) On(CallerGone{it->second});
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& event,
+                                const schema::TokenLoanRequest& message) {
+  Perform(limiter_.OnLoanRequest(now_.monotonic, event.from, message));
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& event, const schema::TokenLoan& message) {
+  Perform(limiter_.OnLoan(now_.monotonic, event.from, message));
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& event,
+                                const schema::LeaseConsentRequest& message) {
+  const auto incarnation = RegisteredIncarnation(event);
+  Perform(
+      keeper_.OnConsentRequest(now_.monotonic, event.from, incarnation, message, registry_));
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& event, const schema::LeaseConsent& message) {
+  keeper_.OnConsent(now_.monotonic, event.from, RegisteredIncarnation(event), message, registry_);
+  UseLease();
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& event,
+                                const schema::ReplicateTurnAck& message) {
+  Perform(store_.OnReplicated(now_, message.record_id, event.from));
+}
+
+void Scheduler::Core::AskForSnapshot() {
+  // Only while the log cannot tell: its records are the better source.
+  constexpr std::chrono::seconds kAskInterval{1};
+  if (Ready() || LogReachable() || peers_.empty()) return;
+  if (now_.monotonic - last_snapshot_ask_ < kAskInterval) return;
+  last_snapshot_ask_ = now_.monotonic;
+  auto it = peers_.begin();
+  std::advance(it, static_cast<std::ptrdiff_t>(random_() % peers_.size()));
+  SendReliable(it->first, schema::SnapshotRequest{random_()});
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& event, const schema::SnapshotRequest& message) {
+  if (!Ready()) return;
+  schema::Snapshot snapshot;
+  snapshot.nonce = message.nonce;
+  for (const auto& [stream, reader] : readers_) snapshot.offsets[stream] = reader.next().value;
+  snapshot.parts["catalogue"] = catalogue_.Snapshot();
+  snapshot.parts["control"] = StreamState(kControlStream);
+  snapshot.parts["claims"] = effects_.table().Snapshot();
+  snapshot.parts["programs"] = store_.index().Snapshot();
+  SendReliable(event.from, std::move(snapshot));
+}
+
+void Scheduler::Core::OnMessage(const PeerReceived& /*event*/, const schema::Snapshot& message) {
+  if (Ready()) return;
+  const auto part = [&message](const char* name) {
+    const auto it = message.parts.find(name);
+    return it == message.parts.end() ? std::string() : it->second;
+  };
+  const bool restored = RestoreStream(kCatalogueStream, part("catalogue")) &&
+                        RestoreStream(kControlStream, part("control")) &&
+                        effects_.RestoreTable(part("claims")).has_value() &&
+                        store_.RestoreIndex(part("programs")).has_value();
+  if (!restored) return;
+  for (const auto& [stream, next] : message.offsets) {
+    if (const auto it = readers_.find(stream); it != readers_.end()) it->second.SkipTo({next});
+  }
+}
+
+void Scheduler::Core::On(const PeerSendFailed& event) {
+  if (const auto* request = std::get_if<schema::ForwardedRequest>(&event.message)) {
+    const Request* known = Find(request->request);
+    if (known == nullptr || known->stage != Stage::kForwarded) return;
+    const Verdict verdict = event.sent ? Verdict::kMayHaveRun : Verdict::kNotRun;
+    return FinishError(request->request,
+                       {ErrorCode::kOwnerUnavailable, "the program's owner cannot be reached",
+                        verdict, std::chrono::seconds{1}});
+  }
+  if (const auto* loan = std::get_if<schema::TokenLoanRequest>(&event.message)) {
+    Perform(limiter_.OnLoanRequestFailed(now_.monotonic, event.to, *loan));
+  }
+}
+
+}  // namespace persimmonstair::scheduler
--- /dev/null
+++ b/src/persimmonstair/scheduler/scheduler.cpp
@@ -0,0 +1,24 @@
+#include "persimmonstair/scheduler/scheduler.hpp"
+
+#include <utility>
+
+#include "core.hpp"
+
+namespace persimmonstair::scheduler {
+
+Scheduler::Scheduler(Options options) : core_(std::make_unique<Core>(std::move(options))) {}
+Scheduler::~Scheduler() = default;
+Scheduler::Scheduler(Scheduler&&) noexcept = default;
+Scheduler& Scheduler::operator=(Scheduler&&) noexcept = default;
+
+std::vector<Action> Scheduler::Handle(const base::Now& now, Event event) {
+  return core_->Handle(now, std::move(event));
+}
+
+Status Scheduler::status(const base::Now& now) const { return core_->GetStatus(now); }
+
+std::vector<base::StreamName> Scheduler::Streams() {
+  return {kCatalogueStream, kControlStream, kClaimsStream, kProgramsStream};
+}
+
+}  // namespace persimmonstair::scheduler
--- /dev/null
+++ b/src/persimmonstair/scheduler/turns.cpp
@@ -0,0 +1,289 @@
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "core.hpp"
+#include "persimmonstair/base/rendezvous.hpp"
+
+namespace persimmonstair::scheduler {
+namespace {
+
+using base::ErrorCode;
+using base::Verdict;
+
+/// Bytes of text for each token when the engine has not counted yet.
+constexpr std::int64_t kBytesPerToken = 4;
+
+/// Parts of a program id "p:<data centre>:<instance>:<number>"; catalogue names hold no ':'.
+std::vector<std::string> IdParts(const base::ProgramId& program) {
+  std::vector<std::string> out(1);
+  for (const char c : program.value) {
+    if (c == ':') {
+      out.emplace_back();
+    } else {
+      out.back() += c;
+    }
+  }
+  return out;
+}
+
+std::string SingleChunk(const std::string& completion) {
+  auto json = nlohmann::json::parse(completion, nullptr, false);
+  if (!json.is_object()) return "data: " + completion + "\n\ndata: [DONE]\n\n";
+  json["object"] = "chat.completion.chunk";
+  for (auto& choice : json["choices"]) {
+    if (!choice.contains("message")) continue;
+    choice["delta"] = choice["message"];
+    choice.erase("message");
+  }
+  return "data: " + json.dump() + "\n\ndata: [DONE]\n\n";
+}
+
+}  // namespace
+
+std::optional<base::InstanceId> Scheduler::Core::OwnerOf(const base::ProgramId& program) const {
+  const auto* entry = store_.index().Find(program);
+  if (entry == nullptr) {
+    // The record of a new program may not be read yet; its id names where it was opened.
+    const auto parts = IdParts(program);
+    if (parts.size() != 4 || parts[0] != "p") return std::nullopt;
+    return base::InstanceId{parts[2]};
+  }
+  const auto& family = store_.index().Family(*entry);
+  if (store_.Owns(program)) return options_.instance;
+  return OwnerIsGone(family) ? HeirOf(program) : family.owner;
+}
+
+base::InstanceId Scheduler::Core::HeirOf(const base::ProgramId& program) const {
+  const auto parts = IdParts(program);
+  std::vector<base::InstanceId> live;
+  if (parts.size() == 4) live = liveness_.LiveIn({parts[1]}, now_.monotonic);
+  if (live.empty()) live = liveness_.Live(now_.monotonic);
+  if (live.empty()) return options_.instance;
+  return base::RendezvousPick(program.value, live, [](const auto& it) { return it.value; });
+}
+
+bool Scheduler::Core::OwnerIsGone(const programs::FamilyEntry& family) const {
+  const membership::Member* member = registry_.Find(family.owner);
+  if (member == nullptr || member->end != membership::End::kNone) return true;
+  if (family.owner == options_.instance) return family.incarnation != options_.incarnation;
+  const auto peer = peers_.find(family.owner);
+  // A restarted process under the same id does not have its predecessor's programs.
+  return peer != peers_.end() && peer->second.process > family.incarnation &&
+         peer->second.registered == member->incarnation;
+}
+
+void Scheduler::Core::ProceedProgram(base::RequestId id) {
+  Request& request = *Find(id);
+  request.stage = Stage::kProgram;
+  const base::ProgramId& anchor =
+      request.call.kind == CallKind::kOpenProgram ? request.call.parent : request.call.program;
+  if (request.call.kind == CallKind::kOpenProgram && anchor.empty()) return OpenProgram(id);
+  const auto owner = OwnerOf(anchor);
+  if (!owner) {
+    return FinishError(id, {ErrorCode::kNotFound, "unknown program '" + anchor.value + "'",
+                            Verdict::kNotRun, {}});
+  }
+  if (*owner == options_.instance) return HandleProgramHere(id);
+  if (!request.origin.empty()) {
+    // One hop is enough once views agree; more could go round in circles.
+    return FinishError(id, {ErrorCode::kOwnerUnavailable, "the program's owner is changing",
+                            Verdict::kNotRun, std::chrono::milliseconds{500}});
+  }
+  Forward(id, *owner);
+}
+
+void Scheduler::Core::HandleProgramHere(base::RequestId id) {
+  Request& request = *Find(id);
+  const base::ProgramId program =
+      request.call.kind == CallKind::kOpenProgram ? request.call.parent : request.call.program;
+  const auto* entry = store_.index().Find(program);
+  if (entry != nullptr && !store_.Owns(program) && OwnerIsGone(store_.index().Family(*entry))) {
+    Perform(store_.TakeOver(now_, program));
+  }
+  if (Find(id) == nullptr) return;
+  switch (request.call.kind) {
+    case CallKind::kOpenProgram:
+      return OpenProgram(id);
+    case CallKind::kTurn:
+      return StartTurn(id);
+    case CallKind::kEndProgram:
+      return Perform(store_.End(now_, id, program, request.workspace));
+    case CallKind::kToolPause:
+      return Perform(store_.Pause(now_, id, program, request.workspace));
+    default:
+      return ReadProgram(id);
+  }
+}
+
+void Scheduler::Core::OpenProgram(base::RequestId id) {
+  Request& request = *Find(id);
+  const auto model = document().models.find(request.call.model);
+  if (model == document().models.end()) {
+    return FinishError(id, {ErrorCode::kNotFound, "unknown model '" + request.call.model.value + "'",
+                            Verdict::kNotRun, {}});
+  }
+  const auto workspace = document().workspaces.find(request.workspace);
+  if (workspace == document().workspaces.end()) {
+    return FinishError(id, {ErrorCode::kForbidden, "the workspace was removed", Verdict::kNotRun, {}});
+  }
+  const std::int64_t most = workspace->second.program_budget_tokens;
+  const std::int64_t wanted = request.call.budget_tokens;
+  if (request.call.program.empty()) {
+    request.call.program = {"p:" + options_.data_centre.value + ":" + options_.instance.value + ":" +
+                            options_.process + "-" + std::to_string(++last_program_)};
+  }
+  programs::OpenCall call;
+  call.request = id;
+  call.program = request.call.program;
+  call.workspace = request.workspace;
+  call.parent = request.call.parent;
+  call.model = request.call.model;
+  call.budget_tokens = wanted > 0 ? std::min(wanted, most) : most;
+  Perform(store_.Open(now_, call));
+}
+
+void Scheduler::Core::StartTurn(base::RequestId id) {
+  Request& request = *Find(id);
+  const auto* entry = store_.index().Find(request.call.program);
+  programs::TurnCall call;
+  call.request = id;
+  call.program = request.call.program;
+  call.workspace = request.workspace;
+  call.turn = request.call.turn;
+  call.body = request.call.body;
+  constexpr std::int64_t kFallbackMaxTokens = 1024;
+  call.default_max_tokens = kFallbackMaxTokens;
+  if (entry != nullptr) {
+    const auto model = document().models.find(entry->model);
+    if (model != document().models.end()) call.default_max_tokens = model->second.default_max_tokens;
+  }
+  Perform(store_.Turn(now_, call));
+}
+
+void Scheduler::Core::ReadProgram(base::RequestId id) {
+  const Request& request = *Find(id);
+  const auto text = store_.Read(request.call.program, request.workspace);
+  if (!text) return FinishError(id, text.error());
+  Finish(id, 200, {}, *text);
+}
+
+void Scheduler::Core::TakeOverFrom(const base::InstanceId& gone) {
+  for (const auto& root : store_.index().RootsOf(gone)) {
+    const auto* entry = store_.index().Find(root);
+    if (entry == nullptr || store_.Owns(root)) continue;
+    if (!OwnerIsGone(store_.index().Family(*entry)) || HeirOf(root) != options_.instance) continue;
+    Perform(store_.TakeOver(now_, root));
+  }
+}
+
+void Scheduler::Core::Perform(programs::ProgramActions actions) {
+  for (const auto& action : actions) {
+    std::visit([this](const auto& value) { Do(value); }, action);
+  }
+}
+
+void Scheduler::Core::Do(const programs::AppendRecord& action) {
+  AppendRecord(kProgramsStream, action.record);
+}
+
+void Scheduler::Core::Do(const programs::FetchRecords& action) {
+  Emit(FetchRecords{kProgramsStream, action.offsets});
+}
+
+void Scheduler::Core::Do(const programs::RunTurn& action) {
+  Request* request = Find(action.request);
+  if (request == nullptr) {
+    return Perform(store_.Withdraw(now_, action.request,
+                                   {ErrorCode::kTimeout, "the caller is gone", Verdict::kNotRun, {}}));
+  }
+  request->turn = action;
+  request->stage = Stage::kRouting;
+  const auto* entry = store_.index().Find(action.program);
+  routing::RequestQueued queued;
+  queued.request = action.request;
+  queued.workspace = action.workspace;
+  queued.program = action.program;
+  if (entry != nullptr && entry->root != action.program) queued.root = entry->root;
+  queued.model = action.model;
+  const auto body = static_cast<std::int64_t>(action.body.size());
+  const auto added = static_cast<std::int64_t>(request->call.body.size());
+  queued.prompt_tokens = body / kBytesPerToken;
+  queued.last_target = action.resident;
+  if (!action.resident.empty()) {
+    queued.held_tokens = std::max<std::int64_t>(0, body - added) / kBytesPerToken;
+  }
+  queued.expected_completion_tokens = action.max_tokens;
+  queued.deadline = request->deadline - now_.monotonic;
+  // A turn only produces text, and its result counts once by its number, so it may run again.
+  queued.idempotent = true;
+  queued.fingerprint = effects::FingerprintBody(request->call.body);
+  Route(queued);
+}
+
+void Scheduler::Core::Do(const programs::CancelTurn& action) {
+  if (const Request* request = Find(action.request); request && request->stage == Stage::kRouting) {
+    AbandonRouting(action.request);
+  }
+}
+
+void Scheduler::Core::Do(const programs::TurnAnswer& action) {
+  const Request* request = Find(action.request);
+  if (request == nullptr) return;
+  std::map<std::string, std::string> headers{
+      {"persimmonstair-program", action.program.value},
+      {"persimmonstair-turn", std::to_string(action.turn)},
+      {"persimmonstair-durability", action.durability},
+      {"persimmonstair-verdict", std::string(base::ToString(action.verdict))}};
+  if (action.replayed) headers["persimmonstair-replayed"] = "true";
+  std::string body = action.body;
+  if (request->stream_begun) {
+    body = "data: [DONE]\n\n";
+  } else if (request->call.stream && action.status == 200) {
+    headers["content-type"] = "text/event-stream";
+    body = SingleChunk(action.body);
+  }
+  Finish(action.request, action.status, std::move(headers), std::move(body));
+}
+
+void Scheduler::Core::Do(const programs::ProgramReady& action) {
+  const Request* request = Find(action.request);
+  if (request == nullptr) return;
+  const nlohmann::json body{{"id", action.program.value}, {"model", request->call.model.value}};
+  Finish(action.request, 201, {{"persimmonstair-program", action.program.value}}, body.dump());
+}
+
+void Scheduler::Core::Do(const programs::CallAccepted& action) {
+  const Request* request = Find(action.request);
+  if (request == nullptr) return;
+  const char* state = request->call.kind == CallKind::kEndProgram ? "ended" : "paused";
+  const nlohmann::json body{{"id", request->call.program.value}, {"state", state}};
+  Finish(action.request, 200, {}, body.dump());
+}
+
+void Scheduler::Core::Do(const programs::ProgramRefusal& action) {
+  FinishError(action.request, action.error);
+}
+
+void Scheduler::Core::Do(const programs::ReplicationDone& action) {
+  for (const auto& [peer, state] : peers_) SendReliable(peer, action.message);
+}
+
+void Scheduler::Core::Do(const programs::SendTo& action) { SendReliable(action.to, action.message); }
+
+void Scheduler::Core::Do(const programs::Replicate& action) {
+  constexpr std::size_t kCopies = 2;
+  std::vector<base::InstanceId> elsewhere;
+  std::vector<base::InstanceId> nearby;
+  for (const auto& peer : liveness_.Live(now_.monotonic)) {
+    if (peer == options_.instance) continue;
+    const bool near = peers_[peer].data_centre == options_.data_centre;
+    (near ? nearby : elsewhere).push_back(peer);
+  }
+  std::shuffle(elsewhere.begin(), elsewhere.end(), random_);
+  elsewhere.insert(elsewhere.end(), nearby.begin(), nearby.end());
+  for (std::size_t n = 0; n < std::min(kCopies, elsewhere.size()); ++n) {
+    SendReliable(elsewhere[n], action.message);
+  }
+}
+
+}  // namespace persimmonstair::scheduler
