Add claims and outcomes of non-idempotent requests

Cause: a request on a non-idempotent route must run at most once over the fleet, with lost append answers, late appends, deaths, pauses and log outages. A claim that reaches the log after its request was refused is released.

--- a/include/persimmonstair/effects/claim_table.hpp
+++ b/include/persimmonstair/effects/claim_table.hpp
@@ -8,7 +8,8 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 #include "persimmonstair/base/error.hpp"
@@ -75,8 +76,8 @@
   /// Applies one record; records of other types change nothing. Returns true if it was valid.
   bool Apply(base::Offset offset, const schema::Record& record);
 
-  /// Forgets what is no longer retained. `oldest_at` is the append time of the oldest record.
-  void Retain(base::Offset oldest, base::WallTime oldest_at);
+  /// Forgets what may no longer be retained. `oldest_at` is the append time of the oldest record.
+  void Retain(base::WallTime oldest_at);
 
   /// The valid claim of a key, or null if the key is free or before the horizon.
   const Claim* Find(const EffectKey& key) const;
@@ -103,9 +104,9 @@
   bool ApplyOne(base::Offset /*offset*/, const T& /*other*/) {
     return false;
   }
-  bool Remember(base::Offset offset, const base::RecordId& id);
+  bool Remember(base::WallTime key_time, const base::RecordId& id);
+  bool Admit(const std::string& key, const base::RecordId& id);
   std::map<EffectKey, Claim>::iterator FindClaim(const EffectKey& key, const base::RecordId& claim);
-  void Insert(const EffectKey& key, base::WallTime time, Claim claim);
   void Erase(std::map<EffectKey, Claim>::iterator it);
   void RaiseHorizon(base::WallTime horizon);
   void EnforceLimits();
@@ -114,9 +115,9 @@
   std::map<EffectKey, Claim> claims_;
   /// Orders claims by the time in the key for retention.
   std::set<std::pair<base::WallTime, EffectKey>> by_time_;
-  /// Hash of each applied record id and the offset of its first occurrence.
-  std::unordered_map<std::uint64_t, std::uint64_t> applied_;
-  std::map<std::uint64_t, std::uint64_t> applied_by_offset_;
+  /// Hashes of the ids of read records, and the same ordered by the time in the record's key.
+  std::unordered_set<std::uint64_t> applied_;
+  std::set<std::pair<base::WallTime, std::uint64_t>> applied_by_time_;
   base::WallTime horizon_{};
   std::size_t bytes_ = 0;
   std::uint64_t skipped_ = 0;
--- a/include/persimmonstair/effects/effect_coordinator.hpp
+++ b/include/persimmonstair/effects/effect_coordinator.hpp
@@ -73,7 +73,7 @@
   base::Incarnation incarnation;
   /// Live requests; further ones are refused with kOverloaded.
   std::size_t max_requests = 10'000;
-  ClaimLimits limits;
+  ClaimLimits limits{};
   /// False dispatches without looking at the claim table. Only for tests that show that the
   /// checks detect the fault.
   bool check_claim = true;
@@ -87,6 +87,9 @@
 ///     for (auto& action : coordinator.Begin(now, request)) Perform(action);
 class EffectCoordinator {
  public:
+  /// Defined in the library's sources.
+  struct Impl;
+
   explicit EffectCoordinator(EffectOptions options);
   EffectCoordinator(const EffectCoordinator& other);
   EffectCoordinator& operator=(const EffectCoordinator& other);
@@ -131,11 +134,10 @@
   base::Result<void> RestoreTable(std::string_view snapshot);
   /// Requests whose records are not settled yet.
   std::size_t live() const;
-  /// Text of the whole state without times, equal for equal states; for tests.
+  /// Text of the whole state, equal for equal states; for tests.
   std::string DebugState() const;
 
  private:
-  struct Impl;
   std::unique_ptr<Impl> impl_;
 };
 
--- a/include/persimmonstair/programs/program_store.hpp
+++ b/include/persimmonstair/programs/program_store.hpp
@@ -49,7 +49,7 @@
   base::Duration open_limit = std::chrono::seconds{5};
   /// Copies of other owners' turns held for peers.
   std::size_t max_copies = 4096;
-  IndexChecks checks;
+  IndexChecks checks{};
 };
 
 /// @brief A caller opens a program. A repeated call with the same id is answered alike.
@@ -94,6 +94,9 @@
 ///     for (auto& action : store.Turn(now, call)) Perform(action);
 class ProgramStore {
  public:
+  /// Defined in the library's sources.
+  struct Impl;
+
   explicit ProgramStore(ProgramOptions options);
   ProgramStore(ProgramStore&&) noexcept;
   ProgramStore& operator=(ProgramStore&&) noexcept;
@@ -163,7 +166,6 @@
   std::size_t bytes() const;
 
  private:
-  struct Impl;
   std::unique_ptr<Impl> impl_;
 };
 
--- /dev/null
+++ b/src/persimmonstair/effects/coordinator_impl.cpp
@@ -0,0 +1,288 @@
+#include "coordinator_impl.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace persimmonstair::effects {
+
+using base::Error;
+using base::ErrorCode;
+using base::Now;
+using base::RecordId;
+using base::Verdict;
+using Impl = EffectCoordinator::Impl;
+
+namespace {
+
+constexpr char kTooLargeBody[] =
+    R"({"error":{"code":"outcome_too_large","message":"the answer was too large to be kept"}})";
+
+Error NotRun(ErrorCode code, std::string message, base::Duration retry_after = {}) {
+  return Error{code, std::move(message), Verdict::kNotRun, retry_after};
+}
+
+Error TooOld() { return NotRun(ErrorCode::kConflict, "idempotency key is older than kept claims"); }
+
+Error KeyReused() {
+  return NotRun(ErrorCode::kKeyReused, "idempotency key was used with another body");
+}
+
+Error OutcomeUnknown() {
+  return Error{ErrorCode::kOutcomeUnknown, "an earlier request with this key may have run",
+               Verdict::kMayHaveRun, std::chrono::seconds{1}};
+}
+
+}  // namespace
+
+void Impl::Observe(const Now& now, EffectActions& out) {
+  const bool paused = last_call && now.monotonic - *last_call > kPauseGap;
+  last_call = now.monotonic;
+  if (!paused) return;
+  std::vector<Entry*> stale;
+  for (auto& [claim, entry] : live) stale.push_back(&entry);
+  for (Entry* entry : stale) {
+    RefuseUndispatched(now, *entry, NotRun(ErrorCode::kTimeout, "the instance was paused"), out);
+  }
+}
+
+std::optional<Error> Impl::CheckAdmission(const Now& now, const EffectRequest& request) {
+  const auto time = ParseKeyTime(request.key.key);
+  if (!time) return time.error();
+  if (*time > now.wall + kMaxKeyLead) {
+    return NotRun(ErrorCode::kInvalidRequest, "idempotency key is more than 60 s in the future");
+  }
+  if (!log_up) {
+    return NotRun(ErrorCode::kLogUnavailable, "no claim without the log", std::chrono::seconds{1});
+  }
+  if (*time < table.horizon()) return TooOld();
+  if (live.size() >= options.max_requests) {
+    return NotRun(ErrorCode::kOverloaded, "too many open requests", std::chrono::seconds{1});
+  }
+  return std::nullopt;
+}
+
+EffectAction Impl::AnswerRepeat(const EffectRequest& request, const Claim& claim) const {
+  if (claim.fingerprint != request.fingerprint) return EffectRefusal{request.request, KeyReused()};
+  if (!claim.outcome || claim.outcome->verdict != Verdict::kRan) {
+    return EffectRefusal{request.request, OutcomeUnknown()};
+  }
+  const Outcome& outcome = *claim.outcome;
+  return EffectAnswer{request.request, outcome.status, outcome.body, outcome.verdict, true};
+}
+
+void Impl::Begin(const Now& now, const EffectRequest& request, EffectActions& out) {
+  if (auto error = CheckAdmission(now, request)) {
+    out.emplace_back(EffectRefusal{request.request, std::move(*error)});
+    return;
+  }
+  if (const auto it = by_key.find(request.key); it != by_key.end()) {
+    const Entry& running = live.at(it->second);
+    if (running.machine.state() == RequestState::kReleasing) {
+      out.emplace_back(
+          EffectRefusal{request.request,
+                        NotRun(ErrorCode::kConflict, "the key is being freed", kRepeatInterval)});
+      return;
+    }
+    const bool same = running.request.fingerprint == request.fingerprint;
+    out.emplace_back(EffectRefusal{request.request, same ? OutcomeUnknown() : KeyReused()});
+    return;
+  }
+  if (const Claim* claim = table.Find(request.key); claim != nullptr && options.check_claim) {
+    out.emplace_back(AnswerRepeat(request, *claim));
+    return;
+  }
+  const RecordId id = NewId();
+  Entry& entry = live[id];
+  entry.request = request;
+  entry.claim = id;
+  entry.claimed_at = now.monotonic;
+  by_request[request.request] = id;
+  by_key[request.key] = id;
+  const auto& [workspace, route, key] = request.key;
+  Send(now, entry, id,
+       schema::ClaimRecord{id, workspace, route, key, request.fingerprint, options.instance,
+                           options.incarnation, base::UnixMillis(now.wall)},
+       out);
+}
+
+void Impl::OnClaimRead(const Now& now, const schema::ClaimRecord& record, EffectActions& out) {
+  const bool mine =
+      record.claimant == options.instance && record.incarnation == options.incarnation;
+  if (!mine) return;
+  const auto it = live.find(record.id);
+  if (it == live.end()) {
+    ReleaseStray(now, record, out);
+    return;
+  }
+  Entry& entry = it->second;
+  if (entry.machine.state() != RequestState::kClaiming) return;
+  const Claim* claim = table.Find(entry.request.key);
+  if ((claim != nullptr && claim->id == record.id) || !options.check_claim) {
+    entry.machine.Process(RequestInput::kClaimWon);
+    out.emplace_back(ReadyToDispatch{entry.request.request});
+    return;
+  }
+  entry.machine.Process(RequestInput::kClaimLost);
+  if (claim != nullptr) {
+    out.emplace_back(AnswerRepeat(entry.request, *claim));
+  } else {
+    out.emplace_back(EffectRefusal{entry.request.request, TooOld()});
+  }
+  Remove(record.id);
+}
+
+// A claim that reached the log after its request was refused: nobody else can free the key.
+void Impl::ReleaseStray(const Now& now, const schema::ClaimRecord& record, EffectActions& out) {
+  const EffectKey key{record.workspace, record.route, record.key};
+  const Claim* claim = table.Find(key);
+  if (claim == nullptr || claim->id != record.id) return;
+  Entry& entry = live[record.id];
+  entry.request = EffectRequest{{}, key, record.fingerprint};
+  entry.claim = record.id;
+  entry.machine.Process(RequestInput::kClaimWon);
+  entry.machine.Process(RequestInput::kRefused);
+  Release(now, entry, out);
+}
+
+void Impl::OnLogged(const RecordId& id) {
+  const auto it = by_awaited.find(id);
+  if (it == by_awaited.end()) return;
+  const RecordId claim = it->second;
+  const auto entry = live.find(claim);
+  if (entry != live.end() && entry->second.machine.Process(RequestInput::kLogged)) Remove(claim);
+}
+
+void Impl::OnAppendResult(const Now& now, const RecordId& id, AppendResult result,
+                          EffectActions& out) {
+  const auto it = by_awaited.find(id);
+  if (it == by_awaited.end()) return;
+  Entry& entry = live.at(it->second);
+  switch (result) {
+    case AppendResult::kAppended:
+      entry.sent = Sent::kAppended;
+      return;
+    case AppendResult::kUnknown:
+      entry.sent = Sent::kUnknown;
+      return;
+    case AppendResult::kNotAppended:
+      entry.sent = Sent::kMissing;
+      break;
+  }
+  if (entry.machine.state() != RequestState::kClaiming) return;
+  RefuseUndispatched(
+      now, entry,
+      NotRun(ErrorCode::kLogUnavailable, "the log did not take the claim", std::chrono::seconds{1}),
+      out);
+}
+
+void Impl::SettleUnknown() {
+  for (auto& [claim, entry] : live) {
+    if (entry.sent == Sent::kUnknown) entry.sent = Sent::kMissing;
+  }
+}
+
+void Impl::RepeatRecords(const Now& now, EffectActions& out) {
+  if (!log_up) return;
+  for (auto& [claim, entry] : live) {
+    const RequestState state = entry.machine.state();
+    if (state != RequestState::kRecording && state != RequestState::kReleasing) continue;
+    if (entry.sent != Sent::kMissing || now.monotonic - entry.sent_at < kRepeatInterval) continue;
+    entry.sent = Sent::kInFlight;
+    entry.sent_at = now.monotonic;
+    out.emplace_back(AppendRecord{entry.awaited, *entry.record});
+  }
+}
+
+void Impl::ExpireClaims(const Now& now, EffectActions& out) {
+  std::vector<Entry*> late;
+  for (auto& [claim, entry] : live) {
+    if (now.monotonic - entry.claimed_at >= kDispatchLimit) late.push_back(&entry);
+  }
+  for (Entry* entry : late) {
+    const bool claiming = entry->machine.state() == RequestState::kClaiming;
+    RefuseUndispatched(
+        now, *entry,
+        claiming ? NotRun(ErrorCode::kLogUnavailable, "the claim was not read back in time")
+                 : NotRun(ErrorCode::kTimeout, "not dispatched within 5 s of the claim"),
+        out);
+  }
+}
+
+Impl::Entry* Impl::FindRequest(base::RequestId request) {
+  const auto it = by_request.find(request);
+  return it == by_request.end() ? nullptr : &live.at(it->second);
+}
+
+void Impl::RefuseUndispatched(const Now& now, Entry& entry, Error error, EffectActions& out) {
+  const bool claimed = entry.machine.state() == RequestState::kReady;
+  if (!entry.machine.Process(RequestInput::kRefused)) return;
+  out.emplace_back(EffectRefusal{entry.request.request, std::move(error)});
+  if (claimed) {
+    Release(now, entry, out);
+  } else {
+    // The claim may still reach the log; ReleaseStray() frees the key then.
+    Remove(RecordId(entry.claim));
+  }
+}
+
+void Impl::Release(const Now& now, Entry& entry, EffectActions& out) {
+  by_request.erase(entry.request.request);
+  const auto& [workspace, route, key] = entry.request.key;
+  const RecordId id = NewId();
+  Send(now, entry, id, schema::ClaimReleased{id, workspace, route, key, entry.claim}, out);
+}
+
+void Impl::Record(const Now& now, Entry& entry, const Outcome& outcome, EffectActions& out) {
+  by_request.erase(entry.request.request);
+  const auto& [workspace, route, key] = entry.request.key;
+  const RecordId id = NewId();
+  const bool fits = outcome.body.size() <= kMaxOutcomeBytes;
+  Send(now, entry, id,
+       schema::OutcomeRecord{id, workspace, route, key, entry.claim,
+                             std::string(base::ToString(outcome.verdict)), outcome.status,
+                             fits ? outcome.body : std::string(kTooLargeBody)},
+       out);
+}
+
+RecordId Impl::NewId() {
+  return RecordId{options.instance.value + "." + std::to_string(options.incarnation.value) + ".e" +
+                  std::to_string(++next_record)};
+}
+
+void Impl::Send(const Now& now, Entry& entry, RecordId id, schema::Record record,
+                EffectActions& out) {
+  if (!entry.awaited.empty()) by_awaited.erase(entry.awaited);
+  by_awaited[id] = entry.claim;
+  entry.awaited = id;
+  entry.sent = Sent::kInFlight;
+  entry.sent_at = now.monotonic;
+  // A claim is never repeated: its request is refused instead.
+  if (!std::holds_alternative<schema::ClaimRecord>(record)) entry.record = record;
+  out.emplace_back(AppendRecord{std::move(id), std::move(record)});
+}
+
+void Impl::Remove(const RecordId& claim) {
+  const auto it = live.find(claim);
+  const Entry& entry = it->second;
+  by_request.erase(entry.request.request);
+  by_awaited.erase(entry.awaited);
+  const auto key = by_key.find(entry.request.key);
+  if (key != by_key.end() && key->second == claim) by_key.erase(key);
+  live.erase(it);
+}
+
+std::string Impl::DebugState() const {
+  std::string out = std::to_string(next_record) + (log_up ? "+" : "-");
+  out += last_call ? std::to_string(last_call->time_since_epoch().count()) : "";
+  for (const auto& [claim, entry] : live) {
+    out += "|" + claim.value + "," + entry.awaited.value + "," +
+           std::to_string(entry.request.request.value) + "," +
+           std::to_string(static_cast<int>(entry.machine.state())) + "," +
+           std::to_string(static_cast<int>(entry.sent)) + "," +
+           std::to_string(entry.claimed_at.time_since_epoch().count()) + "," +
+           std::to_string(entry.sent_at.time_since_epoch().count());
+  }
+  return out + "#" + table.Snapshot();
+}
+
+}  // namespace persimmonstair::effects
--- /dev/null
+++ b/src/persimmonstair/effects/coordinator_impl.hpp
@@ -0,0 +1,76 @@
+#ifndef PERSIMMONSTAIR_EFFECTS_COORDINATOR_IMPL_HPP_
+#define PERSIMMONSTAIR_EFFECTS_COORDINATOR_IMPL_HPP_
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "persimmonstair/effects/effect_coordinator.hpp"
+#include "request_machine.hpp"
+
+namespace persimmonstair::effects {
+
+/// @brief State of a coordinator; the public functions are in effect_coordinator.cpp.
+struct EffectCoordinator::Impl {
+  /// What is known of the newest append of a record.
+  enum class Sent { kInFlight, kAppended, kMissing, kUnknown };
+
+  struct Entry {
+    EffectRequest request;
+    base::RecordId claim;
+    RequestMachine machine;
+    /// Before the claim was sent.
+    base::TimePoint claimed_at;
+    /// The claim, outcome or release record that is to be read back.
+    base::RecordId awaited;
+    std::optional<schema::Record> record;
+    Sent sent = Sent::kInFlight;
+    base::TimePoint sent_at;
+  };
+
+  explicit Impl(EffectOptions given) : options(std::move(given)), table(options.limits) {}
+
+  /// Notes the time; after a pause, nothing that was permitted before it may be dispatched.
+  void Observe(const base::Now& now, EffectActions& out);
+  void Begin(const base::Now& now, const EffectRequest& request, EffectActions& out);
+  void OnClaimRead(const base::Now& now, const schema::ClaimRecord& record, EffectActions& out);
+  void OnLogged(const base::RecordId& id);
+  void OnAppendResult(const base::Now& now, const base::RecordId& id, AppendResult result,
+                      EffectActions& out);
+  /// A read to the end of the stream did not show records whose append answer was lost.
+  void SettleUnknown();
+  void RepeatRecords(const base::Now& now, EffectActions& out);
+  void ExpireClaims(const base::Now& now, EffectActions& out);
+  Entry* FindRequest(base::RequestId request);
+  /// Ends a request that was never dispatched; frees the key if its claim is in the log.
+  void RefuseUndispatched(const base::Now& now, Entry& entry, base::Error error,
+                          EffectActions& out);
+  void Release(const base::Now& now, Entry& entry, EffectActions& out);
+  void Record(const base::Now& now, Entry& entry, const Outcome& outcome, EffectActions& out);
+  std::string DebugState() const;
+
+  /// The answer to a request whose key is claimed by another request.
+  EffectAction AnswerRepeat(const EffectRequest& request, const Claim& claim) const;
+  std::optional<base::Error> CheckAdmission(const base::Now& now, const EffectRequest& request);
+  base::RecordId NewId();
+  void Send(const base::Now& now, Entry& entry, base::RecordId id, schema::Record record,
+            EffectActions& out);
+  void ReleaseStray(const base::Now& now, const schema::ClaimRecord& record, EffectActions& out);
+  void Remove(const base::RecordId& claim);
+
+  EffectOptions options;
+  ClaimTable table;
+  /// Live requests by the id of their claim record.
+  std::map<base::RecordId, Entry> live;
+  std::map<base::RequestId, base::RecordId> by_request;
+  /// Claims by the id of the record that is to be read back.
+  std::map<base::RecordId, base::RecordId> by_awaited;
+  std::map<EffectKey, base::RecordId> by_key;
+  std::uint64_t next_record = 0;
+  std::optional<base::TimePoint> last_call;
+  bool log_up = false;
+};
+
+}  // namespace persimmonstair::effects
+
+#endif  // PERSIMMONSTAIR_EFFECTS_COORDINATOR_IMPL_HPP_
--- /dev/null
+++ b/src/persimmonstair/effects/effects_test.cpp
@@ -0,0 +1,339 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "persimmonstair/effects/claim_table.hpp"
+#include "persimmonstair/effects/effect_coordinator.hpp"
+#include "request_machine.hpp"
+
+namespace persimmonstair::effects {
+namespace {
+
+using base::ErrorCode;
+using base::Now;
+using base::Offset;
+using base::RecordId;
+using base::RequestId;
+using base::Verdict;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::int64_t kStart = 1'700'000'000;
+
+Now At(base::Duration since_start) {
+  return {base::TimePoint{since_start}, base::WallTime{seconds{kStart} + since_start}};
+}
+
+EffectKey Key(const std::string& opaque = "order") {
+  return {{"north"}, {"deposit"}, std::to_string(kStart) + "." + opaque};
+}
+
+schema::Record ClaimOf(const std::string& id, const EffectKey& key, const std::string& claimant) {
+  return schema::ClaimRecord{{id}, key.workspace, key.route, key.key,
+                             7,    {claimant},    {1},       kStart * 1000};
+}
+
+schema::Record ReleaseOf(const std::string& id, const EffectKey& key, const std::string& claim) {
+  return schema::ClaimReleased{{id}, key.workspace, key.route, key.key, {claim}};
+}
+
+schema::Record OutcomeOf(const std::string& id, const EffectKey& key, const std::string& claim,
+                         const std::string& body = "done") {
+  return schema::OutcomeRecord{{id}, key.workspace, key.route, key.key, {claim}, "ran", 201, body};
+}
+
+template <class T>
+const T* Only(const EffectActions& actions) {
+  const T* found = nullptr;
+  for (const auto& action : actions) {
+    if (const T* one = std::get_if<T>(&action)) {
+      EXPECT_EQ(found, nullptr);
+      found = one;
+    }
+  }
+  return found;
+}
+
+// Guards against a machine whose state numbers no longer match RequestState after an edit of the
+// transition table, and against a second permission to dispatch.
+TEST(RequestMachineTest, StateNumbersMatchAndNoSecondDispatch) {
+  RequestMachine machine;
+  EXPECT_EQ(machine.state(), RequestState::kClaiming);
+  EXPECT_FALSE(machine.Process(RequestInput::kDispatched));
+  EXPECT_TRUE(machine.Process(RequestInput::kClaimWon));
+  EXPECT_EQ(machine.state(), RequestState::kReady);
+  RequestMachine refused = machine;
+  EXPECT_TRUE(refused.Process(RequestInput::kRefused));
+  EXPECT_EQ(refused.state(), RequestState::kReleasing);
+  EXPECT_TRUE(machine.Process(RequestInput::kDispatched));
+  EXPECT_EQ(machine.state(), RequestState::kRunning);
+  EXPECT_FALSE(machine.Process(RequestInput::kDispatched));
+  EXPECT_FALSE(machine.Process(RequestInput::kRefused));
+  EXPECT_TRUE(machine.Process(RequestInput::kFinished));
+  EXPECT_EQ(machine.state(), RequestState::kRecording);
+  EXPECT_TRUE(machine.Process(RequestInput::kLogged));
+  EXPECT_EQ(machine.state(), RequestState::kEnded);
+}
+
+// Guards against keys whose age can't be judged, and against sizes that grow without bound.
+TEST(KeyTest, RefusesOtherForms) {
+  EXPECT_EQ(ParseKeyTime("1700000000.x")->time_since_epoch(), seconds{kStart});
+  for (const std::string key :
+       {"", "x", "1700000000", "1700000000.", ".x", "-5.x", "1700000000.a b", "99999999999999.x",
+        "99999999999999999999999.x", " 1700000000.x"}) {
+    EXPECT_FALSE(ParseKeyTime(key)) << key;
+  }
+  EXPECT_FALSE(ParseKeyTime("1700000000." + std::string(129, 'x')));
+}
+
+// Guards against two valid claims of a key.
+TEST(ClaimTableTest, FirstClaimWinsUntilReleased) {
+  ClaimTable table;
+  EXPECT_TRUE(table.Apply({1}, ClaimOf("a", Key(), "i1")));
+  EXPECT_FALSE(table.Apply({2}, ClaimOf("b", Key(), "i2")));
+  EXPECT_FALSE(table.Apply({3}, ReleaseOf("r1", Key(), "b")));
+  EXPECT_TRUE(table.Apply({4}, ReleaseOf("r2", Key(), "a")));
+  EXPECT_TRUE(table.Apply({5}, ClaimOf("c", Key(), "i2")));
+  EXPECT_EQ(table.Find(Key())->id.value, "c");
+}
+
+// Guards against a repeated append that revives a released claim.
+TEST(ClaimTableTest, RepeatedRecordIdIsInvalid) {
+  ClaimTable table;
+  table.Apply({1}, ClaimOf("a", Key(), "i1"));
+  table.Apply({2}, ReleaseOf("r", Key(), "a"));
+  EXPECT_FALSE(table.Apply({3}, ClaimOf("a", Key(), "i1")));
+  EXPECT_EQ(table.Find(Key()), nullptr);
+}
+
+// Guards against a release after dispatch, which would permit a second run.
+TEST(ClaimTableTest, OutcomeIsFinal) {
+  ClaimTable table;
+  table.Apply({1}, ClaimOf("a", Key(), "i1"));
+  EXPECT_TRUE(table.Apply({2}, OutcomeOf("o", Key(), "a")));
+  EXPECT_FALSE(table.Apply({3}, ReleaseOf("r", Key(), "a")));
+  EXPECT_FALSE(table.Apply({4}, OutcomeOf("p", Key(), "a", "other")));
+  EXPECT_EQ(table.Find(Key())->outcome->body, "done");
+}
+
+// Guards against readers that disagree: any start in the retained part gives the same state for
+// the keys that are still accepted.
+TEST(ClaimTableTest, EveryRetainedStartGivesTheSameState) {
+  std::vector<schema::Record> log;
+  for (int n = 0; n < 60; ++n) {
+    const EffectKey key{{"north"}, {"r"}, std::to_string(kStart + n) + ".k"};
+    const std::string id = std::to_string(n);
+    auto claim = std::get<schema::ClaimRecord>(ClaimOf("c" + id, key, "i1"));
+    claim.at_ms = (kStart + n) * 1000;
+    log.emplace_back(claim);
+    if (n % 3 == 1) log.push_back(OutcomeOf("o" + id, key, "c" + id));
+    if (n % 3 == 2) log.push_back(ReleaseOf("r" + id, key, "c" + id));
+  }
+  const auto read = [&log](std::size_t from) {
+    ClaimTable table;
+    for (std::size_t n = from; n < log.size(); ++n) table.Apply({n}, log[n]);
+    table.Retain(base::WallTime{seconds{kStart + 30}} - kMaxKeyLead - kMaxClockSkew);
+    return table.Snapshot();
+  };
+  const std::string whole = read(0);
+  for (std::size_t from = 1; from <= 50; ++from) EXPECT_EQ(read(from), whole) << from;
+}
+
+// Guards against memory that grows with the stream, and against a dropped claim whose key is
+// accepted again.
+TEST(ClaimTableTest, BoundsRefuseTheOldestKeys) {
+  ClaimTable table(ClaimLimits{.max_claims = 10, .max_bytes = 1U << 20U});
+  for (std::uint64_t n = 0; n < 50; ++n) {
+    const EffectKey key{{"north"}, {"r"}, std::to_string(kStart + n) + ".k"};
+    auto claim = std::get<schema::ClaimRecord>(ClaimOf("c" + std::to_string(n), key, "i1"));
+    claim.at_ms = (kStart + 50) * 1000;
+    table.Apply({n}, claim);
+  }
+  EXPECT_EQ(table.size(), 10U);
+  EXPECT_GT(table.horizon(), base::WallTime{seconds{kStart + 39}});
+  EXPECT_FALSE(table.Apply({90}, ClaimOf("again", Key(), "i2")));
+}
+
+// Guards against an instance that starts during an outage without the claims of the others.
+TEST(ClaimTableTest, SnapshotRestoresTheSameState) {
+  ClaimTable table;
+  table.Apply({1}, ClaimOf("a", Key(), "i1"));
+  table.Apply({2}, OutcomeOf("o", Key(), "a"));
+  ClaimTable other;
+  ASSERT_TRUE(other.Restore(table.Snapshot()));
+  EXPECT_EQ(other.Snapshot(), table.Snapshot());
+  EXPECT_EQ(other.bytes(), table.bytes());
+  EXPECT_FALSE(other.Restore("{\"claims\":3}"));
+  EXPECT_EQ(other.size(), 1U);
+}
+
+class CoordinatorTest : public testing::Test {
+ protected:
+  CoordinatorTest() { coordinator_.OnReadEnd(At({}), {0}, {}, true); }
+
+  EffectActions Begin(std::uint64_t request, std::uint64_t fingerprint = 7) {
+    return coordinator_.Begin(now_, {{request}, Key(), fingerprint});
+  }
+  // Puts the only appended record of `actions` into the log and reads it.
+  EffectActions Land(const EffectActions& actions) {
+    const auto* append = Only<AppendRecord>(actions);
+    return append == nullptr ? EffectActions{}
+                             : coordinator_.OnRecord(now_, {offset_++}, append->record);
+  }
+  static Verdict VerdictOf(const EffectActions& actions) {
+    const auto* refusal = Only<EffectRefusal>(actions);
+    return refusal == nullptr ? Verdict::kRan : refusal->error.verdict;
+  }
+  // Advances in steps below the pause gap.
+  EffectActions Advance(base::Duration duration) {
+    EffectActions all;
+    for (base::Duration step{0}; step < duration; step += milliseconds{500}) {
+      now_ = At(now_.monotonic.time_since_epoch() + milliseconds{500});
+      for (auto& action : coordinator_.OnTick(now_)) all.push_back(std::move(action));
+    }
+    return all;
+  }
+
+  Now now_ = At(seconds{0});
+  std::uint64_t offset_ = 0;
+  EffectCoordinator coordinator_{EffectOptions{.instance = {"i1"}, .incarnation = {1}}};
+};
+
+// Guards against a repeat that runs again, also with another body.
+TEST_F(CoordinatorTest, RepeatGetsTheRecordedOutcome) {
+  ASSERT_NE(Only<ReadyToDispatch>(Land(Begin(1))), nullptr);
+  EffectActions out;
+  ASSERT_TRUE(coordinator_.ConfirmDispatch(now_, {1}, out));
+  EXPECT_FALSE(coordinator_.ConfirmDispatch(now_, {1}, out));
+  EXPECT_EQ(VerdictOf(Begin(2)), Verdict::kMayHaveRun);
+  out = coordinator_.OnDone(now_, {1}, 201, "paid");
+  EXPECT_EQ(Only<EffectAnswer>(out)->body, "paid");
+  Land(out);
+  EXPECT_EQ(coordinator_.live(), 0U);
+  const EffectActions repeat = Begin(3);
+  ASSERT_NE(Only<EffectAnswer>(repeat), nullptr);
+  EXPECT_TRUE(Only<EffectAnswer>(repeat)->replayed);
+  EXPECT_EQ(Only<EffectAnswer>(repeat)->body, "paid");
+  EXPECT_EQ(Only<EffectRefusal>(Begin(4, 8))->error.code, ErrorCode::kKeyReused);
+}
+
+// Guards against dispatch by the second of two claimants.
+TEST_F(CoordinatorTest, LostClaimIsNotDispatched) {
+  const EffectActions mine = Begin(1);
+  coordinator_.OnRecord(now_, {offset_++}, ClaimOf("other", Key(), "i2"));
+  EXPECT_EQ(VerdictOf(Land(mine)), Verdict::kMayHaveRun);
+  EffectActions out;
+  EXPECT_FALSE(coordinator_.ConfirmDispatch(now_, {1}, out));
+}
+
+// Guards against a claim without a readable log.
+TEST_F(CoordinatorTest, LogOutageRefusesNotRun) {
+  coordinator_.OnReadFailed(now_);
+  const EffectActions out = Begin(1);
+  EXPECT_EQ(Only<EffectRefusal>(out)->error.code, ErrorCode::kLogUnavailable);
+  EXPECT_EQ(VerdictOf(out), Verdict::kNotRun);
+  EXPECT_EQ(Only<AppendRecord>(out), nullptr);
+}
+
+// Guards against a dispatch long after the claim, and against a key that stays taken.
+TEST_F(CoordinatorTest, LateDispatchIsRefusedAndTheKeyFreed) {
+  Land(Begin(1));
+  EffectActions out = Advance(seconds{5});
+  EXPECT_EQ(VerdictOf(out), Verdict::kNotRun);
+  EffectActions none;
+  EXPECT_FALSE(coordinator_.ConfirmDispatch(now_, {1}, none));
+  Land(out);
+  ASSERT_NE(Only<ReadyToDispatch>(Land(Begin(2))), nullptr);
+}
+
+// Guards against a process that was paused and dispatches on permission from before the pause.
+TEST_F(CoordinatorTest, PauseEndsThePermission) {
+  Land(Begin(1));
+  now_ = At(milliseconds{2100});
+  EffectActions out;
+  EXPECT_FALSE(coordinator_.ConfirmDispatch(now_, {1}, out));
+  EXPECT_EQ(VerdictOf(out), Verdict::kNotRun);
+  EXPECT_NE(Only<AppendRecord>(out), nullptr);
+}
+
+// Guards against a claim whose append answer was lost: it is settled by reading, and a claim that
+// shows up after the refusal is released.
+TEST_F(CoordinatorTest, LateClaimIsReleased) {
+  const EffectActions begun = Begin(1);
+  coordinator_.OnAppendResult(now_, Only<AppendRecord>(begun)->id, AppendResult::kUnknown);
+  EXPECT_EQ(VerdictOf(Advance(seconds{5})), Verdict::kNotRun);
+  EXPECT_EQ(coordinator_.live(), 0U);
+  const EffectActions release = Land(begun);
+  EXPECT_EQ(Only<ReadyToDispatch>(release), nullptr);
+  Land(release);
+  EXPECT_EQ(coordinator_.table().Find(Key()), nullptr);
+  EXPECT_EQ(coordinator_.live(), 0U);
+}
+
+// Guards against an outcome that is lost with its append.
+TEST_F(CoordinatorTest, OutcomeIsRepeatedUntilRead) {
+  Land(Begin(1));
+  EffectActions out;
+  coordinator_.ConfirmDispatch(now_, {1}, out);
+  const EffectActions done = coordinator_.OnDone(now_, {1}, 200, "ok");
+  const RecordId id = Only<AppendRecord>(done)->id;
+  for (const AppendResult result : {AppendResult::kNotAppended, AppendResult::kUnknown}) {
+    // Half a second is the time between repetitions.
+    Advance(milliseconds{500});
+    coordinator_.OnAppendResult(now_, id, result);
+    const EffectActions again = result == AppendResult::kUnknown
+                                    ? coordinator_.OnReadEnd(now_, {0}, {}, true)
+                                    : coordinator_.OnTick(now_);
+    ASSERT_NE(Only<AppendRecord>(again), nullptr);
+    EXPECT_EQ(Only<AppendRecord>(again)->id, id);
+  }
+  Land(done);
+  EXPECT_EQ(coordinator_.live(), 0U);
+}
+
+// Guards against a refused connection that blocks the key, and against a failure after sending
+// that frees it.
+TEST_F(CoordinatorTest, OnlyFailuresBeforeSendingFreeTheKey) {
+  Land(Begin(1));
+  EffectActions out;
+  coordinator_.ConfirmDispatch(now_, {1}, out);
+  Land(coordinator_.OnFailed(now_, {1}, {ErrorCode::kTargetFailed, "refused", Verdict::kNotRun}));
+  ASSERT_NE(Only<ReadyToDispatch>(Land(Begin(2))), nullptr);
+  coordinator_.ConfirmDispatch(now_, {2}, out);
+  const EffectActions failed =
+      coordinator_.OnFailed(now_, {2}, {ErrorCode::kTimeout, "silent", Verdict::kMayHaveRun});
+  EXPECT_EQ(VerdictOf(failed), Verdict::kMayHaveRun);
+  Land(failed);
+  EXPECT_EQ(Only<EffectRefusal>(Begin(3))->error.code, ErrorCode::kOutcomeUnknown);
+}
+
+// Guards against keys outside the retained claims: an earlier claim may be forgotten.
+TEST_F(CoordinatorTest, KeyAgeIsChecked) {
+  coordinator_.OnReadEnd(now_, {0}, base::WallTime{seconds{kStart - 70}}, true);
+  EXPECT_EQ(Only<EffectRefusal>(Begin(1))->error.code, ErrorCode::kConflict);
+  const auto ahead = [&](std::int64_t lead) {
+    EffectKey key = Key();
+    key.key = std::to_string(kStart + lead) + ".x";
+    return coordinator_.Begin(now_, {{2}, key, 7});
+  };
+  EXPECT_EQ(Only<EffectRefusal>(ahead(61))->error.code, ErrorCode::kInvalidRequest);
+  EXPECT_EQ(VerdictOf(ahead(61)), Verdict::kNotRun);
+  const EffectActions accepted = ahead(60);
+  EXPECT_NE(Only<AppendRecord>(accepted), nullptr);
+  // The horizon passes the key while its claim is on the way to the log.
+  coordinator_.OnReadEnd(now_, {0}, base::WallTime{seconds{kStart - 59}}, true);
+  EXPECT_EQ(VerdictOf(Land(accepted)), Verdict::kNotRun);
+}
+
+// Guards against one workspace that sees the outcome of another's key.
+TEST_F(CoordinatorTest, KeysAreScopedByWorkspaceAndRoute) {
+  Land(Begin(1));
+  EffectKey other = Key();
+  other.workspace = {"south"};
+  const EffectActions out = coordinator_.Begin(now_, {{2}, other, 7});
+  EXPECT_NE(Only<AppendRecord>(out), nullptr);
+}
+
+}  // namespace
+}  // namespace persimmonstair::effects
