--- a/src/persimmonstair/scheduler/attempts.cpp
+++ b/src/persimmonstair/scheduler/attempts.cpp
@@ -31,7 +31,7 @@
 bool Scheduler::Core::MaySend(base::RequestId id, Request& request) {
   if (!KeyStillValid(request)) {
     Route(routing::RequestCancelled{id});
-    Fail(id, {ErrorCode::kUnauthorized, "the key was withdrawn", Verdict::kNotRun, {}});
+    FailRequest(id, {ErrorCode::kUnauthorized, "the key was withdrawn", Verdict::kNotRun, {}});
     return false;
   }
   if (request.turn) {
@@ -88,8 +88,8 @@
   if (request->call.kind == CallKind::kServiceCall &&
       !document().routes.contains(request->call.route)) {
     Route(routing::RequestCancelled{decision.request});
-    return Fail(decision.request,
-                {ErrorCode::kNotFound, "the route was removed", Verdict::kNotRun, {}});
+    return FailRequest(decision.request,
+                       {ErrorCode::kNotFound, "the route was removed", Verdict::kNotRun, {}});
   }
   if (!MaySend(decision.request, *request)) return;
   request = Find(decision.request);
@@ -102,7 +102,9 @@
   Route(routing::AttemptStarted{decision.attempt});
 }
 
-void Scheduler::Core::Do(const routing::Refuse& decision) { Fail(decision.request, decision.error); }
+void Scheduler::Core::Do(const routing::Refuse& decision) {
+  FailRequest(decision.request, decision.error);
+}
 
 void Scheduler::Core::Do(const routing::CancelAttempt& decision) {
   Emit(CancelAttempt{decision.attempt});
@@ -121,7 +123,7 @@
   Emit(BroadcastPeer{schema::TargetSuspect{decision.target, decision.leaving}});
 }
 
-void Scheduler::Core::Fail(base::RequestId id, const base::Error& error) {
+void Scheduler::Core::FailRequest(base::RequestId id, const base::Error& error) {
   Request* request = Find(id);
   if (request == nullptr) return;
   if (request->turn) {
--- a/src/persimmonstair/scheduler/callers.cpp
+++ b/src/persimmonstair/scheduler/callers.cpp
@@ -52,10 +52,9 @@
   const base::RequestId id = request.call.request;
   if (requests_.contains(id)) return;
   const bool operator_call = IsOperatorCall(request.call.kind);
-  const base::Duration fallback = operator_call ? base::Duration{kChangeDeadline}
-                                                : base::Duration{kDefaultDeadline};
-  const base::Duration limit =
-      request.call.deadline.count() > 0 ? request.call.deadline : fallback;
+  const base::Duration fallback =
+      operator_call ? base::Duration{kChangeDeadline} : base::Duration{kDefaultDeadline};
+  const base::Duration limit = request.call.deadline.count() > 0 ? request.call.deadline : fallback;
   request.call.deadline = limit;
   request.deadline = now_.monotonic + limit;
   auto& stored = requests_.emplace(id, std::move(request)).first->second;
@@ -111,8 +110,7 @@
   const base::TimePoint begin = started_.value_or(now_.monotonic);
   const base::TimePoint log = log_read_at_.value_or(begin);
   const base::TimePoint any = std::max(log, liveness_.last_heard().value_or(begin));
-  const base::TimePoint elsewhere =
-      std::max(log, liveness_.last_heard_elsewhere().value_or(begin));
+  const base::TimePoint elsewhere = std::max(log, liveness_.last_heard_elsewhere().value_or(begin));
   if (now_.monotonic - any > options_.alone_stop) {
     return Fail(ErrorCode::kLogUnavailable,
                 "this instance hears neither the log nor another instance; a withdrawal of the "
@@ -221,9 +219,7 @@
   if (request->call.kind == CallKind::kTurn) store_.Forget(id);
 }
 
-void Scheduler::Core::AbandonRouting(base::RequestId id) {
-  Route(routing::RequestCancelled{id});
-}
+void Scheduler::Core::AbandonRouting(base::RequestId id) { Route(routing::RequestCancelled{id}); }
 
 void Scheduler::Core::Abort(base::RequestId id, const base::Error& error) {
   Request* request = Find(id);
@@ -245,7 +241,7 @@
   }
   if (request->stage == Stage::kRouting) {
     AbandonRouting(id);
-    Fail(id, shown);
+    FailRequest(id, shown);
   }
   FinishError(id, shown);
 }
@@ -259,8 +255,10 @@
     const Request* request = Find(id);
     if (request == nullptr) continue;
     const bool open_fate = request->stage == Stage::kCatalogue || request->stage == Stage::kProgram;
-    Abort(id, {ErrorCode::kTimeout, "the deadline passed",
-               open_fate ? Verdict::kMayHaveRun : Verdict::kNotRun, {}});
+    Abort(id, {ErrorCode::kTimeout,
+               "the deadline passed",
+               open_fate ? Verdict::kMayHaveRun : Verdict::kNotRun,
+               {}});
   }
 }
 
--- a/src/persimmonstair/scheduler/core.hpp
+++ b/src/persimmonstair/scheduler/core.hpp
@@ -110,7 +110,7 @@
   Dispatch MakeDispatch(const routing::Dispatch& decision, const Request& request,
                         const catalogue::Target& target) const;
   void Complete(base::RequestId id, const TargetDone& event, const base::TargetId& target);
-  void Fail(base::RequestId id, const base::Error& error);
+  void FailRequest(base::RequestId id, const base::Error& error);
 
   // log.cpp: streams.
   void On(const LogRead& event);
--- a/src/persimmonstair/scheduler/effects.cpp
+++ b/src/persimmonstair/scheduler/effects.cpp
@@ -15,8 +15,8 @@
   if (request.idempotent) return QueueService(id);
   if (request.call.idempotency_key.empty()) {
     // Without a key of the caller's, a repeated call is a new request; it still runs at most once.
-    request.call.idempotency_key = std::to_string(UnixSeconds(now_)) + "." + options_.process +
-                                   "-" + std::to_string(id.value);
+    request.call.idempotency_key =
+        std::to_string(UnixSeconds(now_)) + "." + options_.process + "-" + std::to_string(id.value);
   }
   request.stage = Stage::kEffect;
   effects::EffectRequest effect;
--- a/src/persimmonstair/scheduler/engines.cpp
+++ b/src/persimmonstair/scheduler/engines.cpp
@@ -62,8 +62,11 @@
   const auto json = nlohmann::json::parse(done.body, nullptr, false);
   if (!json.is_object()) return;
   try {
-    Route(routing::TargetReported{
-        target, json.value("running", 0U), json.value("waiting", 0U), json.value("leaving", false), {}});
+    Route(routing::TargetReported{target,
+                                  json.value("running", 0U),
+                                  json.value("waiting", 0U),
+                                  json.value("leaving", false),
+                                  {}});
   } catch (const nlohmann::json::exception&) {
     // A report with wrong types is ignored; the next one comes within a second.
   }
--- a/src/persimmonstair/scheduler/log.cpp
+++ b/src/persimmonstair/scheduler/log.cpp
@@ -60,9 +60,9 @@
     limiter_.OnNotAppended(now_.monotonic, settled.id);
     return;
   }
-  EndChange(settled.id, base::Fail(base::ErrorCode::kLogUnavailable,
-                                   "the log did not take the change", base::Verdict::kNotRun,
-                                   std::chrono::seconds{2}));
+  EndChange(settled.id,
+            base::Fail(base::ErrorCode::kLogUnavailable, "the log did not take the change",
+                       base::Verdict::kNotRun, std::chrono::seconds{2}));
 }
 
 void Scheduler::Core::On(const LogReadFailed& /*event*/) {
@@ -161,8 +161,8 @@
     if (reader.since_snapshot() == 0) continue;
     if (!due && reader.since_snapshot() < kSnapshotRecords) continue;
     last_snapshot_write_ = now_.monotonic;
-    AppendRecord(stream, schema::StreamSnapshot{NextRecordId(), stream, reader.next(),
-                                                StreamState(stream)});
+    AppendRecord(
+        stream, schema::StreamSnapshot{NextRecordId(), stream, reader.next(), StreamState(stream)});
   }
 }
 
--- a/src/persimmonstair/scheduler/members.cpp
+++ b/src/persimmonstair/scheduler/members.cpp
@@ -4,7 +4,8 @@
 
 void Scheduler::Core::On(const InstanceListRead& event) {
   std::vector<membership::Listed> listed;
-  for (const auto& it : event.instances) listed.push_back({it.instance, it.data_centre, it.leaving});
+  for (const auto& it : event.instances)
+    listed.push_back({it.instance, it.data_centre, it.leaving});
   liveness_.OnList(now_.monotonic, listed);
   Route(routing::InstanceListApplied{{event.leaving_targets.begin(), event.leaving_targets.end()}});
 }
--- a/src/persimmonstair/scheduler/operators.cpp
+++ b/src/persimmonstair/scheduler/operators.cpp
@@ -11,7 +11,8 @@
 using Json = nlohmann::json;
 
 base::Result<schema::CatalogueEdit> ParseEdit(const Json& json) {
-  static const std::set<std::string> kFields = {"section", "name", "base_version", "remove", "value"};
+  static const std::set<std::string> kFields = {"section", "name", "base_version", "remove",
+                                                "value"};
   if (!json.is_object()) return Fail(ErrorCode::kInvalidRequest, "an edit must be an object");
   for (const auto& [field, value] : json.items()) {
     if (!kFields.contains(field)) {
@@ -85,7 +86,8 @@
   change->id = NextRecordId();
   change->author = request.key.value;
   change->at_ms = base::UnixMillis(now_.wall);
-  if (const auto valid = catalogue_.Validate(*change); !valid) return FinishError(id, valid.error());
+  if (const auto valid = catalogue_.Validate(*change); !valid)
+    return FinishError(id, valid.error());
   PendingChange pending;
   pending.request = id;
   for (const auto& edit : change->edits) {
--- a/src/persimmonstair/scheduler/peers.cpp
+++ b/src/persimmonstair/scheduler/peers.cpp
@@ -166,8 +166,7 @@
 void Scheduler::Core::OnMessage(const PeerReceived& event,
                                 const schema::LeaseConsentRequest& message) {
   const auto incarnation = RegisteredIncarnation(event);
-  Perform(
-      keeper_.OnConsentRequest(now_.monotonic, event.from, incarnation, message, registry_));
+  Perform(keeper_.OnConsentRequest(now_.monotonic, event.from, incarnation, message, registry_));
 }
 
 void Scheduler::Core::OnMessage(const PeerReceived& event, const schema::LeaseConsent& message) {
--- a/src/persimmonstair/scheduler/turns.cpp
+++ b/src/persimmonstair/scheduler/turns.cpp
@@ -80,8 +80,8 @@
   if (request.call.kind == CallKind::kOpenProgram && anchor.empty()) return OpenProgram(id);
   const auto owner = OwnerOf(anchor);
   if (!owner) {
-    return FinishError(id, {ErrorCode::kNotFound, "unknown program '" + anchor.value + "'",
-                            Verdict::kNotRun, {}});
+    return FinishError(
+        id, {ErrorCode::kNotFound, "unknown program '" + anchor.value + "'", Verdict::kNotRun, {}});
   }
   if (*owner == options_.instance) return HandleProgramHere(id);
   if (!request.origin.empty()) {
@@ -119,18 +119,21 @@
   Request& request = *Find(id);
   const auto model = document().models.find(request.call.model);
   if (model == document().models.end()) {
-    return FinishError(id, {ErrorCode::kNotFound, "unknown model '" + request.call.model.value + "'",
-                            Verdict::kNotRun, {}});
+    return FinishError(id, {ErrorCode::kNotFound,
+                            "unknown model '" + request.call.model.value + "'",
+                            Verdict::kNotRun,
+                            {}});
   }
   const auto workspace = document().workspaces.find(request.workspace);
   if (workspace == document().workspaces.end()) {
-    return FinishError(id, {ErrorCode::kForbidden, "the workspace was removed", Verdict::kNotRun, {}});
+    return FinishError(id,
+                       {ErrorCode::kForbidden, "the workspace was removed", Verdict::kNotRun, {}});
   }
   const std::int64_t most = workspace->second.program_budget_tokens;
   const std::int64_t wanted = request.call.budget_tokens;
   if (request.call.program.empty()) {
-    request.call.program = {"p:" + options_.data_centre.value + ":" + options_.instance.value + ":" +
-                            options_.process + "-" + std::to_string(++last_program_)};
+    request.call.program = {"p:" + options_.data_centre.value + ":" + options_.instance.value +
+                            ":" + options_.process + "-" + std::to_string(++last_program_)};
   }
   programs::OpenCall call;
   call.request = id;
@@ -155,7 +158,8 @@
   call.default_max_tokens = kFallbackMaxTokens;
   if (entry != nullptr) {
     const auto model = document().models.find(entry->model);
-    if (model != document().models.end()) call.default_max_tokens = model->second.default_max_tokens;
+    if (model != document().models.end())
+      call.default_max_tokens = model->second.default_max_tokens;
   }
   Perform(store_.Turn(now_, call));
 }
@@ -193,8 +197,8 @@
 void Scheduler::Core::Do(const programs::RunTurn& action) {
   Request* request = Find(action.request);
   if (request == nullptr) {
-    return Perform(store_.Withdraw(now_, action.request,
-                                   {ErrorCode::kTimeout, "the caller is gone", Verdict::kNotRun, {}}));
+    return Perform(store_.Withdraw(
+        now_, action.request, {ErrorCode::kTimeout, "the caller is gone", Verdict::kNotRun, {}}));
   }
   request->turn = action;
   request->stage = Stage::kRouting;
@@ -268,7 +272,9 @@
   for (const auto& [peer, state] : peers_) SendReliable(peer, action.message);
 }
 
-void Scheduler::Core::Do(const programs::SendTo& action) { SendReliable(action.to, action.message); }
+void Scheduler::Core::Do(const programs::SendTo& action) {
+  SendReliable(action.to, action.message);
+}
 
 void Scheduler::Core::Do(const programs::Replicate& action) {
   constexpr std::size_t kCopies = 2;
