--- /dev/null
+++ b/src/persimmonstair/scheduler/promises_test.cpp
@@ -0,0 +1,385 @@
+// One test or more for each invariant of docs/design.md, section 1.2, on a few whole schedulers.
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "test/fleet.hpp"
+
+namespace persimmonstair::scheduler::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string Code(const Reply* reply) {
+  if (reply == nullptr) return "no answer";
+  const auto json = nlohmann::json::parse(reply->body, nullptr, false);
+  if (!json.is_object() || !json.contains("error")) return "ok";
+  return json["error"]["code"];
+}
+
+std::string VerdictOf(const Reply* reply) {
+  if (reply == nullptr) return "no answer";
+  const auto it = reply->headers.find("persimmonstair-verdict");
+  return it == reply->headers.end() ? "" : it->second;
+}
+
+std::uint32_t StatusCode(const Reply* reply) { return reply == nullptr ? 0 : reply->status; }
+
+std::vector<Dispatch> AllTurns(const Fleet& fleet) {
+  std::vector<Dispatch> out;
+  for (const char* name : {"engine-1", "engine-2"}) {
+    const auto& received = fleet.targets.at(name).received;
+    out.insert(out.end(), received.begin(), received.end());
+  }
+  return out;
+}
+
+class PromiseTest : public testing::Test {
+ protected:
+  PromiseTest() { fleet.Start(); }
+  Fleet fleet{3};
+};
+
+// Guards against reordered and repeated turns when the balancer spreads them over instances.
+TEST_F(PromiseTest, TurnsRunInOrderWhereverTheyArrive) {
+  const std::string program = fleet.MustOpen(0);
+  for (std::uint32_t turn = 1; turn <= 4; ++turn) {
+    const auto request =
+        fleet.Turn(static_cast<int>(turn % 3), program, "t" + std::to_string(turn), turn);
+    const Reply* reply = fleet.Wait(request);
+    ASSERT_EQ(StatusCode(reply), 200U) << (reply ? reply->body : "");
+    EXPECT_EQ(reply->headers.at("persimmonstair-turn"), std::to_string(turn));
+  }
+  EXPECT_EQ(Code(fleet.Wait(fleet.Turn(1, program, "t9", 9))), "conflict");
+  EXPECT_EQ(AllTurns(fleet).size(), 4U);
+}
+
+// Guards against a second run of a turn whose answer the caller did not get.
+TEST_F(PromiseTest, RepeatedTurnGetsTheRecordedAnswer) {
+  const std::string program = fleet.MustOpen(0);
+  const Reply* first = fleet.Wait(fleet.Turn(1, program, "hello", 1));
+  const Reply* again = fleet.Wait(fleet.Turn(2, program, "hello", 1));
+  ASSERT_EQ(StatusCode(again), 200U);
+  EXPECT_EQ(again->body, first->body);
+  EXPECT_EQ(again->headers.at("persimmonstair-replayed"), "true");
+  EXPECT_EQ(AllTurns(fleet).size(), 1U);
+}
+
+// Guards against history that is lost with the owner: a new owner continues with all messages.
+TEST_F(PromiseTest, HistorySurvivesTheOwnersDeath) {
+  const std::string program = fleet.MustOpen(0);
+  ASSERT_EQ(StatusCode(fleet.Wait(fleet.Turn(0, program, "my heirloom", 1))), 200U);
+  fleet.Kill(0);
+  fleet.Run(seconds{15});
+  const Reply* reply = fleet.Wait(fleet.Turn(1, program, "second", 2));
+  ASSERT_EQ(StatusCode(reply), 200U) << (reply ? reply->body : "");
+  const std::string body = AllTurns(fleet).back().body;
+  bool found = false;
+  for (const auto& it : AllTurns(fleet)) {
+    found = found || (it.body.find("second") != std::string::npos &&
+                      it.body.find("my heirloom") != std::string::npos);
+  }
+  EXPECT_TRUE(found) << body;
+}
+
+// Guards against history that is lost or refused while the log is down.
+TEST_F(PromiseTest, TurnsGoOnDuringALogOutageWithCopiesOnPeers) {
+  const std::string program = fleet.MustOpen(0);
+  ASSERT_EQ(StatusCode(fleet.Wait(fleet.Turn(0, program, "before", 1))), 200U);
+  fleet.log.down = true;
+  fleet.Run(seconds{30});
+  const Reply* reply = fleet.Wait(fleet.Turn(1, program, "during", 2));
+  ASSERT_EQ(StatusCode(reply), 200U) << (reply ? reply->body : "");
+  EXPECT_EQ(reply->headers.at("persimmonstair-durability"), "peers-2");
+  fleet.Kill(0);
+  fleet.log.down = false;
+  fleet.Run(seconds{30});
+  reply = fleet.Wait(fleet.Turn(2, program, "after", 3));
+  ASSERT_EQ(StatusCode(reply), 200U) << (reply ? reply->body : "");
+  bool found = false;
+  for (const auto& it : AllTurns(fleet)) {
+    found = found || (it.body.find("after") != std::string::npos &&
+                      it.body.find("during") != std::string::npos);
+  }
+  EXPECT_TRUE(found);
+}
+
+// Guards against reads of another workspace's program and against its existence being shown.
+TEST_F(PromiseTest, ProgramsOfAnotherWorkspaceAreNotReachable) {
+  const std::string program = fleet.MustOpen(0);
+  for (int n = 0; n < 3; ++n) {
+    EXPECT_EQ(Code(fleet.Wait(fleet.Turn(n, program, "x", 1, "south-key"))), "not_found");
+  }
+  EXPECT_TRUE(AllTurns(fleet).empty());
+}
+
+// Guards against a loop that spends more than the program's budget.
+TEST_F(PromiseTest, BudgetEndsAnEndlessLoop) {
+  CallerRequest open;
+  open.kind = CallKind::kOpenProgram;
+  open.key = Fleet::DigestOf("north-key");
+  open.model = {"m"};
+  open.budget_tokens = 120;
+  const Reply* opened = fleet.Wait(fleet.Send(0, open));
+  ASSERT_EQ(StatusCode(opened), 201U);
+  const std::string program = nlohmann::json::parse(opened->body).at("id");
+  int ran = 0;
+  std::string code = "ok";
+  for (int n = 0; n < 30 && code == "ok"; ++n) {
+    const Reply* reply = fleet.Wait(fleet.Turn(n % 3, program, "again"));
+    code = Code(reply);
+    ran += code == "ok" ? 1 : 0;
+  }
+  EXPECT_EQ(code, "budget_exhausted");
+  // Each fake answer costs 15 tokens.
+  EXPECT_LE(ran * 15, 120);
+  EXPECT_GT(ran, 0);
+}
+
+// Guards against engine memory that stays after a program's end, also when its owner died first.
+TEST_F(PromiseTest, EndedAndOrphanedProgramsHoldNoEngineMemory) {
+  const std::string ended = fleet.MustOpen(0);
+  ASSERT_EQ(StatusCode(fleet.Wait(fleet.Turn(0, ended, "x", 1))), 200U);
+  CallerRequest end;
+  end.kind = CallKind::kEndProgram;
+  end.key = Fleet::DigestOf("north-key");
+  end.program = {ended};
+  EXPECT_EQ(StatusCode(fleet.Wait(fleet.Send(2, end))), 200U);
+  const std::string orphan = fleet.MustOpen(1);
+  ASSERT_EQ(StatusCode(fleet.Wait(fleet.Turn(1, orphan, "x", 1))), 200U);
+  fleet.Kill(1);
+  fleet.Run(seconds{20 * 60});
+  for (const char* name : {"engine-1", "engine-2"}) {
+    EXPECT_TRUE(fleet.targets[name].held.empty()) << name;
+  }
+}
+
+// Guards against a caller's key in anything that is sent to a target.
+TEST_F(PromiseTest, NoTargetSeesAKey) {
+  const std::string program = fleet.MustOpen(0);
+  fleet.Wait(fleet.Turn(1, program, "x", 1));
+  fleet.Wait(fleet.Service(0, "quote", ""));
+  fleet.Wait(fleet.Service(0, "deposit", fleet.IdempotencyKey("a")));
+  int seen = 0;
+  for (const auto& [name, target] : fleet.targets) {
+    for (const Dispatch& it : target.received) {
+      ++seen;
+      std::string all = it.path + it.body;
+      for (const auto& [header, value] : it.headers) all += header + value;
+      EXPECT_EQ(all.find("north-key"), std::string::npos);
+      EXPECT_EQ(it.headers.count("authorization"), 0U);
+    }
+  }
+  EXPECT_EQ(seen, 3);
+}
+
+// Guards against a withdrawn key that works on, at any instance or on an open connection.
+TEST_F(PromiseTest, WithdrawnKeyStopsWithinSeconds) {
+  const std::string program = fleet.MustOpen(0);
+  fleet.targets["engine-1"].mode = fleet.targets["engine-2"].mode = TargetMode::kHang;
+  const auto running = fleet.Turn(1, program, "x", 1);
+  fleet.Run(seconds{1});
+  ASSERT_EQ(fleet.Answer(running), nullptr);
+  ASSERT_EQ(StatusCode(fleet.Wait(fleet.Change(2, "keys", "north-desk", 1, "", true))), 200U);
+  fleet.Run(seconds{2});
+  EXPECT_EQ(Code(fleet.Answer(running)), "unauthorized");
+  for (int n = 0; n < 3; ++n) {
+    const Reply* reply = fleet.Wait(fleet.Service(n, "quote", ""));
+    EXPECT_EQ(Code(reply), "unauthorized");
+    EXPECT_EQ(VerdictOf(reply), "not_run");
+  }
+  EXPECT_EQ(StatusCode(fleet.Wait(fleet.Service(0, "opening-hours", "", "{}", ""))), 200U);
+}
+
+// Guards against an instance that hears nobody and serves a key that may be withdrawn.
+TEST_F(PromiseTest, IsolatedInstanceStopsKeyedRequestsAndServesOpenRoutes) {
+  fleet.Cut({0}, true);
+  fleet.Run(seconds{5});
+  EXPECT_EQ(StatusCode(fleet.Wait(fleet.Service(0, "quote", ""))), 200U);
+  fleet.Run(seconds{10});
+  EXPECT_EQ(Code(fleet.Wait(fleet.Service(0, "quote", ""))), "log_unavailable");
+  EXPECT_EQ(StatusCode(fleet.Wait(fleet.Service(0, "opening-hours", "", "{}", ""))), 200U);
+}
+
+// Guards against more than rate x time + burst over all instances, also during a partition.
+TEST_F(PromiseTest, RateHoldsOverAllInstances) {
+  const base::TimePoint begin = fleet.now();
+  int admitted = 0;
+  std::vector<base::RequestId> sent;
+  for (int round = 0; round < 200; ++round) {
+    if (round == 60) fleet.Cut({0}, true);
+    if (round == 140) fleet.Heal();
+    for (int n = 0; n < 9; ++n) sent.push_back(fleet.Service(n % 3, "quote", ""));
+    fleet.Run(milliseconds{50});
+  }
+  fleet.Run(seconds{1});
+  for (const auto& id : sent) admitted += Code(fleet.Answer(id)) == "ok" ? 1 : 0;
+  const double bound = 100 + 50 * base::ToSeconds(fleet.now() - begin);
+  EXPECT_LE(admitted, bound);
+  EXPECT_GE(admitted, 0.8 * bound) << "the workspace did not get its rate";
+}
+
+// Guards against a refusal that claims not_run although a target ran the request.
+TEST_F(PromiseTest, NotRunIsTrue) {
+  fleet.targets["service-1"].mode = fleet.targets["service-2"].mode = TargetMode::kCloseAfterRun;
+  const std::string key = fleet.IdempotencyKey("b");
+  const Reply* lost = fleet.Wait(fleet.Service(0, "deposit", key));
+  EXPECT_EQ(VerdictOf(lost), "may_have_run");
+  EXPECT_EQ(fleet.Runs(key), 1);
+  fleet.targets["service-1"].mode = fleet.targets["service-2"].mode = TargetMode::kRefuse;
+  const std::string other = fleet.IdempotencyKey("c");
+  const Reply* refused = fleet.Wait(fleet.Service(0, "deposit", other), seconds{150});
+  EXPECT_EQ(VerdictOf(refused), "not_run") << (refused ? refused->body : "");
+  EXPECT_EQ(fleet.Runs(other), 0);
+}
+
+// Guards against a forwarded request that is lost with its owner and reported as not run.
+TEST_F(PromiseTest, VerdictSurvivesForwarding) {
+  const std::string program = fleet.MustOpen(0);
+  fleet.targets["engine-1"].mode = fleet.targets["engine-2"].mode = TargetMode::kHang;
+  CallerRequest turn;
+  turn.kind = CallKind::kTurn;
+  turn.key = Fleet::DigestOf("north-key");
+  turn.program = {program};
+  turn.body = R"({"model":"m","messages":[{"role":"user","content":"x"}]})";
+  turn.deadline = seconds{5};
+  const auto request = fleet.Send(1, turn);
+  fleet.Run(seconds{1});
+  fleet.Kill(0);
+  const Reply* reply = fleet.Wait(request);
+  EXPECT_EQ(VerdictOf(reply), "may_have_run");
+}
+
+// Guards against two runs of one deposit that a caller sends to two instances at once.
+TEST_F(PromiseTest, SameKeyAtTwoInstancesRunsOnce) {
+  const std::string key = fleet.IdempotencyKey("d");
+  const auto first = fleet.Service(0, "deposit", key);
+  const auto second = fleet.Service(1, "deposit", key);
+  fleet.Run(seconds{5});
+  EXPECT_EQ(fleet.Runs(key), 1);
+  ASSERT_NE(fleet.Answer(first), nullptr);
+  ASSERT_NE(fleet.Answer(second), nullptr);
+  EXPECT_EQ(StatusCode(fleet.Wait(fleet.Service(2, "deposit", key))), 200U);
+  EXPECT_EQ(Code(fleet.Wait(fleet.Service(2, "deposit", key, "other body"))), "key_reused");
+  EXPECT_EQ(fleet.Runs(key), 1);
+}
+
+// Guards against a second run after a lost append answer, and after the claimant's death.
+TEST_F(PromiseTest, LostAnswersAndDeathDoNotRepeatAnEffect) {
+  const std::string lost = fleet.IdempotencyKey("e");
+  fleet.log.lost_answers = 1;
+  fleet.Wait(fleet.Service(0, "deposit", lost));
+  EXPECT_EQ(fleet.Runs(lost), 1);
+  const std::string dead = fleet.IdempotencyKey("f");
+  fleet.targets["service-1"].delay = fleet.targets["service-2"].delay = seconds{2};
+  fleet.Service(0, "deposit", dead);
+  fleet.Run(seconds{1});
+  ASSERT_EQ(fleet.Runs(dead), 1);
+  fleet.Kill(0);
+  const Reply* reply = fleet.Wait(fleet.Service(1, "deposit", dead));
+  EXPECT_EQ(VerdictOf(reply), "may_have_run");
+  EXPECT_EQ(fleet.Runs(dead), 1);
+}
+
+// Guards against an effect without a claim while the log is down.
+TEST_F(PromiseTest, NoEffectWithoutTheLog) {
+  fleet.log.down = true;
+  fleet.Run(seconds{3});
+  const std::string key = fleet.IdempotencyKey("g");
+  const Reply* reply = fleet.Wait(fleet.Service(0, "deposit", key));
+  EXPECT_EQ(Code(reply), "log_unavailable");
+  EXPECT_EQ(VerdictOf(reply), "not_run");
+  EXPECT_EQ(fleet.Runs(key), 0);
+}
+
+// Guards against a paused claimant that dispatches after its claim has lapsed.
+TEST_F(PromiseTest, PausedClaimantDoesNotDispatchLate) {
+  const std::string key = fleet.IdempotencyKey("h");
+  fleet.Service(0, "deposit", key);
+  fleet.Pause(0);
+  fleet.Run(seconds{8});
+  const Reply* other = fleet.Wait(fleet.Service(1, "deposit", key));
+  fleet.Resume(0);
+  fleet.Run(seconds{10});
+  EXPECT_LE(fleet.Runs(key), 1);
+  if (VerdictOf(other) == "ran") EXPECT_EQ(fleet.Runs(key), 1);
+}
+
+// Guards against work for a target that the instance list or the catalogue says is leaving.
+TEST_F(PromiseTest, LeavingTargetGetsNoNewWork) {
+  auto json = nlohmann::json::parse(fleet.CatalogueEntry("targets", "service-1"));
+  json["state"] = "leaving";
+  ASSERT_EQ(StatusCode(fleet.Wait(fleet.Change(0, "targets", "service-1", 1, json.dump()))), 200U);
+  fleet.Run(seconds{2});
+  fleet.targets["service-1"].received.clear();
+  for (int n = 0; n < 12; ++n) {
+    EXPECT_EQ(StatusCode(fleet.Wait(fleet.Service(n % 3, "quote", ""))), 200U);
+  }
+  EXPECT_TRUE(fleet.targets["service-1"].received.empty());
+}
+
+// Guards against a planned stop that cuts requests or loses programs.
+TEST_F(PromiseTest, PlannedStopCutsNothing) {
+  const std::string program = fleet.MustOpen(0);
+  ASSERT_EQ(StatusCode(fleet.Wait(fleet.Turn(0, program, "one", 1))), 200U);
+  fleet.targets["engine-1"].delay = fleet.targets["engine-2"].delay = seconds{4};
+  const auto running = fleet.Turn(0, program, "two", 2);
+  fleet.Run(milliseconds{200});
+  fleet.Stop(0);
+  fleet.Run(seconds{25});
+  EXPECT_EQ(StatusCode(fleet.Answer(running)), 200U);
+  EXPECT_TRUE(fleet.Stopped(0));
+  EXPECT_EQ(fleet.Left(0), "");
+  fleet.Kill(0);
+  fleet.targets["engine-1"].delay = fleet.targets["engine-2"].delay = milliseconds{20};
+  const Reply* reply = fleet.Wait(fleet.Turn(1, program, "three", 3));
+  EXPECT_EQ(StatusCode(reply), 200U) << (reply ? reply->body : "");
+}
+
+// Guards against a lost update when operators race at different instances.
+TEST_F(PromiseTest, RacingOperatorsGetAConflict) {
+  auto json = nlohmann::json::parse(fleet.CatalogueEntry("workspaces", "north"));
+  json["rate_per_s"] = 7;
+  const auto first = fleet.Change(0, "workspaces", "north", 1, json.dump());
+  json["rate_per_s"] = 9;
+  const auto second = fleet.Change(1, "workspaces", "north", 1, json.dump());
+  const std::uint32_t a = StatusCode(fleet.Wait(first));
+  const std::uint32_t b = StatusCode(fleet.Wait(second));
+  EXPECT_EQ(std::min(a, b), 200U);
+  EXPECT_EQ(std::max(a, b), 409U);
+}
+
+// Guards against a version that goes back after restarts, retention and an outage.
+TEST_F(PromiseTest, ConfigurationReachesAllAndNeverReverts) {
+  ASSERT_EQ(StatusCode(fleet.Wait(fleet.Change(0, "keys", "south-desk", 1, "", true))), 200U);
+  fleet.Run(seconds{2});
+  const std::uint64_t version = fleet.StatusOf(0).catalogue_version;
+  fleet.log.down = true;
+  fleet.Kill(1);
+  fleet.Restart(1);
+  fleet.Run(seconds{10});
+  for (int n = 0; n < 3; ++n) {
+    EXPECT_EQ(fleet.StatusOf(n).catalogue_version, version) << n;
+    EXPECT_TRUE(fleet.StatusOf(n).ready) << n;
+    EXPECT_EQ(Code(fleet.Wait(fleet.Service(n, "quote", "", "{}", "south-key"))), "unauthorized");
+  }
+}
+
+// Guards against an instance that starts after the first records expired and misses their state.
+TEST_F(PromiseTest, LateReaderReachesTheSameStateFromASnapshot) {
+  fleet.Run(std::chrono::hours{12} + seconds{30});
+  for (auto& [name, stream] : fleet.log.streams) {
+    if (name.value == "catalogue" || name.value == "control") stream.oldest = 1;
+  }
+  fleet.Kill(2);
+  fleet.Restart(2);
+  fleet.Run(seconds{15});
+  EXPECT_TRUE(fleet.StatusOf(2).ready);
+  EXPECT_EQ(fleet.StatusOf(2).catalogue_version, fleet.StatusOf(0).catalogue_version);
+  EXPECT_EQ(StatusCode(fleet.Wait(fleet.Service(2, "quote", ""))), 200U);
+}
+
+}  // namespace
+}  // namespace persimmonstair::scheduler::test
