Add the router with a differential property test

Cause: instances need one place that queues requests and decides when and where each runs. Change: fair queues by class, target table, crash record, health, retry budget, order issuer; a naive model checks random sequences. The model found four faults that are fixed here: a queue longer than its bound through retries, a stale crash mark on queued requests, a cancellation lost after the deadline had cancelled the attempt, and reuse of ids (now excluded by contract).

--- a/include/persimmonstair/routing/events.hpp
+++ b/include/persimmonstair/routing/events.hpp
@@ -16,7 +16,8 @@
 
 namespace persimmonstair::routing {
 
-/// @brief An admitted request asks for a target. Exactly one of `model` and `route` is set.
+/// @brief An admitted request asks for a target. Exactly one of `model` and `route` is set. The id
+/// is never reused; a repeat while the request lives is ignored.
 struct RequestQueued {
   base::RequestId request;
   base::WorkspaceId workspace;
--- /dev/null
+++ b/src/persimmonstair/routing/router_health.cpp
@@ -0,0 +1,94 @@
+#include <algorithm>
+
+#include "router_state.hpp"
+
+namespace persimmonstair::routing {
+
+void Router::State::NoteConnectionFault(Target& target, FailureKind kind, bool fresh) {
+  switch (kind) {
+    case FailureKind::kConnectRefused:
+    case FailureKind::kConnectTimeout:
+      MakeSuspect(target, settings.probe_first);
+      return;
+    case FailureKind::kConnectionClosed:
+      // A crashed target is often back at once, and a pooled connection may have been closed for
+      // its age, so the first probe does not wait.
+      MakeSuspect(target, base::Duration{0});
+      return;
+    case FailureKind::kFirstByteTimeout:
+    case FailureKind::kBetweenBytesTimeout:
+      out.emplace_back(ShareSuspect{target.entry.id, false});
+      NoteSilence(target);
+      if (fresh) MakeSuspect(target, settings.probe_first);
+      return;
+    case FailureKind::kMalformedAnswer:
+    case FailureKind::kCancelled:
+      return;
+  }
+}
+
+void Router::State::NoteSilence(Target& target) {
+  target.health.fresh_only = true;
+  out.emplace_back(CloseIdle{target.entry.id, target.entry.address,
+                             static_cast<std::uint32_t>(target.entry.port)});
+}
+
+void Router::State::MakeSuspect(Target& target, base::Duration pause) {
+  Health& health = target.health;
+  health.fresh_only = true;
+  if (health.suspect) return;
+  health.suspect = true;
+  health.probe_pause = std::max(pause, settings.probe_first);
+  if (!health.probe_running) {
+    health.probe_due = true;
+    health.probe_at = now + pause;
+  }
+  targets.Refresh(target);
+  if (pause.count() == 0) SendProbes();
+}
+
+void Router::State::SendProbes() {
+  for (const auto& [id, target] : targets.all()) {
+    Health& health = target->health;
+    if (!health.probe_due || now < health.probe_at || !target->listed) continue;
+    // The next probe is due even if the result of this one never arrives.
+    health.probe_running = true;
+    health.probe_at = now + settings.probe_longest;
+    out.emplace_back(Probe{id});
+  }
+}
+
+void Router::State::On(const ProbeFinished& event) {
+  Target* target = targets.Find(event.target);
+  if (target == nullptr || !target->health.probe_running) return;
+  Health& health = target->health;
+  health.probe_running = false;
+  if (event.healthy) {
+    health.suspect = health.probe_due = false;
+    health.probe_pause = {};
+    targets.Refresh(*target);
+    return;
+  }
+  health.suspect = health.fresh_only = health.probe_due = true;
+  health.probe_pause =
+      std::clamp(health.probe_pause * 2, settings.probe_first, settings.probe_longest);
+  health.probe_at = now + health.probe_pause;
+  targets.Refresh(*target);
+}
+
+void Router::State::On(const PeerSuspect& event) {
+  Target* target = targets.Find(event.target);
+  if (target == nullptr) return;
+  if (event.leaving) {
+    targets.NoteAnswer(*target, true, now);
+    return;
+  }
+  // The peer's path may be at fault, so only an own probe stops dispatches.
+  NoteSilence(*target);
+  if (target->health.probe_running || target->health.probe_due) return;
+  target->health.probe_due = true;
+  target->health.probe_at = now;
+  SendProbes();
+}
+
+}  // namespace persimmonstair::routing
--- /dev/null
+++ b/src/persimmonstair/routing/router_schedule.cpp
@@ -0,0 +1,171 @@
+#include <algorithm>
+#include <cmath>
+
+#include "router_state.hpp"
+
+namespace persimmonstair::routing {
+namespace {
+
+// Free targets for which the exact estimate is made, beside the one that holds the prefix. They
+// are the best by load and speed, so one further down could only win by its prefix.
+constexpr int kCandidates = 8;
+// Requests that a plan-ahead cycle looks at before it leaves the rest waiting.
+constexpr int kPlanAheadScan = 64;
+
+base::Duration FromSeconds(double seconds) {
+  return base::Duration{static_cast<std::int64_t>(std::llround(seconds * 1e6))};
+}
+
+bool Holds(const Request& request, const Target& target) {
+  return !request.spec.last_target.empty() && request.spec.last_target == target.entry.id;
+}
+
+}  // namespace
+
+void Router::State::Schedule() {
+  for (bool progress = true; progress && queued > 0;) {
+    progress = false;
+    RequestClass* next = nullptr;
+    for (auto& [key, it] : targets.classes()) {
+      if (it.queue.empty() || it.available.empty()) continue;
+      if (next != nullptr && it.served_at >= next->served_at) continue;
+      next = &it;
+    }
+    if (next != nullptr && ScheduleOne(*next)) {
+      progress = true;
+      continue;
+    }
+    // The class served longest ago had only requests that no free target suits; try the others.
+    for (auto& [key, it] : targets.classes()) {
+      if (&it == next || it.queue.empty() || it.available.empty()) continue;
+      if (ScheduleOne(it)) {
+        progress = true;
+        break;
+      }
+    }
+  }
+}
+
+bool Router::State::ScheduleOne(RequestClass& request_class) {
+  Request* chosen = nullptr;
+  Target* place = nullptr;
+  Request* head = nullptr;
+  std::uint32_t seen = 0;
+  int waiting = 0;
+  request_class.queue.Walk([&](Request& request) {
+    Target* best = BestFree(request);
+    if (best == nullptr) return false;
+    if (settings.plan_ahead && WorthWaiting(request, *best)) return ++waiting >= kPlanAheadScan;
+    if (head == nullptr) {
+      head = chosen = &request;
+      place = best;
+      if (Holds(request, *best) || request.bypassed >= settings.affinity_window) return true;
+    } else if (Holds(request, *best)) {
+      chosen = &request;
+      place = best;
+      return true;
+    }
+    return ++seen >= settings.affinity_window;
+  });
+  if (chosen == nullptr) return false;
+  if (crashes.IsPoison({chosen->spec.workspace, chosen->spec.fingerprint})) {
+    Dequeue(*chosen);
+    RefuseRequest(*chosen, base::ErrorCode::kPoisonRequest, "this request crashed several targets",
+                  {});
+    return true;
+  }
+  if (chosen != head) ++head->bypassed;
+  Start(*chosen, *place);
+  return true;
+}
+
+bool Router::State::MayRun(const Request& request, const Target& target) const {
+  // Two requests that have both crashed a target run apart, so that the next crash shows which of
+  // them is the cause.
+  if (!target.ranked || target.crash_suspects == 0) return target.ranked;
+  return !crashes.IsSuspect({request.spec.workspace, request.spec.fingerprint});
+}
+
+Target* Router::State::BestFree(const Request& request) const {
+  Target* best = nullptr;
+  double best_s = 0;
+  bool best_failed = false;
+  const auto consider = [&](Target* target) {
+    if (!MayRun(request, *target)) return false;
+    double seconds = ServiceSeconds(request, *target);
+    if (target->entry.data_centre != settings.data_centre) {
+      seconds += base::ToSeconds(settings.remote_penalty);
+    }
+    const bool failed = request.failed_at.contains(target->index);
+    const bool better =
+        best == nullptr || (best_failed && !failed) || (best_failed == failed && seconds < best_s);
+    if (!better) return true;
+    best = target;
+    best_s = seconds;
+    best_failed = failed;
+    return true;
+  };
+  int considered = 0;
+  for (const auto& [rank, target] : request.request_class->available) {
+    if (consider(target) && ++considered >= kCandidates && !best_failed) break;
+  }
+  if (request.spec.last_target.empty()) return best;
+  const auto it = targets.all().find(request.spec.last_target);
+  if (it == targets.all().end() || !it->second->ranked) return best;
+  const auto& classes = it->second->classes;
+  if (std::ranges::find(classes, request.request_class) != classes.end())
+    consider(it->second.get());
+  return best;
+}
+
+bool Router::State::WorthWaiting(const Request& request, const Target& free) const {
+  if (Holds(request, free) || request.spec.last_target.empty()) return false;
+  const auto it = targets.all().find(request.spec.last_target);
+  if (it == targets.all().end()) return false;
+  const Target& holder = *it->second;
+  if (!TargetTable::Usable(holder) || holder.ranked) return false;
+  return SlotWaitSeconds(request, holder) + ServiceSeconds(request, holder) <
+         ServiceSeconds(request, free);
+}
+
+void Router::State::Charge(Request& request, double seconds, bool served) {
+  request.request_class->queue.Charge(*request.workspace, seconds, served);
+  if (request.program == nullptr || seconds == 0) return;
+  request.program->attained += seconds;
+  for (Request* it : request.program->queued) it->request_class->queue.Reorder(*it);
+}
+
+void Router::State::Start(Request& request, Target& target) {
+  Dequeue(request);
+  request.running = true;
+  request.attempt = {next_attempt++};
+  request.target = &target;
+  request.dispatched_at = now;
+  request.first_byte = request.cancel_sent = false;
+  request.crash_suspect = crashes.IsSuspect({request.spec.workspace, request.spec.fingerprint});
+  request.fresh = request.attempts > 0 || target.health.fresh_only;
+  request.charged_s = ChargeSeconds(request, target);
+  request.prefill_s = PrefillSeconds(request, target);
+  request.request_class->served_at = ++dispatches;
+  if (request.attempts == 0) retries.OnFirstDispatch();
+  attempts.emplace(request.attempt, &request);
+  expiries.emplace(request.deadline, request.spec.request.value);
+  Charge(request, request.charged_s, true);
+  if (request.program != nullptr) ++request.program->running;
+
+  const base::Duration left = request.deadline - now;
+  base::Duration first_byte = left;
+  if (request.request_class->engine) {
+    const double prefill = target.prefill_backlog_s + request.prefill_s;
+    first_byte = std::min(left, settings.first_byte_base + FromSeconds(kFirstByteFactor * prefill));
+  }
+  target.prefill_backlog_s += request.prefill_s;
+  if (request.crash_suspect) ++target.crash_suspects;
+  targets.AddOwn(now, target, 1);
+  targets.Refresh(target);
+  out.emplace_back(Dispatch{request.spec.request, request.attempt, target.entry.id,
+                            request.attempts++, std::min(settings.connect_timeout, left),
+                            first_byte, settings.between_bytes_timeout, left, request.fresh});
+}
+
+}  // namespace persimmonstair::routing
