--- /dev/null
+++ b/src/persimmonstair/routing/router_test.cpp
@@ -0,0 +1,401 @@
+#include "persimmonstair/routing/router.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmonstair::routing {
+namespace {
+
+using base::Duration;
+using base::Verdict;
+
+constexpr Duration kSecond{1'000'000};
+
+// A router with engines "a", "b", ... that serve model "m" and a clock that tests move.
+class RouterTest : public testing::Test {
+ protected:
+  static catalogue::Target Engine(const std::string& id, std::uint32_t slots = 1) {
+    catalogue::Target it;
+    it.id = {id};
+    it.data_centre = {"d1"};
+    it.address = "127.0.0.1";
+    it.port = 9000;
+    it.slots = slots;
+    it.models = {{"m"}};
+    return it;
+  }
+
+  void Begin(std::vector<catalogue::Target> targets,
+             std::map<base::WorkspaceId, double> weights = {}) {
+    Send(CatalogueApplied{std::move(targets), std::move(weights)});
+  }
+
+  void Send(const Event& event) {
+    for (auto& it : router_.Handle(now_, event)) {
+      if (const auto* dispatch = std::get_if<Dispatch>(&it)) last_ = *dispatch;
+      decisions_.push_back(std::move(it));
+    }
+  }
+
+  RequestQueued Request(const std::string& workspace = "w", const std::string& program = "") {
+    RequestQueued it;
+    it.request = {++requests_};
+    it.workspace = {workspace};
+    it.program = {program};
+    it.model = {"m"};
+    it.prompt_tokens = 800;
+    it.expected_completion_tokens = 40;
+    it.fingerprint = requests_;
+    return it;
+  }
+
+  void Finish(const Dispatch& dispatch) { Send(AttemptFinished{dispatch.attempt, 800, 0, 40}); }
+  void Fail(const Dispatch& dispatch, FailureKind kind, Verdict verdict = Verdict::kMayHaveRun) {
+    Send(AttemptFailed{dispatch.attempt, kind, verdict});
+  }
+
+  template <class T>
+  std::vector<T> Take() {
+    std::vector<T> taken;
+    for (const auto& it : decisions_) {
+      if (const auto* value = std::get_if<T>(&it)) taken.push_back(*value);
+    }
+    decisions_.clear();
+    return taken;
+  }
+
+  // Runs the router on one slot; returns the workspaces in the order of service.
+  std::vector<std::uint64_t> Drain(int n) {
+    std::vector<std::uint64_t> order;
+    for (int i = 0; i < n; ++i) {
+      Take<Dispatch>();
+      Finish(last_);
+      const auto next = Take<Dispatch>();
+      if (next.empty()) break;
+      order.push_back(next.front().request.value);
+    }
+    return order;
+  }
+
+  Settings settings_{{"i1"}, {"d1"}};
+  Router router_{settings_};
+  base::TimePoint now_{Duration{1'000'000'000}};
+  std::vector<Decision> decisions_;
+  Dispatch last_;
+  std::uint64_t requests_ = 0;
+};
+
+// Guards against a workspace with many requests delaying one with few.
+TEST_F(RouterTest, WorkspacesShareByWeight) {
+  Begin({Engine("a")}, {{{"heavy"}, 3}, {{"light"}, 1}});
+  Send(Request("blocker"));
+  std::set<std::uint64_t> light;
+  for (int i = 0; i < 12; ++i) Send(Request("heavy"));
+  for (int i = 0; i < 12; ++i) {
+    Send(Request("light"));
+    light.insert(requests_);
+  }
+  const auto order = Drain(8);
+  EXPECT_EQ(std::ranges::count_if(order, [&](auto id) { return light.contains(id); }), 2);
+}
+
+// Guards against a workspace that saves up credit while idle and then blocks the others.
+TEST_F(RouterTest, IdleTimeEarnsNoCredit) {
+  Begin({Engine("a")});
+  Send(Request("busy"));
+  for (int i = 0; i < 40; ++i) Send(Request("busy"));
+  Drain(20);
+  std::set<std::uint64_t> late;
+  for (int i = 0; i < 10; ++i) {
+    Send(Request("late"));
+    late.insert(requests_);
+  }
+  const auto order = Drain(10);
+  EXPECT_LE(std::ranges::count_if(order, [&](auto id) { return late.contains(id); }), 6);
+}
+
+// Guards against a long program that delays short ones of the same workspace, and against counting
+// a sub-program apart from its root.
+TEST_F(RouterTest, LeastAttainedProgramFirst) {
+  Begin({Engine("a")});
+  Send(Request("w", "long"));
+  RequestQueued child = Request("w", "child");
+  child.root = {"long"};
+  Send(child);
+  Send(Request("w", "short"));
+  EXPECT_EQ(Drain(1), (std::vector<std::uint64_t>{3}));
+}
+
+// Guards against service at other instances being ignored in the fair order.
+TEST_F(RouterTest, ServiceAtOtherInstancesCounts) {
+  Begin({Engine("a")});
+  Send(PeerLoad{{"i2"}, {}, {{{"x"}, 0}}});
+  Send(Request("blocker"));
+  Send(Request("x"));
+  Send(Request("y"));
+  Send(PeerLoad{{"i2"}, {}, {{{"x"}, 5'000'000}}});
+  EXPECT_EQ(Drain(1), (std::vector<std::uint64_t>{3}));
+}
+
+// Guards against prefilling a prompt again although its engine is free.
+TEST_F(RouterTest, PrefersTheEngineThatHoldsThePrefixOnlyIfItFinishesFirst) {
+  Begin({Engine("a", 4), Engine("b", 4), Engine("c", 4)});
+  for (const std::string holder : {"a", "b", "c"}) {
+    RequestQueued request = Request();
+    request.prompt_tokens = 8000;
+    request.last_target = {holder};
+    request.held_tokens = 7900;
+    Send(request);
+    EXPECT_EQ(last_.target.value, holder);
+  }
+  // A short prefix does not outweigh the prefill that waits at its holder.
+  RequestQueued large = Request();
+  large.prompt_tokens = 80'000;
+  Send(large);
+  RequestQueued small = Request();
+  small.last_target = last_.target;
+  small.held_tokens = 100;
+  Send(small);
+  EXPECT_NE(last_.target, small.last_target);
+}
+
+// Guards against requests that queue inside an engine, where their order cannot change any more.
+TEST_F(RouterTest, CountsOtherInstancesAndLaggedReports) {
+  Begin({Engine("a", 2)});
+  Send(PeerLoad{{"i2"}, {{{"a"}, 1}}, {}});
+  Send(Request());
+  Send(Request());
+  EXPECT_EQ(router_.queued(), 1U);
+  Send(PeerGone{{"i2"}});
+  EXPECT_EQ(router_.queued(), 0U);
+  // The report was made before the second dispatch; both requests are this instance's own.
+  now_ += kSecond;
+  Send(TargetReported{{"a"}, 2, 0, false, Duration{500'000}});
+  Finish(last_);
+  Send(Request());
+  EXPECT_EQ(router_.queued(), 0U);
+  // Requests of an instance that is not heard from are still seen in the report.
+  Finish(last_);
+  Send(TargetReported{{"a"}, 2, 3, false, Duration{0}});
+  Send(Request());
+  EXPECT_EQ(router_.queued(), 1U);
+}
+
+// Guards against a request at a target of another kind, model or a cut-off data centre.
+TEST_F(RouterTest, RespectsModelAndDataCentre) {
+  auto remote = Engine("r", 4);
+  remote.data_centre = {"d2"};
+  auto other = Engine("o", 4);
+  other.models = {{"other"}};
+  Begin({remote, other, Engine("a", 1)});
+  Send(Request());
+  EXPECT_EQ(last_.target.value, "a");
+  Send(Request());
+  EXPECT_EQ(last_.target.value, "r");
+  Send(DataCentreReach{{"d2"}, false});
+  Send(Request());
+  EXPECT_EQ(router_.queued(), 1U);
+  RequestQueued unknown = Request();
+  unknown.model = {"none"};
+  Take<Refuse>();
+  Send(unknown);
+  EXPECT_EQ(Take<Refuse>().at(0).error.code, base::ErrorCode::kNoTarget);
+}
+
+// Guards against work for a leaving target, and against a sign that an older statement or another
+// source withdraws.
+TEST_F(RouterTest, EarliestSignOfLeavingWins) {
+  Begin({Engine("a"), Engine("b", 8)});
+  Send(InstanceListApplied{{{"a"}}});
+  EXPECT_TRUE(router_.IsLeaving({"a"}));
+  Send(TargetReported{{"a"}, 0, 0, false, Duration{0}});
+  EXPECT_TRUE(router_.IsLeaving({"a"}));
+  Send(InstanceListApplied{{}});
+  EXPECT_FALSE(router_.IsLeaving({"a"}));
+
+  Send(Request());
+  Take<ShareSuspect>();
+  Send(AttemptFailed{last_.attempt, FailureKind::kMalformedAnswer, Verdict::kNotRun, false, true});
+  const auto shared = Take<ShareSuspect>();
+  ASSERT_EQ(shared.size(), 1U);
+  EXPECT_TRUE(shared[0].leaving);
+  const base::TargetId left = shared[0].target;
+  Send(TargetReported{left, 0, 0, false, kSecond});
+  EXPECT_TRUE(router_.IsLeaving(left));
+  now_ += 2 * kSecond;
+  Send(TargetReported{left, 0, 0, false, kSecond});
+  EXPECT_FALSE(router_.IsLeaving(left));
+}
+
+// Guards against a second run of a non-idempotent request after a byte may have left.
+TEST_F(RouterTest, NonIdempotentIsRetriedOnlyIfNothingWasSent) {
+  Begin({Engine("a"), Engine("b")});
+  RequestQueued request = Request();
+  request.idempotent = false;
+  Send(request);
+  Fail(last_, FailureKind::kConnectRefused, Verdict::kNotRun);
+  EXPECT_EQ(last_.retries, 1U);
+  EXPECT_TRUE(last_.fresh_connection);
+  Send(AttemptStarted{last_.attempt});
+  Take<Refuse>();
+  Fail(last_, FailureKind::kFirstByteTimeout, Verdict::kNotRun);
+  const auto refused = Take<Refuse>();
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].error.verdict, Verdict::kMayHaveRun);
+}
+
+// Guards against retries that multiply the load when many targets fail.
+TEST_F(RouterTest, RetriesStayWithinTheBudget) {
+  Begin({Engine("a", 500)});
+  int retries = 0;
+  for (int i = 0; i < 200; ++i) {
+    Send(Request());
+    Take<Dispatch>();
+    Send(AttemptFailed{last_.attempt, FailureKind::kMalformedAnswer});
+    for (const auto& it : Take<Dispatch>()) {
+      ++retries;
+      Finish(it);
+    }
+  }
+  EXPECT_EQ(retries, 29);  // reserve of 10, then a tenth of 200, less what did not fit the reserve
+}
+
+// Guards against a request that crashes every target in turn, also over several instances.
+TEST_F(RouterTest, PoisonRequestStopsAfterTwoTargets) {
+  Begin({Engine("a"), Engine("b"), Engine("c")});
+  RequestQueued poison = Request();
+  Send(poison);
+  Fail(last_, FailureKind::kConnectionClosed);
+  EXPECT_EQ(Take<SharePoison>().size(), 1U);
+  Fail(last_, FailureKind::kConnectionClosed);
+  EXPECT_EQ(Take<Refuse>().at(0).error.code, base::ErrorCode::kPoisonRequest);
+  RequestQueued again = Request();
+  again.fingerprint = poison.fingerprint;
+  Send(again);
+  EXPECT_EQ(Take<Refuse>().at(0).error.verdict, Verdict::kNotRun);
+  // Counts expire.
+  now_ += settings_.poison_expiry + 20 * kSecond;
+  Send(Tick{});
+  EXPECT_FALSE(Take<Probe>().empty());
+  for (const char* id : {"a", "b"}) Send(ProbeFinished{{id}, true});
+  again.request = {++requests_};
+  Send(again);
+  EXPECT_TRUE(Take<Refuse>().empty());
+}
+
+// Guards against innocent requests being stopped because their target crashes by itself.
+TEST_F(RouterTest, CrashesOfABadTargetDoNotCount) {
+  Begin({Engine("good", 8)});
+  for (std::uint64_t fingerprint = 100; fingerprint < 103; ++fingerprint) {
+    now_ += 5 * kSecond;
+    Send(PeerPoison{{"w"}, fingerprint, {"bad"}});
+  }
+  RequestQueued request = Request();
+  request.fingerprint = 100;
+  Send(PeerPoison{{"w"}, 100, {"other"}});
+  Send(PeerPoison{{"w"}, 103, {"bad"}});
+  Send(PeerPoison{{"w"}, 104, {"bad"}});
+  now_ += 5 * kSecond;
+  Send(PeerPoison{{"w"}, 105, {"bad"}});
+  Send(request);
+  EXPECT_TRUE(Take<Refuse>().empty());
+}
+
+// Guards against bystanders of a crash being taken for its cause: suspects run apart.
+TEST_F(RouterTest, RequestsThatSawACrashRunApart) {
+  Begin({Engine("a", 4)});
+  Send(Request());
+  const Dispatch first = last_;
+  Send(Request());
+  const Dispatch second = last_;
+  Fail(first, FailureKind::kConnectionClosed);
+  Fail(second, FailureKind::kConnectionClosed);
+  Send(ProbeFinished{{"a"}, true});
+  EXPECT_EQ(router_.running(), 1U);
+  EXPECT_EQ(router_.queued(), 1U);
+  Finish(last_);
+  EXPECT_EQ(router_.queued(), 0U);
+}
+
+// Guards against reuse of connections to an address at which one went silent, and against a target
+// that stays out of use after it recovered.
+TEST_F(RouterTest, SilentConnectionClosesIdleOnesAndProbesRecover) {
+  Begin({Engine("a")});
+  Send(Request());
+  Fail(last_, FailureKind::kFirstByteTimeout);
+  EXPECT_FALSE(router_.IsSuspect({"a"}));
+  EXPECT_EQ(Take<CloseIdle>().size(), 1U);
+  EXPECT_TRUE(last_.fresh_connection);
+  // The fresh connection is silent too: the target itself is suspect.
+  Fail(last_, FailureKind::kFirstByteTimeout);
+  EXPECT_TRUE(router_.IsSuspect({"a"}));
+  Take<Probe>();
+  now_ += settings_.probe_first;
+  Send(Tick{});
+  EXPECT_EQ(Take<Probe>().size(), 1U);
+  Send(ProbeFinished{{"a"}, false});
+  now_ += settings_.probe_first;
+  Send(Tick{});
+  EXPECT_TRUE(Take<Probe>().empty()) << "pauses grow";
+  now_ += settings_.probe_first;
+  Send(Tick{});
+  EXPECT_EQ(Take<Probe>().size(), 1U);
+  Send(ProbeFinished{{"a"}, true});
+  EXPECT_FALSE(router_.IsSuspect({"a"}));
+  EXPECT_EQ(router_.queued(), 0U);
+}
+
+// Guards against a refused request of a small workspace because a large one filled the queue.
+TEST_F(RouterTest, FullQueueDisplacesTheLongestWorkspace) {
+  settings_.max_queued = 5;
+  router_ = Router{settings_};
+  Begin({Engine("a")});
+  Send(Request("big"));
+  for (int i = 0; i < 5; ++i) Send(Request("big"));
+  const std::uint64_t newest = requests_;
+  Send(Request("big"));
+  auto refused = Take<Refuse>();
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].request.value, requests_);
+  EXPECT_GT(refused[0].error.retry_after.count(), 0);
+  Send(Request("small"));
+  refused = Take<Refuse>();
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].request.value, newest);
+  EXPECT_EQ(refused[0].error.verdict, Verdict::kNotRun);
+}
+
+// Guards against accepting requests that would only wait in vain.
+TEST_F(RouterTest, RefusesEarlyWhenTheBacklogExceedsTheQueueTime) {
+  Begin({Engine("a")});
+  for (int i = 0; i < 900; ++i) Send(Request("big"));
+  EXPECT_FALSE(Take<Refuse>().empty());
+  Send(Request("small"));
+  EXPECT_TRUE(Take<Refuse>().empty()) << "the backlog of another workspace does not count";
+}
+
+// Guards against requests that wait past their deadline or the queue time.
+TEST_F(RouterTest, QueueTimeAndDeadlineAreBounded) {
+  Begin({Engine("a")});
+  Send(Request());
+  RequestQueued brief = Request();
+  brief.deadline = kSecond;
+  Send(brief);
+  Send(Request());
+  now_ += 2 * kSecond;
+  Send(Tick{});
+  EXPECT_EQ(Take<Refuse>().at(0).error.code, base::ErrorCode::kTimeout);
+  now_ += settings_.max_queue_time;
+  Send(Tick{});
+  const auto refused = Take<Refuse>();
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].error.code, base::ErrorCode::kOverloaded);
+  EXPECT_EQ(refused[0].error.verdict, Verdict::kNotRun);
+}
+
+}  // namespace
+}  // namespace persimmonstair::routing
