--- a/include/persimmonstair/routing/order_issuer.hpp
+++ b/include/persimmonstair/routing/order_issuer.hpp
@@ -96,8 +96,8 @@
 
   std::vector<OrderDecision> Handle(base::TimePoint now, const OrderEvent& event);
 
-  std::size_t waiting() const;
-  bool holds_lease(base::TimePoint now) const;
+  std::size_t Waiting() const;
+  bool HoldsLease(base::TimePoint now) const;
 
  private:
   struct Pending {
--- a/include/persimmonstair/routing/router.hpp
+++ b/include/persimmonstair/routing/router.hpp
@@ -34,8 +34,8 @@
   /// `now` must not go back between calls.
   std::vector<Decision> Handle(base::TimePoint now, const Event& event);
 
-  std::size_t queued() const;
-  std::size_t running() const;
+  std::size_t Queued() const;
+  std::size_t Running() const;
   /// Own running attempts for each target, for the heartbeat.
   std::map<base::TargetId, std::uint32_t> InFlight() const;
   /// Own engine time for each workspace since the start in microseconds, for the heartbeat.
--- a/src/persimmonstair/routing/differential_model_test.cpp
+++ b/src/persimmonstair/routing/differential_model_test.cpp
@@ -258,8 +258,8 @@
     if (now_ >= call.deadline) return "queued past its deadline";
     if (now_ >= call.queued_at + settings_.max_queue_time) return "queued too long";
   }
-  if (queued != router.queued()) return "a queued request was lost";
-  if (attempts_.size() != router.running()) return "a running request was lost";
+  if (queued != router.Queued()) return "a queued request was lost";
+  if (attempts_.size() != router.Running()) return "a running request was lost";
   if (queued > settings_.max_queued) return "queue too long";
   const double budget = settings_.retry_ratio * static_cast<double>(first_dispatches_);
   if (static_cast<double>(retries_) > budget + settings_.retry_reserve) return "too many retries";
--- a/src/persimmonstair/routing/model.hpp
+++ b/src/persimmonstair/routing/model.hpp
@@ -29,7 +29,7 @@
   bool answered = false;
   base::TimePoint answered_at;
 
-  bool any() const { return catalogue || instance_list || own_answer; }
+  bool Any() const { return catalogue || instance_list || own_answer; }
 };
 
 /// @brief What is known about the connections to a target.
--- a/src/persimmonstair/routing/order_issuer.cpp
+++ b/src/persimmonstair/routing/order_issuer.cpp
@@ -13,9 +13,9 @@
   return out;
 }
 
-std::size_t OrderIssuer::waiting() const { return target_of_.size(); }
+std::size_t OrderIssuer::Waiting() const { return target_of_.size(); }
 
-bool OrderIssuer::holds_lease(base::TimePoint now) const { return held_ && now < expires_; }
+bool OrderIssuer::HoldsLease(base::TimePoint now) const { return held_ && now < expires_; }
 
 void OrderIssuer::On(const LeaseGranted& event, std::vector<OrderDecision>& /*out*/) {
   if (any_stale_ && event.fence <= stale_fence_) return;
--- a/src/persimmonstair/routing/router.cpp
+++ b/src/persimmonstair/routing/router.cpp
@@ -28,13 +28,13 @@
   return std::exchange(state.out, {});
 }
 
-std::size_t Router::queued() const { return state_->queued; }
+std::size_t Router::Queued() const { return state_->queued; }
 
-std::size_t Router::running() const { return state_->attempts.size(); }
+std::size_t Router::Running() const { return state_->attempts.size(); }
 
 std::map<base::TargetId, std::uint32_t> Router::InFlight() const {
   std::map<base::TargetId, std::uint32_t> counts;
-  for (const auto& [id, target] : state_->targets.all()) {
+  for (const auto& [id, target] : state_->targets.All()) {
     if (target->own > 0) counts.emplace(id, target->own);
   }
   return counts;
@@ -50,7 +50,7 @@
 
 bool Router::IsLeaving(const base::TargetId& target) const {
   const Target* it = std::as_const(state_->targets).Find(target);
-  return it == nullptr || !it->listed || it->leaving.any();
+  return it == nullptr || !it->listed || it->leaving.Any();
 }
 
 bool Router::IsSuspect(const base::TargetId& target) const {
@@ -71,7 +71,7 @@
       const std::uint64_t gained = total >= last ? total - last : total;
       const double seconds = static_cast<double>(gained) / 1e6;
       const Workspace& workspace = WorkspaceOf(id);
-      for (auto& [key, it] : targets.classes()) {
+      for (auto& [key, it] : targets.Classes()) {
         if (it.engine && gained > 0) it.queue.Charge(workspace, seconds, false);
       }
     }
--- a/src/persimmonstair/routing/router_health.cpp
+++ b/src/persimmonstair/routing/router_health.cpp
@@ -48,7 +48,7 @@
 }
 
 void Router::State::SendProbes() {
-  for (const auto& [id, target] : targets.all()) {
+  for (const auto& [id, target] : targets.All()) {
     Health& health = target->health;
     if (!health.probe_due || now < health.probe_at || !target->listed) continue;
     // The next probe is due even if the result of this one never arrives.
--- a/src/persimmonstair/routing/router_queue.cpp
+++ b/src/persimmonstair/routing/router_queue.cpp
@@ -77,7 +77,7 @@
   }
   const double wait = it.queue.Backlog(*request.workspace) /
                       (std::max(1U, it.serving) * it.queue.Share(*request.workspace)) *
-                      static_cast<double>(targets.peers() + 1);
+                      static_cast<double>(targets.PeerCount() + 1);
   const double limit =
       std::min(base::ToSeconds(settings.max_queue_time), base::ToSeconds(request.deadline - now));
   if (wait > kWaitMargin * limit) {
--- a/src/persimmonstair/routing/router_schedule.cpp
+++ b/src/persimmonstair/routing/router_schedule.cpp
@@ -26,7 +26,7 @@
   for (bool progress = true; progress && queued > 0;) {
     progress = false;
     RequestClass* next = nullptr;
-    for (auto& [key, it] : targets.classes()) {
+    for (auto& [key, it] : targets.Classes()) {
       if (it.queue.empty() || it.available.empty()) continue;
       if (next != nullptr && it.served_at >= next->served_at) continue;
       next = &it;
@@ -36,7 +36,7 @@
       continue;
     }
     // The class served longest ago had only requests that no free target suits; try the others.
-    for (auto& [key, it] : targets.classes()) {
+    for (auto& [key, it] : targets.Classes()) {
       if (&it == next || it.queue.empty() || it.available.empty()) continue;
       if (ScheduleOne(it)) {
         progress = true;
@@ -110,8 +110,8 @@
     if (consider(target) && ++considered >= kCandidates && !best_failed) break;
   }
   if (request.spec.last_target.empty()) return best;
-  const auto it = targets.all().find(request.spec.last_target);
-  if (it == targets.all().end() || !it->second->ranked) return best;
+  const auto it = targets.All().find(request.spec.last_target);
+  if (it == targets.All().end() || !it->second->ranked) return best;
   const auto& classes = it->second->classes;
   if (std::ranges::find(classes, request.request_class) != classes.end())
     consider(it->second.get());
@@ -120,8 +120,8 @@
 
 bool Router::State::WorthWaiting(const Request& request, const Target& free) const {
   if (Holds(request, free) || request.spec.last_target.empty()) return false;
-  const auto it = targets.all().find(request.spec.last_target);
-  if (it == targets.all().end()) return false;
+  const auto it = targets.All().find(request.spec.last_target);
+  if (it == targets.All().end()) return false;
   const Target& holder = *it->second;
   if (!TargetTable::Usable(holder) || holder.ranked) return false;
   return SlotWaitSeconds(request, holder) + ServiceSeconds(request, holder) <
--- a/src/persimmonstair/routing/router_test.cpp
+++ b/src/persimmonstair/routing/router_test.cpp
@@ -169,20 +169,20 @@
   Send(PeerLoad{{"i2"}, {{{"a"}, 1}}, {}});
   Send(Request());
   Send(Request());
-  EXPECT_EQ(router_.queued(), 1U);
+  EXPECT_EQ(router_.Queued(), 1U);
   Send(PeerGone{{"i2"}});
-  EXPECT_EQ(router_.queued(), 0U);
+  EXPECT_EQ(router_.Queued(), 0U);
   // The report was made before the second dispatch; both requests are this instance's own.
   now_ += kSecond;
   Send(TargetReported{{"a"}, 2, 0, false, Duration{500'000}});
   Finish(last_);
   Send(Request());
-  EXPECT_EQ(router_.queued(), 0U);
+  EXPECT_EQ(router_.Queued(), 0U);
   // Requests of an instance that is not heard from are still seen in the report.
   Finish(last_);
   Send(TargetReported{{"a"}, 2, 3, false, Duration{0}});
   Send(Request());
-  EXPECT_EQ(router_.queued(), 1U);
+  EXPECT_EQ(router_.Queued(), 1U);
 }
 
 // Guards against a request at a target of another kind, model or a cut-off data centre.
@@ -198,7 +198,7 @@
   EXPECT_EQ(last_.target.value, "r");
   Send(DataCentreReach{{"d2"}, false});
   Send(Request());
-  EXPECT_EQ(router_.queued(), 1U);
+  EXPECT_EQ(router_.Queued(), 1U);
   RequestQueued unknown = Request();
   unknown.model = {"none"};
   Take<Refuse>();
@@ -315,10 +315,10 @@
   Fail(first, FailureKind::kConnectionClosed);
   Fail(second, FailureKind::kConnectionClosed);
   Send(ProbeFinished{{"a"}, true});
-  EXPECT_EQ(router_.running(), 1U);
-  EXPECT_EQ(router_.queued(), 1U);
+  EXPECT_EQ(router_.Running(), 1U);
+  EXPECT_EQ(router_.Queued(), 1U);
   Finish(last_);
-  EXPECT_EQ(router_.queued(), 0U);
+  EXPECT_EQ(router_.Queued(), 0U);
 }
 
 // Guards against reuse of connections to an address at which one went silent, and against a target
@@ -346,7 +346,7 @@
   EXPECT_EQ(Take<Probe>().size(), 1U);
   Send(ProbeFinished{{"a"}, true});
   EXPECT_FALSE(router_.IsSuspect({"a"}));
-  EXPECT_EQ(router_.queued(), 0U);
+  EXPECT_EQ(router_.Queued(), 0U);
 }
 
 // Guards against a refused request of a small workspace because a large one filled the queue.
--- a/src/persimmonstair/routing/target_table.cpp
+++ b/src/persimmonstair/routing/target_table.cpp
@@ -52,7 +52,7 @@
 }
 
 bool TargetTable::Usable(const Target& target) {
-  return target.listed && !target.leaving.any() && !target.health.suspect && !target.cut_off;
+  return target.listed && !target.leaving.Any() && !target.health.suspect && !target.cut_off;
 }
 
 double TargetTable::Rank(const Target& target) const {
@@ -127,7 +127,7 @@
   for (auto& [key, it] : classes_) it.serving = it.slots = 0;
   for (auto& [id, target] : targets_) {
     Refresh(*target);
-    if (!target->listed || target->leaving.any()) continue;
+    if (!target->listed || target->leaving.Any()) continue;
     for (RequestClass* it : target->classes) {
       ++it->serving;
       it->slots += target->entry.slots;
--- a/src/persimmonstair/routing/target_table.hpp
+++ b/src/persimmonstair/routing/target_table.hpp
@@ -68,9 +68,9 @@
   /// May get requests if a slot is free.
   static bool Usable(const Target& target);
 
-  const std::map<base::TargetId, std::unique_ptr<Target>>& all() const { return targets_; }
-  std::map<std::string, RequestClass>& classes() { return classes_; }
-  std::size_t peers() const { return peers_.size(); }
+  const std::map<base::TargetId, std::unique_ptr<Target>>& All() const { return targets_; }
+  std::map<std::string, RequestClass>& Classes() { return classes_; }
+  std::size_t PeerCount() const { return peers_.size(); }
 
  private:
   struct Peer {
