Add stand-ins for the platform's services and for targets

Cause: end-to-end runs need a log, an instance list, a weight store, engines and services with faults that are switched at run time; the real ones are outside the project.

--- /dev/null
+++ b/standin/directory_roles.hpp
@@ -0,0 +1,54 @@
+#ifndef PERSIMMONSTAIR_STANDIN_DIRECTORY_ROLES_HPP_
+#define PERSIMMONSTAIR_STANDIN_DIRECTORY_ROLES_HPP_
+
+#include <string>
+
+#include "standin/lagged.hpp"
+#include "standin/role.hpp"
+#include "standin/standin.hpp"
+
+namespace persimmonstair::standin {
+
+/// @brief The instance list. Tests write it with PUT, PATCH and DELETE.
+class ListRole {
+ public:
+  explicit ListRole(ListSettings /*settings*/) : list_(Empty()) {}
+
+  Task Handle(Exchange& exchange);
+  bool IsControl(const Exchange& exchange) const { return exchange.method() != "GET"; }
+  void OnFaultsChanged() {}
+  void OnDeath() {}
+
+  ListFaults faults;
+  RequestLog requests{0};
+
+ private:
+  static Json Empty();
+  Task Change(Exchange& exchange);
+
+  Lagged<Json> list_;
+};
+
+/// @brief The weight store.
+class WeightRole {
+ public:
+  explicit WeightRole(WeightSettings settings)
+      : settings_(settings), tokens_(settings.burst), refilled_(Clock::now()) {}
+
+  Task Handle(Exchange& exchange);
+  bool IsControl(const Exchange& /*exchange*/) const { return false; }
+  void OnFaultsChanged() {}
+  void OnDeath() {}
+
+  WeightFaults faults;
+  RequestLog requests{1000};
+
+ private:
+  WeightSettings settings_;
+  double tokens_;
+  Clock::time_point refilled_;
+};
+
+}  // namespace persimmonstair::standin
+
+#endif  // PERSIMMONSTAIR_STANDIN_DIRECTORY_ROLES_HPP_
--- /dev/null
+++ b/standin/engine_role.hpp
@@ -0,0 +1,76 @@
+#ifndef PERSIMMONSTAIR_STANDIN_ENGINE_ROLE_HPP_
+#define PERSIMMONSTAIR_STANDIN_ENGINE_ROLE_HPP_
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+#include "standin/chat.hpp"
+#include "standin/lagged.hpp"
+#include "standin/prefix_cache.hpp"
+#include "standin/role.hpp"
+#include "standin/standin.hpp"
+
+namespace persimmonstair::standin {
+
+/// @brief A model engine: prefills one prompt at a time in order of arrival, decodes all admitted
+/// requests together, and holds the prefix of each program.
+class EngineRole {
+ public:
+  EngineRole(EngineSettings settings, Process process);
+
+  Task Handle(Exchange& exchange);
+  bool IsControl(const Exchange& exchange) const { return exchange.path() == "/v1/stats"; }
+  void OnFaultsChanged();
+  void OnDeath();
+
+  EngineFaults faults;
+  RequestLog requests;
+
+ private:
+  struct Load {
+    std::int64_t running = 0;
+    std::int64_t waiting = 0;
+    std::int64_t used_tokens = 0;
+    bool leaving = false;
+  };
+
+  Task HandleChat(Exchange& exchange);
+  /// Refuses, hangs or crashes; the exchange is then answered or not usable.
+  Task ApplyChatFaults(Exchange& exchange);
+  Task Run(Exchange& exchange, const ChatRequest& chat);
+  Task Prefill(Exchange& exchange, std::int64_t tokens);
+  Task Decode(Exchange& exchange, std::int64_t tokens);
+  Task Stream(Exchange& exchange, const ChatRequest& chat, const std::string& text,
+              const ChatUsage& usage);
+  /// Goes silent or breaks the connection in the middle of a stream.
+  Task SpoilStream(Exchange& exchange, bool silent);
+  Task HandleLoad(Exchange& exchange);
+  Task HandleProgram(Exchange& exchange);
+  Task HandleHeld(Exchange& exchange);
+  Task HandleOrder(Exchange& exchange);
+  Task HandleStats(Exchange& exchange);
+  bool Serves(const std::string& model) const;
+  std::chrono::microseconds Scaled(double seconds) const;
+  void PublishLoad();
+
+  EngineSettings settings_;
+  Process process_;
+  std::set<std::string> models_;
+  PrefixCache cache_;
+  std::int64_t running_ = 0;
+  std::int64_t waiting_ = 0;
+  Clock::time_point prefill_free_at_;
+  Lagged<Load> load_;
+  std::uint64_t highest_fencing_ = 0;
+  std::uint64_t completed_ = 0;
+  std::uint64_t prefilled_tokens_ = 0;
+  std::uint64_t cached_tokens_ = 0;
+  std::uint64_t decoded_tokens_ = 0;
+  /// Grows with each crash; a request from before it does not touch the state after it.
+  std::uint64_t lifetime_ = 0;
+};
+
+}  // namespace persimmonstair::standin
+
+#endif  // PERSIMMONSTAIR_STANDIN_ENGINE_ROLE_HPP_
--- /dev/null
+++ b/standin/log_role.hpp
@@ -0,0 +1,66 @@
+#ifndef PERSIMMONSTAIR_STANDIN_LOG_ROLE_HPP_
+#define PERSIMMONSTAIR_STANDIN_LOG_ROLE_HPP_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "standin/role.hpp"
+#include "standin/standin.hpp"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace persimmonstair::standin {
+
+/// @brief The log service: streams of records with offsets from 0.
+class LogRole {
+ public:
+  LogRole(boost::asio::io_context& io, LogSettings settings);
+  ~LogRole();
+
+  Task Handle(Exchange& exchange);
+  bool IsControl(const Exchange& exchange) const { return exchange.path() == "/v1/stats"; }
+  void OnFaultsChanged();
+  void OnDeath() {}
+
+  LogFaults faults;
+  RequestLog requests{0};
+
+ private:
+  struct Record {
+    std::string id;
+    std::string data;
+    std::int64_t at_ms = 0;
+  };
+  struct Stream;
+
+  Task HandleAppend(Exchange& exchange, const std::string& name);
+  Task HandleRead(Exchange& exchange, const std::string& name);
+  Task HandleFetch(Exchange& exchange, const std::string& name);
+  Task HandleStats(Exchange& exchange);
+  Task WaitForRecords(Stream& stream, Clock::time_point until);
+  Stream& Get(const std::string& name);
+  void Expire(Stream& stream) const;
+  bool TakeRate();
+  std::uint64_t Store(Stream& stream, Json batch);
+  Json ReadJson(Stream& stream, std::uint64_t from, std::uint64_t max_entries) const;
+
+  boost::asio::io_context& io_;
+  LogSettings settings_;
+  std::map<std::string, std::unique_ptr<Stream>> streams_;
+  std::mt19937_64 random_;
+  double rate_tokens_;
+  Clock::time_point rate_at_;
+  std::uint64_t appends_ = 0;
+  std::uint64_t refused_ = 0;
+  std::uint64_t stored_ = 0;
+};
+
+}  // namespace persimmonstair::standin
+
+#endif  // PERSIMMONSTAIR_STANDIN_LOG_ROLE_HPP_
--- /dev/null
+++ b/standin/standin.cpp
@@ -0,0 +1,162 @@
+#include "standin/standin.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <future>
+#include <thread>
+#include <type_traits>
+#include <utility>
+
+#include "standin/directory_roles.hpp"
+#include "standin/engine_role.hpp"
+#include "standin/http_server.hpp"
+#include "standin/log_role.hpp"
+#include "standin/service_role.hpp"
+
+namespace persimmonstair::standin {
+namespace {
+
+namespace asio = boost::asio;
+
+using AnyRole =
+    std::variant<std::unique_ptr<LogRole>, std::unique_ptr<ListRole>, std::unique_ptr<WeightRole>,
+                 std::unique_ptr<EngineRole>, std::unique_ptr<ServiceRole>>;
+
+AnyRole MakeRole(asio::io_context& io, RoleSettings settings, const Process& process) {
+  return std::visit(
+      [&](auto& s) -> AnyRole {
+        using T = std::decay_t<decltype(s)>;
+        if constexpr (std::is_same_v<T, LogSettings>) return std::make_unique<LogRole>(io, s);
+        if constexpr (std::is_same_v<T, ListSettings>) return std::make_unique<ListRole>(s);
+        if constexpr (std::is_same_v<T, WeightSettings>) return std::make_unique<WeightRole>(s);
+        if constexpr (std::is_same_v<T, EngineSettings>) {
+          return std::make_unique<EngineRole>(std::move(s), process);
+        }
+        if constexpr (std::is_same_v<T, ServiceSettings>) {
+          return std::make_unique<ServiceRole>(std::move(s), process);
+        }
+      },
+      settings);
+}
+
+}  // namespace
+
+class Standin::Impl {
+ public:
+  Impl(RoleSettings settings, Listen listen)
+      : listen_(std::move(listen)),
+        restart_(io_),
+        role_(MakeRole(io_, std::move(settings), Process{[this](auto delay) { Crash(delay); }})),
+        server_(io_, [this](Exchange& exchange) {
+          return std::visit([&](auto& role) { return Answer(*role, exchange); }, role_);
+        }) {}
+
+  ~Impl() {
+    OnThread([this] {
+      restart_.cancel();
+      server_.Close();
+      stopping_ = true;
+      return base::Result<void>{};
+    });
+    io_.stop();
+    if (thread_.joinable()) thread_.join();
+  }
+
+  base::Result<void> Start() {
+    auto opened = server_.Open(listen_);
+    if (opened) thread_ = std::thread([this] { RunLoop(); });
+    return opened;
+  }
+
+  /// Runs on the role's thread and waits for it.
+  base::Result<void> OnThread(std::function<base::Result<void>()> task) {
+    if (!thread_.joinable()) return {};
+    std::promise<base::Result<void>> done;
+    asio::post(io_, [&] { done.set_value(task()); });
+    return done.get_future().get();
+  }
+
+  base::Result<void> SetFaults(const std::string& text) {
+    return OnThread([&] {
+      return std::visit(
+          [&](auto& role) {
+            auto merged = MergeFaults(role->faults, text);
+            if (merged) role->OnFaultsChanged();
+            return merged;
+          },
+          role_);
+    });
+  }
+
+  void Die() {
+    server_.Close();
+    std::visit([](auto& role) { role->OnDeath(); }, role_);
+  }
+
+  base::Result<void> Revive() { return server_.Reopen(); }
+
+  std::uint16_t Port() const { return server_.port(); }
+  const Listen& ListenAddress() const { return listen_; }
+
+ private:
+  void RunLoop() {
+    const auto work = asio::make_work_guard(io_);
+    io_.run();
+  }
+
+  /// Deferred, because the role that asks is in the middle of an exchange.
+  void Crash(std::chrono::milliseconds delay) {
+    asio::post(io_, [this, delay] {
+      Die();
+      restart_.expires_after(delay);
+      restart_.async_wait([this](boost::system::error_code ec) {
+        if (!ec && !stopping_) Revive();
+      });
+    });
+  }
+
+  asio::io_context io_{1};
+  Listen listen_;
+  asio::steady_timer restart_;
+  AnyRole role_;
+  HttpServer server_;
+  std::thread thread_;
+  bool stopping_ = false;
+};
+
+Standin::Standin(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+Standin::~Standin() = default;
+
+base::Result<std::unique_ptr<Standin>> Standin::Start(RoleSettings settings, Listen listen) {
+  auto impl = std::make_unique<Impl>(std::move(settings), std::move(listen));
+  auto started = impl->Start();
+  if (!started) return tl::make_unexpected(started.error());
+  return std::unique_ptr<Standin>(new Standin(std::move(impl)));
+}
+
+std::uint16_t Standin::port() const { return impl_->Port(); }
+
+std::string Standin::url() const {
+  const std::string& address = impl_->ListenAddress().address;
+  const bool v6 = address.find(':') != std::string::npos;
+  return "http://" + (v6 ? "[" + address + "]" : address) + ":" + std::to_string(port());
+}
+
+base::Result<void> Standin::SetFaults(const std::string& json_text) {
+  return impl_->SetFaults(json_text);
+}
+
+void Standin::Die() {
+  impl_->OnThread([this] {
+    impl_->Die();
+    return base::Result<void>{};
+  });
+}
+
+void Standin::Revive() {
+  impl_->OnThread([this] { return impl_->Revive(); });
+}
+
+}  // namespace persimmonstair::standin
