--- a/include/persimmonstair/net/caller_request.hpp
+++ b/include/persimmonstair/net/caller_request.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "persimmonstair/base/error.hpp"
+#include "persimmonstair/scheduler/actions.hpp"
 #include "persimmonstair/scheduler/events.hpp"
 
 namespace persimmonstair::net {
--- a/include/persimmonstair/scheduler/events.hpp
+++ b/include/persimmonstair/scheduler/events.hpp
@@ -27,6 +27,7 @@
   kServiceCall,      // any method on /v1/services/{route}
   kReadCatalogue,    // GET /v1/catalogue
   kChangeCatalogue,  // POST /v1/catalogue/changes
+  kReadHistory,      // GET /v1/catalogue/history
 };
 
 /// SHA-256 of a presented key.
--- /dev/null
+++ b/src/persimmonstair/net/caller_connection.cpp
@@ -0,0 +1,328 @@
+#include "caller_connection.hpp"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace persimmonstair::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using base::ErrorCode;
+
+// Bytes of later requests that are read while one runs; more wait in the kernel.
+constexpr std::size_t kReadAheadBytes = 64U << 10U;
+constexpr std::size_t kReadBytes = 16U << 10U;
+// Closing a connection with unread bytes resets it and can destroy the answer on its way, so the
+// rest is read for a short time first.
+constexpr std::chrono::seconds kLingerTime{2};
+
+// The ring is emptied within milliseconds; the hint only spreads the retries.
+constexpr std::chrono::milliseconds kRetryAfterOverload{200};
+
+constexpr std::uint32_t kRequestTimeout = 408;
+constexpr std::uint32_t kHeadersTooLarge = 431;
+
+}  // namespace
+
+template <class Stream>
+CallerConnection<Stream>::~CallerConnection() {
+  if (counted_) core_->EndAnswer();
+  core_->RemoveSession(this);
+}
+
+template <class Stream>
+void CallerConnection<Stream>::Start(bool refuse) {
+  const auto self = this->shared_from_this();
+  read_deadline_.Bind(self, [this] { OnReadExpired(); });
+  write_deadline_.Bind(self, [this] { Close(); });
+  boost::system::error_code ec;
+  stream_.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+  read_deadline_.Set(std::chrono::milliseconds(core_->options.caller.header_timeout_ms));
+  stream_.Handshake([this, self, refuse](boost::system::error_code failure) {
+    if (failure) return Close();
+    if (refuse) {
+      return Refuse({ErrorCode::kOverloaded, "too many connections", base::Verdict::kNotRun,
+                     kRetryAfterOverload},
+                    0);
+    }
+    read_deadline_.Set(std::chrono::milliseconds(core_->options.caller.idle_timeout_ms));
+    Read();
+  });
+}
+
+template <class Stream>
+void CallerConnection<Stream>::PostReply(scheduler::Reply reply) {
+  asio::post(context_, [self = this->shared_from_this(), reply = std::move(reply)] {
+    if (reply.request == self->request_) self->OnReply(reply);
+  });
+}
+
+template <class Stream>
+void CallerConnection<Stream>::PostRelay(base::RequestId request, std::string data) {
+  asio::dispatch(context_, [self = this->shared_from_this(), request, data = std::move(data)] {
+    self->OnRelay(request, data);
+  });
+}
+
+template <class Stream>
+void CallerConnection<Stream>::PostClose() {
+  asio::post(context_, [self = this->shared_from_this()] { self->Close(); });
+}
+
+template <class Stream>
+void CallerConnection<Stream>::Read() {
+  if (reading_ || read_ended_ || phase_ == Phase::kClosed) return;
+  const bool busy = phase_ == Phase::kWaiting || phase_ == Phase::kAnswering;
+  if (busy && buffer_.size() >= kReadAheadBytes) return;
+  reading_ = true;
+  stream_.stream.async_read_some(
+      buffer_.prepare(kReadBytes),
+      [this, self = this->shared_from_this()](boost::system::error_code ec, std::size_t size) {
+        reading_ = false;
+        OnRead(ec, size);
+      });
+}
+
+template <class Stream>
+void CallerConnection<Stream>::OnRead(boost::system::error_code ec, std::size_t size) {
+  if (phase_ == Phase::kClosed) return;
+  if (ec) return OnReadEnd();
+  buffer_.commit(size);
+  if (phase_ == Phase::kLingering) buffer_.clear();
+  Parse();
+  Read();
+}
+
+template <class Stream>
+void CallerConnection<Stream>::OnReadEnd() {
+  read_ended_ = true;
+  if (phase_ == Phase::kAnswering) {
+    // The caller sends no more; it may still wait for the answer that is being written.
+    form_.keep_alive = false;
+    return;
+  }
+  if (phase_ != Phase::kReading) return Close();
+  Refuse({ErrorCode::kInvalidRequest, "the request ended before its end", {}, {}}, 0);
+}
+
+template <class Stream>
+void CallerConnection<Stream>::OnReadExpired() {
+  if (phase_ != Phase::kReading) return Close();
+  Refuse({ErrorCode::kTimeout, "the request did not arrive in time", {}, {}}, kRequestTimeout);
+}
+
+template <class Stream>
+void CallerConnection<Stream>::Parse() {
+  while (buffer_.size() > 0 && (phase_ == Phase::kIdle || phase_ == Phase::kReading)) {
+    if (phase_ == Phase::kIdle) BeginRequest();
+    if (!ParseSome()) return;
+  }
+}
+
+template <class Stream>
+void CallerConnection<Stream>::BeginRequest() {
+  const auto& bounds = core_->options.caller;
+  phase_ = Phase::kReading;
+  parser_.emplace();
+  parser_->header_limit(bounds.max_header_bytes);
+  parser_->body_limit(bounds.max_body_bytes);
+  parser_->eager(true);
+  continue_sent_ = false;
+  read_deadline_.Set(std::chrono::milliseconds(bounds.header_timeout_ms));
+}
+
+// Returns false when more bytes are needed or the request is malformed.
+template <class Stream>
+bool CallerConnection<Stream>::ParseSome() {
+  boost::system::error_code ec;
+  const std::size_t used = parser_->put(buffer_.data(), ec);
+  buffer_.consume(used);
+  if (ec && ec != http::error::need_more) {
+    OnMalformed(ec);
+    return false;
+  }
+  if (parser_->is_done()) {
+    OnRequest();
+    return true;
+  }
+  if (parser_->is_header_done() && !continue_sent_ &&
+      boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+    continue_sent_ = true;
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  return used > 0 && !ec;
+}
+
+template <class Stream>
+void CallerConnection<Stream>::OnMalformed(boost::system::error_code ec) {
+  if (ec == http::error::body_limit) {
+    return Refuse({ErrorCode::kPayloadTooLarge, "the body is too large", {}, {}}, 0);
+  }
+  if (ec == http::error::header_limit) {
+    return Refuse({ErrorCode::kInvalidRequest, "the header is too large", {}, {}},
+                  kHeadersTooLarge);
+  }
+  Refuse({ErrorCode::kInvalidRequest, "malformed HTTP request: " + ec.message(), {}, {}}, 0);
+}
+
+template <class Stream>
+RawRequest CallerConnection<Stream>::TakeRaw() {
+  auto message = parser_->release();
+  RawRequest raw;
+  raw.method = std::string(message.method_string());
+  raw.target = std::string(message.target());
+  for (const auto& field : message) {
+    raw.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+  }
+  raw.body = std::move(message.body());
+  return raw;
+}
+
+template <class Stream>
+void CallerConnection<Stream>::OnRequest() {
+  read_deadline_.Clear();
+  form_.version = parser_->get().version() >= 11 ? 11 : 10;
+  form_.keep_alive = parser_->keep_alive();
+  RawRequest raw = TakeRaw();
+  parser_.reset();
+  form_.head = raw.method == "HEAD";
+  phase_ = Phase::kWaiting;
+  stream_begun_ = false;
+  counted_ = true;
+  core_->BeginAnswer();
+  request_ = core_->handlers.next_request();
+  auto parsed = ParseCallerRequest(std::move(raw));
+  if (!parsed) return OnReply(ErrorReply(request_, parsed.error()));
+  Submit(std::move(*parsed));
+}
+
+template <class Stream>
+void CallerConnection<Stream>::Submit(scheduler::CallerRequest request) {
+  request.request = request_;
+  wants_stream_ = request.stream;
+  core_->Open(request_, this->shared_from_this());
+  if (core_->handlers.on_request(std::move(request))) return;
+  core_->Take(request_);
+  OnReply(ErrorReply(request_, {ErrorCode::kOverloaded, "the instance has no room for the request",
+                                base::Verdict::kNotRun, kRetryAfterOverload}));
+}
+
+// Answers a request whose framing is lost; the connection cannot be used again. A status of zero
+// means that of the error's code.
+template <class Stream>
+void CallerConnection<Stream>::Refuse(const base::Error& error, std::uint32_t status) {
+  read_deadline_.Clear();
+  form_ = ResponseForm{};
+  form_.keep_alive = false;
+  request_ = {};
+  stream_begun_ = false;
+  phase_ = Phase::kWaiting;
+  auto reply = ErrorReply({}, error);
+  if (status != 0) reply.status = status;
+  OnReply(reply);
+}
+
+template <class Stream>
+void CallerConnection<Stream>::OnReply(const scheduler::Reply& reply) {
+  if (phase_ != Phase::kWaiting) return;
+  if (core_->draining) form_.keep_alive = false;
+  phase_ = Phase::kAnswering;
+  if (stream_begun_) {
+    Write(StreamPart(reply.body, form_) + StreamEnd(reply.headers, form_));
+    if (form_.version < 11) form_.keep_alive = false;
+  } else {
+    Write(WholeResponse(reply, form_));
+  }
+  if (writing_.empty() && queued_.empty()) FinishAnswer();
+}
+
+template <class Stream>
+void CallerConnection<Stream>::OnRelay(base::RequestId request, const std::string& data) {
+  if (phase_ != Phase::kWaiting || request != request_ || data.empty()) return;
+  std::string out;
+  if (!stream_begun_) {
+    stream_begun_ = true;
+    if (core_->draining) form_.keep_alive = false;
+    out = StreamHead(form_);
+  }
+  Write(out + StreamPart(data, form_));
+  // A caller that does not read must not fill the memory.
+  if (unsent_bytes_ > core_->options.max_unsent_bytes) Close();
+}
+
+template <class Stream>
+void CallerConnection<Stream>::Write(std::string data) {
+  if (phase_ == Phase::kClosed || data.empty()) return;
+  unsent_bytes_ += data.size();
+  queued_.push_back(std::move(data));
+  Flush();
+}
+
+template <class Stream>
+void CallerConnection<Stream>::Flush() {
+  if (!writing_.empty() || queued_.empty() || phase_ == Phase::kClosed) return;
+  writing_.swap(queued_);
+  std::vector<asio::const_buffer> buffers;
+  buffers.reserve(writing_.size());
+  for (const auto& part : writing_) buffers.emplace_back(asio::buffer(part));
+  write_deadline_.Set(std::chrono::milliseconds(core_->options.caller.write_timeout_ms));
+  asio::async_write(stream_.stream, buffers,
+                    [this, self = this->shared_from_this()](
+                        boost::system::error_code ec, std::size_t /*size*/) { OnWritten(ec); });
+}
+
+template <class Stream>
+void CallerConnection<Stream>::OnWritten(boost::system::error_code ec) {
+  if (phase_ == Phase::kClosed) return;
+  if (ec) return Close();
+  write_deadline_.Clear();
+  for (const auto& part : writing_) unsent_bytes_ -= part.size();
+  writing_.clear();
+  Flush();
+  if (phase_ == Phase::kAnswering && writing_.empty()) FinishAnswer();
+}
+
+template <class Stream>
+void CallerConnection<Stream>::FinishAnswer() {
+  if (counted_) core_->EndAnswer();
+  counted_ = false;
+  request_ = {};
+  if (!form_.keep_alive) return Linger();
+  phase_ = Phase::kIdle;
+  read_deadline_.Set(std::chrono::milliseconds(core_->options.caller.idle_timeout_ms));
+  Parse();
+  Read();
+}
+
+template <class Stream>
+void CallerConnection<Stream>::Linger() {
+  if (read_ended_) return Close();
+  phase_ = Phase::kLingering;
+  buffer_.clear();
+  read_deadline_.Set(kLingerTime);
+  stream_.Shutdown(
+      [this, self = this->shared_from_this()](boost::system::error_code /*ec*/) { Read(); });
+}
+
+template <class Stream>
+void CallerConnection<Stream>::Close() {
+  if (phase_ == Phase::kClosed) return;
+  const bool waiting = phase_ == Phase::kWaiting;
+  phase_ = Phase::kClosed;
+  read_deadline_.Stop();
+  write_deadline_.Stop();
+  boost::system::error_code ec;
+  stream_.socket().close(ec);
+  if (counted_) core_->EndAnswer();
+  counted_ = false;
+  core_->RemoveSession(this);
+  if (waiting && core_->Take(request_)) core_->handlers.on_gone(request_);
+}
+
+template class CallerConnection<PlainStream>;
+template class CallerConnection<TlsStream>;
+
+}  // namespace persimmonstair::net
--- /dev/null
+++ b/src/persimmonstair/net/caller_server_test.cpp
@@ -0,0 +1,298 @@
+#include "persimmonstair/net/caller_server.hpp"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "test_socket.hpp"
+
+namespace persimmonstair::net {
+namespace {
+
+using scheduler::CallerRequest;
+
+constexpr const char* kTurn =
+    "POST /v1/programs/p.1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+    "Authorization: Bearer sk-test-1\r\nContent-Length: 15\r\n\r\n{\"stream\":true}";
+constexpr const char* kGet = "GET /v1/programs/p.1 HTTP/1.1\r\nHost: a\r\n\r\n";
+
+class CallerServerTest : public testing::Test {
+ protected:
+  ~CallerServerTest() override {
+    if (server_) server_->Stop();
+    pool_.Stop();
+  }
+
+  void Start() {
+    options_.caller.port = 0;
+    CallerServerHandlers handlers;
+    handlers.next_request = [this] { return base::RequestId{++last_id_}; };
+    handlers.on_request = [this](CallerRequest request) {
+      if (full_) return false;
+      requests_.Push(std::move(request));
+      return true;
+    };
+    handlers.on_gone = [this](base::RequestId request) { gone_.Push(request); };
+    auto server = StartCallerServer(pool_, options_, handlers);
+    ASSERT_TRUE(server.has_value()) << server.error().message;
+    server_ = std::move(*server);
+  }
+
+  void Reply(base::RequestId request, std::string body) {
+    server_->Reply({request, 200, {}, std::move(body)});
+  }
+
+  // A whole exchange on a new connection, to show that the server still works.
+  void ExpectServes() {
+    TestSocket client(server_->port());
+    client.Send(kGet);
+    Reply(requests_.Pop().request, "fine");
+    EXPECT_EQ(client.ReadResponse().body, "fine");
+  }
+
+  static void ExpectError(const TestMessage& message, unsigned status, const std::string& code) {
+    EXPECT_EQ(message.status, status) << message.body;
+    const auto json = nlohmann::json::parse(message.body, nullptr, false);
+    ASSERT_TRUE(json.is_object() && json.contains("error")) << message.body;
+    EXPECT_EQ(json["error"]["code"], code);
+    EXPECT_EQ(json["error"]["verdict"], "not_run");
+  }
+
+  IoPool pool_{2};
+  CallerServerOptions options_;
+  std::unique_ptr<CallerServer> server_;
+  std::atomic<std::uint64_t> last_id_{0};
+  std::atomic<bool> full_{false};
+  TestQueue<CallerRequest> requests_;
+  TestQueue<base::RequestId> gone_;
+};
+
+TEST_F(CallerServerTest, AnswersRequestsOnAKeptConnection) {
+  Start();
+  TestSocket client(server_->port());
+  for (int n = 0; n < 3; ++n) {
+    client.Send(kTurn);
+    const auto request = requests_.Pop();
+    EXPECT_EQ(request.program.value, "p.1");
+    EXPECT_TRUE(request.stream);
+    server_->Reply({request.request, 201, {{"x-note", "a"}}, "{\"n\":1}"});
+    const auto response = client.ReadResponse();
+    EXPECT_EQ(response.status, 201U);
+    EXPECT_EQ(response.headers.at("x-note"), "a");
+    EXPECT_EQ(response.body, "{\"n\":1}");
+  }
+  EXPECT_EQ(gone_.size(), 0U);
+}
+
+// Guards against answers in the wrong order or to the wrong request.
+TEST_F(CallerServerTest, PipelinedRequestsRunOneAfterTheOther) {
+  Start();
+  TestSocket client(server_->port());
+  client.Send(std::string(kGet) + kTurn + kGet);
+  for (const char* body : {"one", "two", "three"}) {
+    const auto request = requests_.Pop();
+    EXPECT_EQ(requests_.size(), std::string(body) == "one"   ? 1U
+                                : std::string(body) == "two" ? 2U
+                                                             : 3U);
+    Reply(request.request, body);
+    EXPECT_EQ(client.ReadResponse().body, body);
+  }
+}
+
+TEST_F(CallerServerTest, RelaysAStreamAndHoldsItsEndUntilTheReply) {
+  Start();
+  TestSocket client(server_->port());
+  client.Send(kTurn);
+  const auto id = requests_.Pop().request;
+  server_->Relay(id, "data: {\"a\":1}\n\n");
+  const std::string head = client.ReadUntil("\r\n\r\n");
+  EXPECT_NE(head.find("200 OK"), std::string::npos);
+  EXPECT_NE(head.find("text/event-stream"), std::string::npos);
+  EXPECT_NE(client.ReadUntil("\n\n\r\n").find("{\"a\":1}"), std::string::npos);
+  server_->Relay(id, "data: {\"a\":2}\n\n");
+  EXPECT_NE(client.ReadUntil("\n\n\r\n").find("{\"a\":2}"), std::string::npos);
+  server_->Reply({id, 200, {{"persimmonstair-durability", "log"}}, "data: [DONE]\n\n"});
+  // A part after the end must not be sent.
+  server_->Relay(id, "data: late\n\n");
+  const std::string end = client.ReadUntil(": log\r\n\r\n");
+  EXPECT_NE(end.find("data: [DONE]"), std::string::npos);
+  EXPECT_NE(end.find("persimmonstair-durability: log"), std::string::npos);
+  client.Send(kGet);
+  Reply(requests_.Pop().request, "next");
+  EXPECT_EQ(client.ReadResponse().body, "next");
+}
+
+TEST_F(CallerServerTest, ACallerThatDisconnectsIsReportedOnce) {
+  Start();
+  TestSocket client(server_->port());
+  client.Send(kTurn);
+  const auto id = requests_.Pop().request;
+  client.Reset();
+  EXPECT_EQ(gone_.Pop(), id);
+  Reply(id, "too late");
+  ExpectServes();
+  EXPECT_EQ(gone_.size(), 1U);
+}
+
+// Guards against a malformed request that is half understood, or that harms other connections.
+TEST_F(CallerServerTest, MalformedFramingGetsA400AndHarmsNobodyElse) {
+  Start();
+  TestSocket other(server_->port());
+  other.Send(kGet);
+  const auto pending = requests_.Pop().request;
+  const std::vector<std::string> cases = {
+      "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03 hello\r\n\r\n",
+      "GET / HTTP/3.9\r\n\r\n",
+      "GET /v1/catalogue HTTP/1.1\r\nbad header\r\n\r\n",
+      "POST /v1/services/a HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+      "POST /v1/services/a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+      "POST /v1/services/a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+      "POST /v1/services/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+  };
+  for (const auto& bytes : cases) {
+    TestSocket client(server_->port());
+    client.Send(bytes);
+    ExpectError(client.ReadResponse(), 400, "invalid_request");
+    EXPECT_EQ(client.ReadAll(), "");
+  }
+  Reply(pending, "whole");
+  EXPECT_EQ(other.ReadResponse().body, "whole");
+  ExpectServes();
+}
+
+TEST_F(CallerServerTest, OversizedHeadersAndBodiesAreRefused) {
+  options_.caller.max_header_bytes = 1024;
+  options_.caller.max_body_bytes = 2048;
+  Start();
+  TestSocket header(server_->port());
+  header.Send("GET /v1/catalogue HTTP/1.1\r\nx: " + std::string(4096, 'a'));
+  ExpectError(header.ReadResponse(), 431, "invalid_request");
+  TestSocket body(server_->port());
+  body.Send("POST /v1/services/a HTTP/1.1\r\nContent-Length: 4096\r\n\r\n");
+  ExpectError(body.ReadResponse(), 413, "payload_too_large");
+  TestSocket chunked(server_->port());
+  chunked.Send("POST /v1/services/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n" +
+               std::string(4096, 'a') + "\r\n0\r\n\r\n");
+  ExpectError(chunked.ReadResponse(), 413, "payload_too_large");
+  ExpectServes();
+}
+
+// Guards against a caller that holds a connection by sending nothing, or one byte at a time.
+TEST_F(CallerServerTest, ASlowRequestTimesOut) {
+  options_.caller.header_timeout_ms = 50;
+  Start();
+  TestSocket header(server_->port());
+  header.Send("GET /v1/cata");
+  ExpectError(header.ReadResponse(), 408, "timeout");
+  TestSocket body(server_->port());
+  body.Send("POST /v1/services/a HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+  ExpectError(body.ReadResponse(), 408, "timeout");
+  EXPECT_EQ(body.ReadAll(), "");
+}
+
+TEST_F(CallerServerTest, AnIdleConnectionIsClosed) {
+  options_.caller.idle_timeout_ms = 50;
+  Start();
+  TestSocket client(server_->port());
+  EXPECT_EQ(client.ReadAll(), "");
+}
+
+// Guards against a caller that does not read: its connection ends and its request is cancelled.
+TEST_F(CallerServerTest, ACallerThatDoesNotReadIsDisconnected) {
+  options_.max_unsent_bytes = 1U << 20U;
+  options_.caller.write_timeout_ms = 100;
+  Start();
+  TestSocket client(server_->port());
+  client.Send(kTurn);
+  const auto id = requests_.Pop().request;
+  for (int n = 0; n < 64; ++n) {
+    server_->Relay(id, "data: " + std::string(1U << 18U, 'a') + "\n\n");
+  }
+  EXPECT_EQ(gone_.Pop(), id);
+  ExpectServes();
+}
+
+TEST_F(CallerServerTest, AFullRingRefusesWithNotRun) {
+  Start();
+  full_ = true;
+  TestSocket client(server_->port());
+  client.Send(kGet);
+  const auto response = client.ReadResponse();
+  ExpectError(response, 503, "overloaded");
+  EXPECT_EQ(response.headers.count("retry-after"), 1U);
+  full_ = false;
+  client.Send(kGet);
+  Reply(requests_.Pop().request, "later");
+  EXPECT_EQ(client.ReadResponse().body, "later");
+}
+
+TEST_F(CallerServerTest, TooManyConnectionsAreToldSo) {
+  options_.caller.max_connections = 1;
+  Start();
+  TestSocket first(server_->port());
+  first.Send(kGet);
+  const auto id = requests_.Pop().request;
+  TestSocket second(server_->port());
+  ExpectError(second.ReadResponse(), 503, "overloaded");
+  Reply(id, "served");
+  EXPECT_EQ(first.ReadResponse().body, "served");
+}
+
+TEST_F(CallerServerTest, DrainClosesConnectionsAfterTheirAnswers) {
+  Start();
+  TestSocket client(server_->port());
+  client.Send(kGet);
+  const auto id = requests_.Pop().request;
+  server_->BeginDrain();
+  EXPECT_FALSE(server_->WaitUntilAnswered(std::chrono::milliseconds(0)));
+  Reply(id, "last");
+  const auto response = client.ReadResponse();
+  EXPECT_EQ(response.body, "last");
+  EXPECT_EQ(response.headers.at("connection"), "close");
+  EXPECT_EQ(client.ReadAll(), "");
+  EXPECT_TRUE(server_->WaitUntilAnswered(std::chrono::seconds(30)));
+}
+
+TEST_F(CallerServerTest, Http10AndExpectContinue) {
+  Start();
+  TestSocket old(server_->port());
+  old.Send("GET /v1/programs/p.1 HTTP/1.0\r\n\r\n");
+  Reply(requests_.Pop().request, "old");
+  EXPECT_EQ(old.ReadResponse().body, "old");
+  EXPECT_EQ(old.ReadAll(), "");
+  TestSocket waits(server_->port());
+  waits.Send("POST /v1/services/a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  EXPECT_NE(waits.ReadUntil("\r\n\r\n").find("100 Continue"), std::string::npos);
+  waits.Send("ab");
+  const auto request = requests_.Pop();
+  EXPECT_EQ(request.body, "ab");
+  Reply(request.request, "done");
+  EXPECT_EQ(waits.ReadResponse().body, "done");
+}
+
+// Guards against a header of the scheduler's reply that could split the response.
+TEST_F(CallerServerTest, HeadersThatFrameTheMessageAreDropped) {
+  Start();
+  TestSocket client(server_->port());
+  client.Send(kGet);
+  server_->Reply({requests_.Pop().request,
+                  200,
+                  {{"x-a", "1\r\nx-injected: 2"}, {"content-length", "1"}},
+                  "body"});
+  const auto response = client.ReadResponse();
+  EXPECT_EQ(response.body, "body");
+  EXPECT_EQ(response.headers.count("x-injected"), 0U);
+}
+
+TEST_F(CallerServerTest, AnUnusableAddressOrCertificateIsAnError) {
+  options_.caller.address = "not an address";
+  EXPECT_FALSE(StartCallerServer(pool_, options_, {}).has_value());
+  options_.caller.address = "127.0.0.1";
+  options_.caller.port = 0;
+  options_.tls.certificate_file = "/nonexistent.pem";
+  EXPECT_FALSE(StartCallerServer(pool_, options_, {}).has_value());
+}
+
+}  // namespace
+}  // namespace persimmonstair::net
--- /dev/null
+++ b/src/persimmonstair/net/key_check.cpp
@@ -0,0 +1,109 @@
+#include <openssl/evp.h>
+
+#include <charconv>
+#include <cstdint>
+#include <string>
+
+#include "persimmonstair/net/caller_request.hpp"
+
+namespace persimmonstair::net {
+namespace {
+
+// Value of `digits` hexadecimal characters at `at`, or -1.
+int Hex(std::string_view text, std::size_t at, std::size_t digits) {
+  if (at + digits > text.size()) return -1;
+  int value = 0;
+  const char* begin = text.data() + at;
+  const auto [end, ec] = std::from_chars(begin, begin + digits, value, 16);
+  return ec == std::errc{} && end == begin + digits && *begin != '-' ? value : -1;
+}
+
+std::string PercentDecoded(std::string_view text) {
+  std::string out;
+  out.reserve(text.size());
+  for (std::size_t n = 0; n < text.size(); ++n) {
+    const int value = text[n] == '%' ? Hex(text, n + 1, 2) : -1;
+    if (value < 0) {
+      out += text[n] == '+' ? ' ' : text[n];
+    } else {
+      out += static_cast<char>(value);
+      n += 2;
+    }
+  }
+  return out;
+}
+
+char SimpleEscape(char c) {
+  switch (c) {
+    case 'b':
+      return '\b';
+    case 'f':
+      return '\f';
+    case 'n':
+      return '\n';
+    case 'r':
+      return '\r';
+    case 't':
+      return '\t';
+    default:
+      return c;
+  }
+}
+
+// Header values and therefore keys are bytes; escapes above 0x7f become UTF-8 of two or three
+// bytes.
+void AppendUtf8(std::string& out, int code) {
+  if (code < 0x80) {
+    out += static_cast<char>(code);
+  } else if (code < 0x800) {
+    out += static_cast<char>(0xc0 | (code >> 6));
+    out += static_cast<char>(0x80 | (code & 0x3f));
+  } else {
+    out += static_cast<char>(0xe0 | (code >> 12));
+    out += static_cast<char>(0x80 | ((code >> 6) & 0x3f));
+    out += static_cast<char>(0x80 | (code & 0x3f));
+  }
+}
+
+std::string JsonUnescaped(std::string_view text) {
+  std::string out;
+  out.reserve(text.size());
+  for (std::size_t n = 0; n < text.size(); ++n) {
+    if (text[n] != '\\' || n + 1 == text.size()) {
+      out += text[n];
+      continue;
+    }
+    ++n;
+    const int code = text[n] == 'u' ? Hex(text, n + 1, 4) : -1;
+    if (code < 0) {
+      out += SimpleEscape(text[n]);
+    } else {
+      AppendUtf8(out, code);
+      n += 4;
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+scheduler::KeyDigest DigestKey(std::string_view key) {
+  scheduler::KeyDigest digest{};
+  unsigned int size = digest.size();
+  EVP_Digest(key.data(), key.size(), digest.data(), &size, EVP_sha256(), nullptr);
+  return digest;
+}
+
+bool ContainsKey(std::string_view text, std::string_view key) {
+  if (key.empty()) return false;
+  if (text.find(key) != std::string_view::npos) return true;
+  const bool percent = text.find('%') != std::string_view::npos;
+  const bool escapes = text.find('\\') != std::string_view::npos;
+  if (percent && PercentDecoded(text).find(key) != std::string::npos) return true;
+  if (!escapes) return false;
+  const std::string plain = JsonUnescaped(text);
+  return plain.find(key) != std::string::npos ||
+         (percent && PercentDecoded(plain).find(key) != std::string::npos);
+}
+
+}  // namespace persimmonstair::net
--- /dev/null
+++ b/src/persimmonstair/net/response_text.cpp
@@ -0,0 +1,90 @@
+#include "response_text.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "message_text.hpp"
+
+namespace persimmonstair::net {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::array<std::string_view, 8> kFramingHeaders = {
+    "content-length", "transfer-encoding", "connection", "keep-alive",
+    "upgrade",        "trailer",           "te",         "host"};
+
+boost::beast::string_view View(std::string_view text) { return {text.data(), text.size()}; }
+
+bool MayHaveBody(std::uint32_t status) { return status >= 200 && status != 204 && status != 304; }
+
+}  // namespace
+
+bool IsPlainHeader(std::string_view name, std::string_view value) {
+  const auto token = [](char c) {
+    return c > ' ' && c < 0x7f &&
+           std::string_view("\"(),/:;<=>?@[\\]{}").find(c) == std::string_view::npos;
+  };
+  const auto text = [](char c) { return c == '\t' || static_cast<unsigned char>(c) >= ' '; };
+  if (name.empty() || !std::all_of(name.begin(), name.end(), token)) return false;
+  if (!std::all_of(value.begin(), value.end(), text)) return false;
+  return std::none_of(kFramingHeaders.begin(), kFramingHeaders.end(), [&](std::string_view other) {
+    return boost::beast::iequals(View(other), View(name));
+  });
+}
+
+std::string WholeResponse(const scheduler::Reply& reply, const ResponseForm& form) {
+  const bool valid = reply.status >= 200 && reply.status <= 599;
+  http::response<http::string_body> response;
+  response.version(form.version);
+  response.result(valid ? reply.status : 500U);
+  for (const auto& [name, value] : reply.headers) {
+    if (IsPlainHeader(name, value)) response.set(View(name), View(value));
+  }
+  if (!reply.body.empty() && response.find(http::field::content_type) == response.end()) {
+    response.set(http::field::content_type, "application/json");
+  }
+  response.keep_alive(form.keep_alive);
+  if (MayHaveBody(reply.status)) response.content_length(reply.body.size());
+  if (form.head || !MayHaveBody(reply.status)) return MessageText(response, true);
+  response.body() = reply.body;
+  return MessageText(response, false);
+}
+
+std::string StreamHead(const ResponseForm& form) {
+  http::response<http::empty_body> response{http::status::ok, form.version};
+  response.set(http::field::content_type, "text/event-stream");
+  response.set(http::field::cache_control, "no-cache");
+  // HTTP/1.0 knows no chunks: the end of the connection ends the body.
+  response.keep_alive(form.keep_alive && form.version >= 11);
+  if (form.version >= 11) response.chunked(true);
+  return MessageText(response, true);
+}
+
+std::string StreamPart(std::string_view data, const ResponseForm& form) {
+  if (form.version < 11) return std::string(data);
+  if (data.empty()) return {};
+  return boost::beast::buffers_to_string(
+      http::make_chunk(boost::asio::const_buffer(data.data(), data.size())));
+}
+
+std::string StreamEnd(const std::map<std::string, std::string>& headers, const ResponseForm& form) {
+  if (form.version < 11) return {};
+  http::fields trailers;
+  for (const auto& [name, value] : headers) {
+    if (name.rfind("persimmonstair-", 0) == 0 && IsPlainHeader(name, value)) {
+      trailers.set(View(name), View(value));
+    }
+  }
+  return boost::beast::buffers_to_string(http::make_chunk_last(trailers));
+}
+
+}  // namespace persimmonstair::net
--- /dev/null
+++ b/src/persimmonstair/net/stream_assembler.cpp
@@ -0,0 +1,186 @@
+#include "persimmonstair/net/stream_assembler.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonstair::net {
+namespace {
+
+using base::ErrorCode;
+using base::Fail;
+using nlohmann::json;
+
+// A completion has few parallel tool calls; the bound limits the memory a faulty engine can take.
+constexpr std::size_t kMaxToolCalls = 256;
+
+std::int64_t Number(const json& object, const char* name) {
+  if (!object.is_object()) return 0;
+  const auto it = object.find(name);
+  if (it == object.end() || !it->is_number_integer()) return 0;
+  return std::max<std::int64_t>(0, it->get<std::int64_t>());
+}
+
+std::string Text(const json& object, const char* name) {
+  if (!object.is_object()) return {};
+  const auto it = object.find(name);
+  return it != object.end() && it->is_string() ? it->get<std::string>() : std::string{};
+}
+
+void AppendText(json& object, const char* name, const json& from) {
+  const std::string text = Text(from, name);
+  if (!text.empty()) object[name] = Text(object, name) + text;
+}
+
+// Position after the blank line that ends the first event, or npos.
+std::size_t EventEnd(std::string_view text, std::size_t from) {
+  for (std::size_t n = text.find('\n', from); n != std::string_view::npos;
+       n = text.find('\n', n + 1)) {
+    if (n + 1 < text.size() && text[n + 1] == '\n') return n + 2;
+    if (n + 2 < text.size() && text[n + 1] == '\r' && text[n + 2] == '\n') return n + 3;
+  }
+  return std::string_view::npos;
+}
+
+// The data lines of an event, joined by line feeds.
+std::string EventData(std::string_view event) {
+  std::string out;
+  bool any = false;
+  while (!event.empty()) {
+    const auto end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    if (line.substr(0, 5) != "data:") continue;
+    line.remove_prefix(5);
+    if (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+    if (any) out += '\n';
+    out += line;
+    any = true;
+  }
+  return out;
+}
+
+}  // namespace
+
+Usage ReadUsage(const json& completion) {
+  if (!completion.is_object()) return {};
+  const auto it = completion.find("usage");
+  if (it == completion.end() || !it->is_object()) return {};
+  Usage usage;
+  usage.prompt_tokens = Number(*it, "prompt_tokens");
+  usage.completion_tokens = Number(*it, "completion_tokens");
+  if (const auto details = it->find("prompt_tokens_details"); details != it->end()) {
+    usage.cached_tokens = Number(*details, "cached_tokens");
+  }
+  return usage;
+}
+
+base::Result<std::string> StreamAssembler::Add(std::string_view bytes) {
+  total_ += bytes.size();
+  if (total_ > max_bytes_) return Fail(ErrorCode::kIncompleteAnswer, "the stream is too long");
+  if (ended_) {
+    trailing_ = trailing_ || bytes.find_first_not_of(" \r\n") != std::string_view::npos;
+    return std::string{};
+  }
+  // The end of an event can only be where new bytes meet the last two old ones, or later.
+  std::size_t from = pending_.size() < 2 ? 0 : pending_.size() - 2;
+  pending_.append(bytes);
+  std::size_t done = 0;
+  for (auto end = EventEnd(pending_, from); end != std::string::npos && !ended_;
+       end = EventEnd(pending_, done)) {
+    const auto event = std::string_view(pending_).substr(done, end - done);
+    if (auto added = AddEvent(event); !added) return tl::make_unexpected(added.error());
+    if (ended_) break;
+    done = end;
+  }
+  std::string out = pending_.substr(0, done);
+  if (ended_) {
+    const auto rest = EventEnd(pending_, done);
+    trailing_ = pending_.find_first_not_of(" \r\n", rest) != std::string::npos;
+    pending_.clear();
+  } else {
+    pending_.erase(0, done);
+  }
+  return out;
+}
+
+base::Result<void> StreamAssembler::AddEvent(std::string_view event) {
+  const std::string data = EventData(event);
+  if (data.empty()) return {};
+  if (data == "[DONE]") {
+    ended_ = true;
+    return {};
+  }
+  return AddChunk(data);
+}
+
+base::Result<void> StreamAssembler::AddChunk(std::string_view data) {
+  const json chunk = json::parse(data, nullptr, false);
+  if (!chunk.is_object() || chunk.contains("error")) {
+    return Fail(ErrorCode::kIncompleteAnswer, "the stream has an event that is no chunk");
+  }
+  if (id_.empty()) id_ = Text(chunk, "id");
+  if (model_.empty()) model_ = Text(chunk, "model");
+  if (created_ == 0) created_ = Number(chunk, "created");
+  if (const auto it = chunk.find("usage"); it != chunk.end() && it->is_object()) {
+    usage_json_ = *it;
+    usage_ = ReadUsage(chunk);
+  }
+  const auto choices = chunk.find("choices");
+  if (choices == chunk.end()) return {};
+  if (!choices->is_array()) {
+    return Fail(ErrorCode::kIncompleteAnswer, "the stream has a chunk without choices");
+  }
+  for (const auto& choice : *choices) {
+    if (Number(choice, "index") == 0) AddChoice(choice);
+  }
+  return {};
+}
+
+void StreamAssembler::AddChoice(const json& choice) {
+  if (!choice.is_object()) return;
+  if (const std::string reason = Text(choice, "finish_reason"); !reason.empty()) {
+    finish_reason_ = reason;
+  }
+  const auto delta = choice.find("delta");
+  if (delta == choice.end() || !delta->is_object()) return;
+  content_ += Text(*delta, "content");
+  if (const auto calls = delta->find("tool_calls"); calls != delta->end()) AddToolCalls(*calls);
+}
+
+// Parts of one call share an index; names and arguments arrive in pieces.
+void StreamAssembler::AddToolCalls(const json& calls) {
+  if (!calls.is_array()) return;
+  for (const auto& part : calls) {
+    if (!part.is_object()) continue;
+    const std::int64_t index = Number(part, "index");
+    if (tool_calls_.size() >= kMaxToolCalls && !tool_calls_.contains(index)) continue;
+    json& call = tool_calls_[index];
+    if (call.is_null()) call = {{"type", "function"}, {"function", json::object()}};
+    if (const std::string id = Text(part, "id"); !id.empty()) call["id"] = id;
+    if (const auto function = part.find("function"); function != part.end()) {
+      AppendText(call["function"], "name", *function);
+      AppendText(call["function"], "arguments", *function);
+    }
+  }
+}
+
+std::string StreamAssembler::Completion() const {
+  json message = {{"role", "assistant"}, {"content", content_}};
+  if (!tool_calls_.empty()) {
+    json calls = json::array();
+    for (const auto& [index, call] : tool_calls_) calls.push_back(call);
+    message["tool_calls"] = std::move(calls);
+  }
+  json choice = {{"index", 0}, {"message", std::move(message)}, {"finish_reason", nullptr}};
+  if (!finish_reason_.empty()) choice["finish_reason"] = finish_reason_;
+  json out = {{"id", id_},
+              {"object", "chat.completion"},
+              {"created", created_},
+              {"model", model_},
+              {"choices", json::array({std::move(choice)})}};
+  if (!usage_json_.is_null()) out["usage"] = usage_json_;
+  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace persimmonstair::net
--- /dev/null
+++ b/src/persimmonstair/net/target_attempt.hpp
@@ -0,0 +1,61 @@
+#ifndef PERSIMMONSTAIR_SRC_NET_TARGET_ATTEMPT_HPP_
+#define PERSIMMONSTAIR_SRC_NET_TARGET_ATTEMPT_HPP_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <memory>
+#include <string>
+
+#include "deadline.hpp"
+#include "target_answer.hpp"
+#include "target_core.hpp"
+#include "target_pool.hpp"
+
+namespace persimmonstair::net {
+
+/// @brief One attempt: takes or opens a connection, which it has for itself until it ends, sends
+/// the request and reads the answer. Used on the thread of its pool only.
+class TargetAttempt : public std::enable_shared_from_this<TargetAttempt> {
+ public:
+  TargetAttempt(std::shared_ptr<TargetCore> core, std::shared_ptr<TargetPool> pool,
+                scheduler::Dispatch dispatch);
+
+  void Start();
+  void Cancel();
+  /// Closes the connection without an event.
+  void Drop();
+  TargetPool& pool() { return *pool_; }
+
+ private:
+  void Connect();
+  void OnConnected(boost::system::error_code ec);
+  void Send();
+  void OnSent(boost::system::error_code ec);
+  void Read();
+  void OnRead(boost::system::error_code ec, std::size_t size);
+  void OnBytes();
+  void RelayEvents();
+  void OnExpired();
+  void Succeed();
+  void Fail(scheduler::FailureKind kind);
+  void Close();
+
+  std::shared_ptr<TargetCore> core_;
+  std::shared_ptr<TargetPool> pool_;
+  scheduler::Dispatch dispatch_;
+  std::string text_;
+  TargetAnswer answer_;
+  Deadline deadline_;
+  boost::asio::ip::tcp::endpoint endpoint_;
+  std::unique_ptr<boost::asio::ip::tcp::socket> socket_;
+  boost::beast::flat_buffer buffer_;
+  bool handed_over_ = false;
+  bool sent_whole_ = false;
+  bool answered_ = false;
+  bool relayed_ = false;
+  bool ended_ = false;
+};
+
+}  // namespace persimmonstair::net
+
+#endif  // PERSIMMONSTAIR_SRC_NET_TARGET_ATTEMPT_HPP_
--- /dev/null
+++ b/src/persimmonstair/net/test_socket.hpp
@@ -0,0 +1,248 @@
+#ifndef PERSIMMONSTAIR_SRC_NET_TEST_SOCKET_HPP_
+#define PERSIMMONSTAIR_SRC_NET_TEST_SOCKET_HPP_
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace persimmonstair::net {
+
+/// @brief A message as a test sees it; status zero means that the connection ended instead.
+struct TestMessage {
+  unsigned status = 0;
+  std::string start;
+  std::map<std::string, std::string> headers;
+  std::string body;
+};
+
+/// @brief Blocking socket for tests. A read that gets nothing for 30 s ends the test; no verdict
+/// depends on that time.
+class TestSocket {
+ public:
+  using Tcp = boost::asio::ip::tcp;
+
+  explicit TestSocket(std::uint16_t port) : socket_(context_) {
+    socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    SetTimeout();
+  }
+  explicit TestSocket(int accepted) : socket_(context_) {
+    socket_.assign(Tcp::v4(), accepted);
+    SetTimeout();
+  }
+
+  bool Send(const std::string& bytes) {
+    boost::system::error_code ec;
+    boost::asio::write(socket_, boost::asio::buffer(bytes), ec);
+    return !ec;
+  }
+
+  /// Reads until `marker` arrived and returns everything unread up to its end; shorter at the end
+  /// of the connection.
+  std::string ReadUntil(const std::string& marker) {
+    for (;;) {
+      const auto data = Unread();
+      if (const auto at = data.find(marker); at != std::string::npos) {
+        buffer_.consume(at + marker.size());
+        return data.substr(0, at + marker.size());
+      }
+      if (!ReadSome()) {
+        buffer_.consume(buffer_.size());
+        return data;
+      }
+    }
+  }
+
+  std::string ReadAll() {
+    while (ReadSome()) {
+    }
+    auto out = Unread();
+    buffer_.consume(buffer_.size());
+    return out;
+  }
+
+  TestMessage ReadResponse() { return ReadMessage<false>(); }
+  TestMessage ReadRequest() { return ReadMessage<true>(); }
+
+  void ShutdownSend() {
+    boost::system::error_code ec;
+    socket_.shutdown(Tcp::socket::shutdown_send, ec);
+  }
+  /// Ends the connection with a reset.
+  void Reset() {
+    socket_.set_option(boost::asio::socket_base::linger(true, 0));
+    Close();
+  }
+  void Close() {
+    boost::system::error_code ec;
+    socket_.close(ec);
+  }
+  Tcp::socket& socket() { return socket_; }
+
+ private:
+  void SetTimeout() {
+    const timeval limit{30, 0};
+    ::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  }
+
+  std::string Unread() const {
+    return {static_cast<const char*>(buffer_.cdata().data()), buffer_.size()};
+  }
+
+  bool ReadSome() {
+    const auto space = buffer_.prepare(16384);
+    const auto n = ::recv(socket_.native_handle(), space.data(), space.size(), 0);
+    if (n > 0) buffer_.commit(static_cast<std::size_t>(n));
+    return n > 0;
+  }
+
+  template <bool kIsRequest>
+  TestMessage ReadMessage() {
+    namespace http = boost::beast::http;
+    http::parser<kIsRequest, http::string_body> parser;
+    parser.body_limit(64U << 20U);
+    parser.eager(true);
+    TestMessage out;
+    while (!parser.is_done()) {
+      if (buffer_.size() == 0 && !ReadSome()) {
+        boost::system::error_code ec;
+        parser.put_eof(ec);
+        if (ec || !parser.is_done()) return out;
+        break;
+      }
+      boost::system::error_code ec;
+      const auto used = parser.put(buffer_.data(), ec);
+      buffer_.consume(used);
+      if (ec && ec != http::error::need_more) return out;
+      if (ec == http::error::need_more && !ReadSome()) return out;
+    }
+    return Convert<kIsRequest>(parser.get());
+  }
+
+  template <bool kIsRequest, class Message>
+  static TestMessage Convert(const Message& message) {
+    TestMessage out;
+    if constexpr (kIsRequest) {
+      out.status = 1;
+      out.start = std::string(message.method_string()) + " " + std::string(message.target());
+    } else {
+      out.status = message.result_int();
+    }
+    for (const auto& field : message) {
+      std::string name(field.name_string());
+      for (char& c : name) c = static_cast<char>(std::tolower(c));
+      out.headers[name] = std::string(field.value());
+    }
+    out.body = message.body();
+    return out;
+  }
+
+  boost::asio::io_context context_;
+  Tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+};
+
+/// @brief A server on a free port that runs a function for each connection, on its own thread.
+class TestServer {
+ public:
+  using Handler = std::function<void(TestSocket&)>;
+
+  explicit TestServer(Handler handler) : handler_(std::move(handler)), acceptor_(context_) {
+    acceptor_.open(boost::asio::ip::tcp::v4());
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
+    acceptor_.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+    acceptor_.listen();
+    port_ = acceptor_.local_endpoint().port();
+    accepting_ = std::thread([this] { Run(); });
+  }
+  ~TestServer() {
+    stopping_ = true;
+    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    accepting_.join();
+    for (const int fd : open_) ::shutdown(fd, SHUT_RDWR);
+    for (auto& thread : threads_) thread.join();
+  }
+
+  std::uint16_t port() const { return port_; }
+  int connections() const { return connections_; }
+
+ private:
+  void Run() {
+    while (!stopping_) {
+      const int fd = ::accept(acceptor_.native_handle(), nullptr, nullptr);
+      if (fd < 0) return;
+      ++connections_;
+      // The copy lets the destructor end a handler that still reads.
+      open_.push_back(::dup(fd));
+      threads_.emplace_back([this, fd] {
+        TestSocket socket(fd);
+        handler_(socket);
+      });
+    }
+  }
+
+  Handler handler_;
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::uint16_t port_ = 0;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> connections_{0};
+  std::thread accepting_;
+  std::vector<std::thread> threads_;
+  std::vector<int> open_;
+};
+
+/// @brief Values that one thread adds and another waits for.
+template <class T>
+class TestQueue {
+ public:
+  void Push(T value) {
+    {
+      const std::lock_guard lock(mutex_);
+      values_.push_back(std::move(value));
+    }
+    changed_.notify_all();
+  }
+
+  /// Next value; a default one, and a test failure, if there is none for 30 s.
+  T Pop() {
+    std::unique_lock lock(mutex_);
+    if (!changed_.wait_for(lock, std::chrono::seconds(30),
+                           [this] { return next_ < values_.size(); })) {
+      ADD_FAILURE() << "nothing arrived";
+      return T{};
+    }
+    return values_[next_++];
+  }
+
+  std::size_t size() const {
+    const std::lock_guard lock(mutex_);
+    return values_.size();
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<T> values_;
+  std::size_t next_ = 0;
+};
+
+}  // namespace persimmonstair::net
+
+#endif  // PERSIMMONSTAIR_SRC_NET_TEST_SOCKET_HPP_
