Give the metric labels of Reply default values

Cause: aggregates written before the labels existed lack initializers, which -Werror rejects. Change: default member initializers.

--- a/include/persimmonstair/scheduler/actions.hpp
+++ b/include/persimmonstair/scheduler/actions.hpp
@@ -23,8 +23,8 @@
   std::string body;
   /// Labels of metrics: workspace and class of the request; empty if it was refused before its key
   /// was known.
-  base::WorkspaceId workspace;
-  std::string entry_class;
+  base::WorkspaceId workspace = {};
+  std::string entry_class = {};
 };
 
 /// @brief Sends a request to a target. When `relay` is set, body chunks go to the caller of
