--- a/include/persimmonstair/limits/bucket.hpp
+++ b/include/persimmonstair/limits/bucket.hpp
@@ -34,9 +34,9 @@
   void Clear();
 
   /// Tokens lent and not yet expired at the time of the last call.
-  double lent() const { return lent_; }
-  double capacity() const { return capacity_; }
-  double rate_per_s() const { return rate_; }
+  double Lent() const { return lent_; }
+  double Capacity() const { return capacity_; }
+  double Rate() const { return rate_; }
 
  private:
   struct Loan {
@@ -44,7 +44,7 @@
     double tokens = 0;
   };
 
-  void ExpireLoans(base::TimePoint now);
+  void Refill(base::TimePoint now);
   void Clamp();
 
   double rate_ = 0;
--- a/include/persimmonstair/limits/limiter.hpp
+++ b/include/persimmonstair/limits/limiter.hpp
@@ -113,7 +113,7 @@
 ///
 ///     Limiter limiter{self, process, seed};
 ///     limiter.SetLimit(now, workspace, Limit{5, 10});
-///     limiter.SetLease(now, keeper.view());
+///     limiter.SetLease(now, keeper.View());
 ///     auto [admission, output] = limiter.Admit(now, workspace, request);
 ///
 /// A request counts at the moment of its kAdmitted, or of its entry in LimiterOutput::admitted.
@@ -136,7 +136,7 @@
   void SetFloors(base::TimePoint now, std::uint64_t version,
                  const std::map<base::InstanceId, std::uint32_t>& floors);
   /// Version to state in the instance's own renewals (LeaseKeeper::SetFloorsVersion).
-  std::uint64_t floors_version() const;
+  std::uint64_t FloorsVersion() const;
 
   /// @brief Takes over the state of the instance's lease; to be called after each change of it.
   void SetLease(base::TimePoint now, const membership::LeaseView& view);
@@ -181,14 +181,14 @@
   /// @brief Takes over what another instance's Snapshot() wrote; kInvalidRequest for anything else.
   base::Result<void> Restore(base::TimePoint now, std::string_view text);
 
-  const ShareTable& table() const;
-  const LimiterCounters& counters() const;
+  const ShareTable& Table() const;
+  const LimiterCounters& Counters() const;
   /// Floor in use, in millionths of each workspace's limits.
-  std::uint32_t floor_ppm() const;
+  std::uint32_t FloorPpm() const;
   /// Tokens that could be used now, for metrics.
   double Available(base::TimePoint now, const base::WorkspaceId& workspace);
   /// Requests that wait.
-  std::size_t waiting() const;
+  std::size_t Waiting() const;
 
  private:
   struct Impl;
--- a/include/persimmonstair/membership/lease_keeper.hpp
+++ b/include/persimmonstair/membership/lease_keeper.hpp
@@ -30,7 +30,7 @@
 ///     const Effect effect = registry.Apply(offset, record);
 ///     output.Add(keeper.OnRecord(now, offset, record, effect, registry));
 ///     output.Add(keeper.Tick(now, registry, log_reachable));
-///     limiter.SetLease(keeper.view());
+///     limiter.SetLease(keeper.View());
 class LeaseKeeper {
  public:
   struct Identity {
@@ -40,7 +40,7 @@
     std::string process;
   };
 
-  LeaseKeeper(Identity identity, LeaseTimes times = {}, KeeperFaults faults = {});
+  explicit LeaseKeeper(Identity identity, LeaseTimes times = {}, KeeperFaults faults = {});
 
   /// @brief Registers, renews, asks for consent and reclaims as time passes. To be called at least
   /// every 100 ms. `log_reachable`: the log was read to its end lately and takes appends.
@@ -70,14 +70,19 @@
   /// follows from Tick() when lent tokens have expired.
   void Leave(base::TimePoint now);
   /// InstanceLeft was read back, or there is nothing to leave.
-  bool left() const { return left_; }
+  bool Left() const { return left_; }
 
   /// @brief Another process took over this instance's id; this one has to exit.
-  bool superseded() const { return superseded_; }
+  bool Superseded() const { return superseded_; }
   /// How many times a pause made this process register again.
-  std::uint64_t gaps() const { return gaps_; }
+  std::uint64_t Gaps() const { return gaps_; }
 
-  const LeaseView& view() const { return view_; }
+  /// @brief Catalogue version of the floors that this instance applies; told to the others with
+  /// the next renewal.
+  void SetFloorsVersion(std::uint64_t version) { floors_version_ = version; }
+
+  /// Stays right until the next call of any other function.
+  const LeaseView& View() const { return view_; }
   /// A new record id, unique in the fleet.
   base::RecordId NextId();
 
@@ -86,7 +91,6 @@
     std::uint64_t nonce = 0;
     base::TimePoint sent;
     base::Duration duration{0};
-    std::uint64_t sequence = 0;
     std::set<base::InstanceId> missing;
     bool open = false;
   };
@@ -112,10 +116,11 @@
   Output Reclaim(base::TimePoint now, const Registry& registry);
   Output FinishLeave(base::TimePoint now);
   bool MayReclaim(base::TimePoint now, const base::InstanceId& subject, const Member& member,
-                  const Registry& registry) const;
+                  const Registry& registry);
   std::set<base::InstanceId> Consenters(const Registry& registry) const;
   std::int64_t ReclaimRank(const base::InstanceId& subject, const Registry& registry) const;
   Watch& WatchOf(base::TimePoint now, const base::InstanceId& instance, const Member& member);
+  void CloseRound();
   void CheckGap(base::TimePoint now);
   void LoseIncarnation();
   void OnOwnRegistration(base::TimePoint now, base::Offset offset,
@@ -145,19 +150,16 @@
   base::TimePoint last_renewal_;
   std::map<std::uint64_t, Sent> renewals_;
   Round round_;
-  base::TimePoint last_round_;
   std::map<base::InstanceId, Watch> watches_;
+  /// Newest incarnation that a message of each instance carried.
+  std::map<base::InstanceId, base::Incarnation> newest_seen_;
   std::uint64_t floors_version_ = 0;
   std::uint64_t gaps_ = 0;
   std::optional<base::TimePoint> leaving_since_;
   bool leave_sent_ = false;
+  base::TimePoint leave_sent_at_;
   bool left_ = false;
   bool superseded_ = false;
-
- public:
-  /// @brief Catalogue version of the floors that this instance applies; told to the others with
-  /// the next renewal.
-  void SetFloorsVersion(std::uint64_t version) { floors_version_ = version; }
 };
 
 }  // namespace persimmonstair::membership
--- a/include/persimmonstair/membership/liveness.hpp
+++ b/include/persimmonstair/membership/liveness.hpp
@@ -66,9 +66,9 @@
   std::vector<base::InstanceId> LiveIn(const base::DataCentreId& data_centre,
                                        base::TimePoint now) const;
   /// Time of the last heartbeat of any other instance; empty before the first.
-  std::optional<base::TimePoint> last_heard() const { return last_heard_; }
+  std::optional<base::TimePoint> LastHeard() const { return last_heard_; }
   /// Time of the last heartbeat from another data centre; empty before the first.
-  std::optional<base::TimePoint> last_heard_elsewhere() const { return last_heard_elsewhere_; }
+  std::optional<base::TimePoint> LastHeardElsewhere() const { return last_heard_elsewhere_; }
 
  private:
   struct Peer {
--- a/include/persimmonstair/membership/named_lease.hpp
+++ b/include/persimmonstair/membership/named_lease.hpp
@@ -14,8 +14,8 @@
 /// or has expired, and renews it. Consent of peers does not prolong a named lease.
 ///
 ///     NamedLease orders{"orders.dc1", self, process};
-///     if (auto record = orders.Tick(now, registry, keeper.view(), wanted)) Append(*record);
-///     if (auto fencing = orders.Held(now, keeper.view())) SendOrder(*fencing);
+///     if (auto record = orders.Tick(now, registry, keeper.View(), wanted)) Append(*record);
+///     if (auto fencing = orders.Held(now, keeper.View())) SendOrder(*fencing);
 class NamedLease {
  public:
   NamedLease(std::string name, base::InstanceId self, std::string process, LeaseTimes times = {});
--- a/include/persimmonstair/membership/registry.hpp
+++ b/include/persimmonstair/membership/registry.hpp
@@ -1,6 +1,7 @@
 #ifndef PERSIMMONSTAIR_MEMBERSHIP_REGISTRY_HPP_
 #define PERSIMMONSTAIR_MEMBERSHIP_REGISTRY_HPP_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -93,14 +94,16 @@
   Effect Apply(base::Offset offset, const schema::Record& record);
 
   /// Offset to read next.
-  base::Offset next() const { return next_; }
+  base::Offset Next() const { return next_; }
   /// Newest lifetime of an instance, also when it has ended; null if never registered.
   const Member* Find(const base::InstanceId& instance) const;
   /// True if this lifetime is the newest one and has not ended.
   bool IsCurrent(const base::InstanceId& instance, base::Incarnation incarnation) const;
   /// Newest incarnation ever registered; 0 for none.
   base::Incarnation Newest(const base::InstanceId& instance) const;
-  const std::map<base::InstanceId, Member>& members() const { return members_; }
+  const std::map<base::InstanceId, Member>& Members() const { return members_; }
+  /// Instances whose newest lifetime has not ended.
+  std::size_t CurrentCount() const;
   /// Holder of a named lease in log order. It may have expired on the holder's clock.
   const NamedHold* FindLease(std::string_view name) const;
 
--- /dev/null
+++ b/src/persimmonstair/limits/floors.cpp
@@ -0,0 +1,80 @@
+#include "floors.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <limits>
+#include <optional>
+#include <utility>
+
+namespace persimmonstair::limits {
+namespace {
+
+constexpr std::size_t kMaxVersions = 32;
+
+std::uint32_t FloorOf(const Floors::PerInstance& floors, const base::InstanceId& instance) {
+  const auto it = floors.find(instance);
+  return it == floors.end() ? 0 : it->second;
+}
+
+struct Acknowledged {
+  std::uint64_t least = std::numeric_limits<std::uint64_t>::max();
+  std::uint64_t most = 0;
+};
+
+Acknowledged Acknowledgements(const membership::Registry& registry,
+                              const Floors::PerInstance& newest) {
+  Acknowledged out;
+  for (const auto& [id, member] : registry.Members()) {
+    out.most = std::max(out.most, member.floors_version);
+    // Without an entry its floor is zero; removing the entry states that the process has stopped.
+    if (member.end == membership::End::kLeft || !newest.contains(id)) continue;
+    // A first process that has not renewed yet uses no floor, and will apply the newest one.
+    if (member.floors_version == 0 && member.earlier_lease.count() == 0) continue;
+    out.least = std::min(out.least, member.floors_version);
+  }
+  return out;
+}
+
+}  // namespace
+
+Floors::Floors(base::InstanceId self, bool ignore_versions)
+    : self_(std::move(self)), ignore_versions_(ignore_versions) {}
+
+void Floors::Set(std::uint64_t version, const PerInstance& floors) {
+  if (!versions_.empty()) {
+    if (version <= versions_.rbegin()->first || floors == versions_.rbegin()->second) return;
+  }
+  versions_[version] = floors;
+  // Dropping the oldest versions only delays an increase: their acknowledgement counts as missing.
+  if (versions_.size() > kMaxVersions) versions_.erase(versions_.begin());
+  const std::uint32_t newest = FloorOf(floors, self_);
+  current_ = ignore_versions_ ? newest : std::min(current_, newest);
+}
+
+void Floors::Raise(const membership::Registry& registry) {
+  if (versions_.empty()) return;
+  const PerInstance& newest = versions_.rbegin()->second;
+  if (ignore_versions_) {
+    current_ = FloorOf(newest, self_);
+    return;
+  }
+  const Acknowledged seen = Acknowledgements(registry, newest);
+  if (Version() < seen.most || versions_.begin()->first > seen.least) return;
+  std::optional<std::uint32_t> least;
+  auto it = versions_.upper_bound(seen.least);
+  if (it != versions_.begin()) --it;
+  for (; it != versions_.end(); ++it) {
+    const std::uint32_t floor = FloorOf(it->second, self_);
+    least = std::min(least.value_or(floor), floor);
+  }
+  current_ = std::max(current_, least.value_or(0));
+  // Versions that nobody uses any more are not needed.
+  const auto used = versions_.upper_bound(seen.least);
+  if (used != versions_.begin()) versions_.erase(versions_.begin(), std::prev(used));
+}
+
+std::uint32_t Floors::Newest(const base::InstanceId& instance) const {
+  return versions_.empty() ? 0 : FloorOf(versions_.rbegin()->second, instance);
+}
+
+}  // namespace persimmonstair::limits
--- /dev/null
+++ b/src/persimmonstair/limits/limiter.cpp
@@ -0,0 +1,256 @@
+#include "persimmonstair/limits/limiter.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include "workspace_limiter.hpp"
+
+namespace persimmonstair::limits {
+namespace {
+
+template <class T>
+void Append(std::vector<T>& to, std::vector<T>& from) {
+  to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
+}
+
+}  // namespace
+
+void LimiterOutput::Add(LimiterOutput other) {
+  Append(records, other.records);
+  Append(messages, other.messages);
+  Append(admitted, other.admitted);
+  Append(refused, other.refused);
+}
+
+struct Limiter::Impl {
+  explicit Impl(Context context_in) : context(std::move(context_in)) {}
+
+  Context context;
+  std::map<base::WorkspaceId, WorkspaceLimiter> workspaces;
+  /// Workspaces with waiting requests, so that a tick does not look at all.
+  std::set<base::WorkspaceId> active;
+  base::TimePoint next_balance;
+
+  WorkspaceLimiter* Find(const base::WorkspaceId& id) {
+    const auto it = workspaces.find(id);
+    return it == workspaces.end() ? nullptr : &it->second;
+  }
+  void Note(const base::WorkspaceId& id, const WorkspaceLimiter& workspace) {
+    if (workspace.IsActive()) {
+      active.insert(id);
+    } else {
+      active.erase(id);
+    }
+  }
+  void UpdatePeers(const membership::Registry& registry);
+  LimiterOutput Balance(base::TimePoint now, const membership::Registry& registry,
+                        bool log_reachable);
+  void Settle(base::TimePoint now, const schema::Record& record, const membership::Effect& effect,
+              const std::vector<ShareChange>& changes);
+};
+
+void Limiter::Impl::UpdatePeers(const membership::Registry& registry) {
+  context.peers.clear();
+  for (const auto& [id, member] : registry.Members()) {
+    if (id != context.self && member.end == membership::End::kNone) context.peers.push_back(id);
+  }
+}
+
+LimiterOutput Limiter::Impl::Balance(base::TimePoint now, const membership::Registry& registry,
+                                     bool log_reachable) {
+  LimiterOutput out;
+  UpdatePeers(registry);
+  // Only this instance's own registration makes its floor usable, see Floors.
+  if (context.lease.registered) context.floors.Raise(registry);
+  std::erase_if(context.silent_until, [&](const auto& entry) { return now >= entry.second; });
+  std::size_t moves = 0;
+  for (auto& [id, workspace] : workspaces) {
+    const bool may_move =
+        log_reachable && context.lease.settled && moves < context.options.moves_per_period;
+    LimiterOutput part = workspace.Balance(now, registry, may_move);
+    moves += part.records.size();
+    out.Add(std::move(part));
+  }
+  return out;
+}
+
+Limiter::Limiter(base::InstanceId self, std::string process, std::uint64_t seed,
+                 LimiterOptions options, LimiterFaults faults)
+    : impl_(std::make_unique<Impl>(
+          Context{std::move(self), std::move(process), seed, options, faults})) {}
+Limiter::~Limiter() = default;
+Limiter::Limiter(Limiter&&) noexcept = default;
+Limiter& Limiter::operator=(Limiter&&) noexcept = default;
+
+void Limiter::SetLimit(base::TimePoint now, const base::WorkspaceId& workspace,
+                       const Limit& limit) {
+  const auto [it, is_new] = impl_->workspaces.try_emplace(workspace, impl_->context, workspace);
+  it->second.SetLimit(now, limit);
+}
+
+LimiterOutput Limiter::RemoveLimit(base::TimePoint now, const base::WorkspaceId& workspace) {
+  WorkspaceLimiter* found = impl_->Find(workspace);
+  if (found == nullptr) return {};
+  found->Refresh(now);
+  LimiterOutput out = found->RefuseAll();
+  impl_->workspaces.erase(workspace);
+  impl_->active.erase(workspace);
+  return out;
+}
+
+void Limiter::SetFloors(base::TimePoint now, std::uint64_t version,
+                        const std::map<base::InstanceId, std::uint32_t>& floors) {
+  impl_->context.floors.Set(version, floors);
+  for (auto& [id, workspace] : impl_->workspaces) workspace.Refresh(now);
+}
+
+std::uint64_t Limiter::FloorsVersion() const { return impl_->context.floors.Version(); }
+std::uint32_t Limiter::FloorPpm() const { return impl_->context.floors.Current(); }
+
+void Limiter::SetLease(base::TimePoint now, const membership::LeaseView& view) {
+  Context& context = impl_->context;
+  const bool restarted = context.lease.incarnation != view.incarnation;
+  context.lease = view;
+  if (!restarted) return;
+  context.floors.Reset();
+  for (auto& [id, workspace] : impl_->workspaces) workspace.Restart(now);
+}
+
+AdmitResult Limiter::Admit(base::TimePoint now, const base::WorkspaceId& workspace,
+                           base::RequestId request) {
+  WorkspaceLimiter* found = impl_->Find(workspace);
+  if (found == nullptr) return {};
+  AdmitResult result = found->Admit(now, request);
+  if (result.admission.decision == Decision::kWaiting) impl_->active.insert(workspace);
+  return result;
+}
+
+void Limiter::Cancel(const base::WorkspaceId& workspace, base::RequestId request) {
+  WorkspaceLimiter* found = impl_->Find(workspace);
+  if (found == nullptr) return;
+  found->Cancel(request);
+  impl_->Note(workspace, *found);
+}
+
+LimiterOutput Limiter::OnRecord(base::TimePoint now, const schema::Record& record,
+                                const membership::Effect& effect,
+                                const membership::Registry& registry) {
+  const std::vector<ShareChange> changes = impl_->context.table.Apply(record, effect, registry);
+  impl_->Settle(now, record, effect, changes);
+  for (const ShareChange& change : changes) {
+    if (change.instance != impl_->context.self) continue;
+    if (WorkspaceLimiter* found = impl_->Find(change.workspace)) found->OnShareChange(now, change);
+  }
+  return {};
+}
+
+// Moves of this instance whose fate the record decides.
+void Limiter::Impl::Settle(base::TimePoint now, const schema::Record& record,
+                           const membership::Effect& effect,
+                           const std::vector<ShareChange>& changes) {
+  if (const auto* move = std::get_if<schema::ShareMove>(&record)) {
+    WorkspaceLimiter* found = move->from == context.self ? Find(move->workspace) : nullptr;
+    if (found != nullptr) found->OnOwnRecord(now, record, !changes.empty());
+  }
+  if (effect.kind == membership::Effect::Kind::kRenewed && effect.instance == context.self) {
+    for (auto& [id, workspace] : workspaces) workspace.OnOwnRecord(now, record, false);
+  }
+}
+
+LimiterOutput Limiter::OnLoanRequest(base::TimePoint now, const base::InstanceId& from,
+                                     const schema::TokenLoanRequest& request) {
+  if (WorkspaceLimiter* found = impl_->Find(request.workspace)) {
+    return found->OnLoanRequest(now, from, request);
+  }
+  LimiterOutput out;
+  out.messages.push_back({from, schema::TokenLoan{request.workspace, request.nonce, 0}});
+  return out;
+}
+
+LimiterOutput Limiter::OnLoan(base::TimePoint now, const base::InstanceId& from,
+                              const schema::TokenLoan& loan) {
+  WorkspaceLimiter* found = impl_->Find(loan.workspace);
+  if (found == nullptr) return {};
+  LimiterOutput out = found->OnLoan(now, from, loan);
+  impl_->Note(loan.workspace, *found);
+  return out;
+}
+
+LimiterOutput Limiter::OnLoanRequestFailed(base::TimePoint now, const base::InstanceId& to,
+                                           const schema::TokenLoanRequest& request) {
+  WorkspaceLimiter* found = impl_->Find(request.workspace);
+  if (found == nullptr) return {};
+  LimiterOutput out = found->OnLoanRequestFailed(now, to, request.nonce);
+  impl_->Note(request.workspace, *found);
+  return out;
+}
+
+LimiterOutput Limiter::Tick(base::TimePoint now, const membership::Registry& registry,
+                            bool log_reachable) {
+  LimiterOutput out;
+  for (const base::WorkspaceId& id : std::vector(impl_->active.begin(), impl_->active.end())) {
+    WorkspaceLimiter& workspace = *impl_->Find(id);
+    out.Add(workspace.Pump(now));
+    impl_->Note(id, workspace);
+  }
+  if (log_reachable) {
+    for (auto& [id, workspace] : impl_->workspaces) out.Add(workspace.Claim(now));
+  }
+  if (now >= impl_->next_balance) {
+    impl_->next_balance = now + impl_->context.options.balance_period;
+    out.Add(impl_->Balance(now, registry, log_reachable));
+  }
+  return out;
+}
+
+std::optional<base::TimePoint> Limiter::NextDeadline() const {
+  std::optional<base::TimePoint> next;
+  for (const base::WorkspaceId& id : impl_->active) {
+    const base::TimePoint at = impl_->workspaces.find(id)->second.NextDeadline();
+    next = std::min(next.value_or(at), at);
+  }
+  return next;
+}
+
+void Limiter::OnNotAppended(base::TimePoint now, const base::RecordId& id) {
+  for (auto& [name, workspace] : impl_->workspaces) workspace.OnNotAppended(now, id);
+}
+
+LimiterOutput Limiter::Leave(base::TimePoint now, const membership::Registry& registry,
+                             const base::InstanceId& heir) {
+  LimiterOutput out;
+  impl_->context.leaving = true;
+  for (auto& [id, workspace] : impl_->workspaces) out.Add(workspace.GiveAll(now, registry, heir));
+  return out;
+}
+
+std::string Limiter::Snapshot() const { return impl_->context.table.Snapshot(); }
+
+base::Result<void> Limiter::Restore(base::TimePoint now, std::string_view text) {
+  auto table = ShareTable::Restore(text);
+  if (!table) return tl::make_unexpected(std::move(table).error());
+  impl_->context.table = std::move(*table);
+  for (auto& [id, workspace] : impl_->workspaces) workspace.Refresh(now);
+  return {};
+}
+
+const ShareTable& Limiter::Table() const { return impl_->context.table; }
+const LimiterCounters& Limiter::Counters() const { return impl_->context.counters; }
+
+double Limiter::Available(base::TimePoint now, const base::WorkspaceId& workspace) {
+  WorkspaceLimiter* found = impl_->Find(workspace);
+  return found == nullptr ? 0 : found->Available(now);
+}
+
+std::size_t Limiter::Waiting() const {
+  std::size_t n = 0;
+  for (const base::WorkspaceId& id : impl_->active) {
+    n += impl_->workspaces.find(id)->second.WaitingCount();
+  }
+  return n;
+}
+
+}  // namespace persimmonstair::limits
--- /dev/null
+++ b/src/persimmonstair/membership/lease_keeper.cpp
@@ -0,0 +1,291 @@
+#include "persimmonstair/membership/lease_keeper.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <utility>
+#include <variant>
+
+#include "persimmonstair/base/rendezvous.hpp"
+
+namespace persimmonstair::membership {
+namespace {
+
+// A record that was not read back after this time is tried again under a new id; at most one of
+// the two can be valid.
+constexpr base::Duration kRetryAfter = std::chrono::seconds{3};
+// Lent tokens live 100 ms; only then may the shares behind them go to nobody.
+constexpr base::Duration kLeaveAfter = std::chrono::milliseconds{200};
+// Renewals whose fate is open are forgotten above this number; a forgotten one can't prolong the
+// lease when it is read.
+constexpr std::size_t kMaxOpenRenewals = 32;
+// Writers of reclaim records start one after another, so that a dead instance costs one record.
+constexpr base::Duration kReclaimStep = std::chrono::seconds{1};
+
+}  // namespace
+
+LeaseKeeper::LeaseKeeper(Identity identity, LeaseTimes times, KeeperFaults faults)
+    : identity_(std::move(identity)),
+      times_(times),
+      faults_(faults),
+      // Two processes under one id must not take each other's answers.
+      last_nonce_(base::RendezvousWeight(identity_.process, "consent")) {}
+
+base::RecordId LeaseKeeper::NextId() {
+  return base::RecordId{identity_.instance.value + "." + identity_.process + "." +
+                        std::to_string(++last_id_)};
+}
+
+Output LeaseKeeper::Tick(base::TimePoint now, const Registry& registry, bool log_reachable) {
+  CheckGap(now);
+  last_tick_ = now;
+  view_.tick_deadline = faults_.no_gap_detection ? base::TimePoint::max() : now + times_.gap;
+  if (!log_reachable) reachable_since_.reset();
+  if (log_reachable && !reachable_since_) reachable_since_ = now;
+  Output out;
+  if (superseded_ || left_) return out;
+  if (leaving_since_) return log_reachable ? FinishLeave(now) : out;
+  if (!view_.registered) return log_reachable ? Register(now, registry) : out;
+  if (log_reachable) {
+    out.Add(Renew(now, registry));
+    out.Add(Reclaim(now, registry));
+  }
+  out.Add(AskConsent(now, registry));
+  return out;
+}
+
+void LeaseKeeper::CheckGap(base::TimePoint now) {
+  if (faults_.no_gap_detection || !last_tick_ || now - *last_tick_ <= times_.gap) return;
+  // A process that was never registered holds nothing that could have expired.
+  if (!view_.registered) return;
+  ++gaps_;
+  LoseIncarnation();
+}
+
+void LeaseKeeper::LoseIncarnation() {
+  view_.registered = false;
+  view_.settled = false;
+  view_.leased_until = {};
+  view_.incarnation = {};
+  registering_.reset();
+  renewals_.clear();
+  round_.open = false;
+  for (auto& [id, watch] : watches_) watch.reclaiming.reset();
+}
+
+void LeaseKeeper::Supersede() {
+  LoseIncarnation();
+  superseded_ = true;
+}
+
+Output LeaseKeeper::Register(base::TimePoint now, const Registry& registry) {
+  if (registering_ && now - registering_since_ < kRetryAfter) return {};
+  schema::InstanceRegistered record;
+  record.id = NextId();
+  record.instance = identity_.instance;
+  record.data_centre = identity_.data_centre;
+  record.incarnation = base::Incarnation{registry.Newest(identity_.instance).value + 1};
+  registering_ = record.id;
+  registering_since_ = now;
+  Output out;
+  out.records.emplace_back(std::move(record));
+  return out;
+}
+
+Output LeaseKeeper::Renew(base::TimePoint now, const Registry& registry) {
+  const LeaseTimes times = ScaledTo(times_, registry.CurrentCount());
+  if (sent_sequence_ > 0 && now - last_renewal_ < times.renew) return {};
+  schema::LeaseRecord record;
+  record.id = NextId();
+  record.name = kInstanceLease;
+  record.holder = identity_.instance;
+  record.incarnation = view_.incarnation;
+  record.sequence = ++sent_sequence_;
+  record.previous = confirmed_;
+  record.duration_ms = static_cast<std::uint64_t>(base::ToMillis(times.lease));
+  // Until then an earlier process under this id may use the floor of an older version.
+  record.floors_version = now >= view_.usable_from ? floors_version_ : 0;
+  if (renewals_.size() >= kMaxOpenRenewals) renewals_.erase(renewals_.begin());
+  renewals_[record.sequence] = Sent{record.id, now, times.lease};
+  last_renewal_ = now;
+  view_.settled = false;
+  Output out;
+  out.records.emplace_back(std::move(record));
+  return out;
+}
+
+Output LeaseKeeper::OnRecord(base::TimePoint now, base::Offset offset, const schema::Record& record,
+                             const Effect& effect, const Registry& registry) {
+  if (const auto* own = std::get_if<schema::InstanceRegistered>(&record)) {
+    if (own->instance == identity_.instance) {
+      OnOwnRegistration(now, offset, *own, effect, registry);
+    }
+  }
+  if (const auto* own = std::get_if<schema::LeaseRecord>(&record)) {
+    if (own->holder == identity_.instance && own->name == kInstanceLease) {
+      OnOwnRenewal(now, offset, *own, effect);
+    }
+  }
+  const bool about_me = effect.instance == identity_.instance;
+  const Member* member = registry.Find(effect.instance);
+  if (about_me && effect.kind == Effect::Kind::kLeft && leaving_since_) left_ = true;
+  if (about_me && effect.kind == Effect::Kind::kReclaimed && member != nullptr &&
+      member->incarnation == view_.incarnation) {
+    LoseIncarnation();
+    if (leaving_since_) left_ = true;
+  }
+  const bool renewed =
+      effect.kind == Effect::Kind::kRegistered || effect.kind == Effect::Kind::kRenewed;
+  if (!about_me && renewed && member != nullptr) {
+    Watch& watch = WatchOf(now, effect.instance, *member);
+    watch.read_at = now;
+    if (watch.reclaiming && *watch.reclaiming < member->sequence) watch.reclaiming.reset();
+  }
+  return {};
+}
+
+void LeaseKeeper::OnOwnRegistration(base::TimePoint now, base::Offset offset,
+                                    const schema::InstanceRegistered& record, const Effect& effect,
+                                    const Registry& registry) {
+  const std::string prefix = identity_.instance.value + "." + identity_.process + ".";
+  const bool mine = record.id.value.starts_with(prefix);
+  if (effect.kind != Effect::Kind::kRegistered) {
+    if (mine && registering_ == record.id) registering_.reset();
+    return;
+  }
+  if (!mine) {
+    if (was_registered_) Supersede();
+    return;
+  }
+  if (superseded_) return;
+  const Member* member = registry.Find(identity_.instance);
+  LoseIncarnation();
+  was_registered_ = true;
+  view_.registered = !leaving_since_;
+  view_.incarnation = record.incarnation;
+  view_.sequence = 0;
+  view_.leased_until = {};
+  view_.usable_from = now;
+  if (member->earlier_lease.count() > 0 && !faults_.no_start_wait) {
+    view_.usable_from = now + std::max(member->earlier_lease, times_.lease) + times_.margin;
+  }
+  confirmed_ = offset;
+  confirmed_sent_ = now;
+  sent_sequence_ = 0;
+}
+
+void LeaseKeeper::OnOwnRenewal(base::TimePoint now, base::Offset offset,
+                               const schema::LeaseRecord& record, const Effect& effect) {
+  const auto it = renewals_.find(record.sequence);
+  if (it == renewals_.end() || it->second.id != record.id) return;
+  const Sent sent = it->second;
+  renewals_.erase(renewals_.begin(), std::next(it));
+  if (effect.kind != Effect::Kind::kRenewed || record.incarnation != view_.incarnation) return;
+  const base::TimePoint from = faults_.count_from_read_back ? now : sent.at;
+  view_.leased_until = std::max(view_.leased_until, from + sent.lease);
+  view_.sequence = record.sequence;
+  view_.settled = record.sequence == sent_sequence_;
+  confirmed_ = offset;
+  confirmed_sent_ = sent.at;
+}
+
+void LeaseKeeper::OnPeerSeen(const base::InstanceId& from, base::Incarnation incarnation) {
+  if (from == identity_.instance) {
+    if (was_registered_ && incarnation > view_.incarnation && view_.incarnation.value > 0) {
+      Supersede();
+    }
+    return;
+  }
+  base::Incarnation& newest = newest_seen_[from];
+  newest = std::max(newest, incarnation);
+}
+
+void LeaseKeeper::OnNotAppended(const base::RecordId& id) {
+  if (registering_ == id) registering_.reset();
+  for (auto it = renewals_.begin(); it != renewals_.end(); ++it) {
+    if (it->second.id != id) continue;
+    renewals_.erase(it);
+    break;
+  }
+  for (auto& [instance, watch] : watches_) {
+    if (watch.reclaiming && watch.reclaim_id == id) watch.reclaiming.reset();
+  }
+}
+
+void LeaseKeeper::Leave(base::TimePoint now) {
+  if (leaving_since_) return;
+  leaving_since_ = now;
+  if (!view_.registered) left_ = true;
+  view_.registered = false;
+}
+
+Output LeaseKeeper::FinishLeave(base::TimePoint now) {
+  Output out;
+  if (now - *leaving_since_ < kLeaveAfter || view_.incarnation.value == 0) return out;
+  if (leave_sent_ && now - leave_sent_at_ < kRetryAfter) return out;
+  leave_sent_ = true;
+  leave_sent_at_ = now;
+  out.records.emplace_back(schema::InstanceLeft{NextId(), identity_.instance, view_.incarnation});
+  return out;
+}
+
+Output LeaseKeeper::Reclaim(base::TimePoint now, const Registry& registry) {
+  Output out;
+  // An instance that cannot keep its own lease can't judge whether others keep theirs.
+  if (now >= view_.leased_until) return out;
+  for (const auto& [subject, member] : registry.Members()) {
+    if (subject == identity_.instance || member.end != End::kNone) continue;
+    if (!MayReclaim(now, subject, member, registry)) continue;
+    Watch& watch = WatchOf(now, subject, member);
+    watch.reclaiming = member.sequence;
+    watch.reclaim_id = NextId();
+    watch.reclaim_sent = now;
+    out.records.emplace_back(schema::ReclaimRecord{watch.reclaim_id, subject, member.incarnation,
+                                                   member.sequence, identity_.instance,
+                                                   view_.incarnation});
+  }
+  return out;
+}
+
+bool LeaseKeeper::MayReclaim(base::TimePoint now, const base::InstanceId& subject,
+                             const Member& member, const Registry& registry) {
+  const Watch& watch = WatchOf(now, subject, member);
+  if (watch.reclaiming && now - watch.reclaim_sent < kRetryAfter) return false;
+  if (now < watch.promised_until && !faults_.reclaim_despite_promise) return false;
+  if (faults_.reclaim_without_wait) return now - watch.read_at > times_.renew * 2;
+  // After an outage the first records read are old; the renewals that follow need time to arrive.
+  const base::Duration silence = now - std::max(watch.read_at, *reachable_since_);
+  base::Duration wait = std::max(member.lease, times_.lease) + times_.margin;
+  // The subject asks those for consent whose registration it surely knew. Anybody else has to
+  // assume that it lives on the consent of the others.
+  const Member* self = registry.Find(identity_.instance);
+  if (self == nullptr || self->registered_at >= member.confirmed_at) wait += times_.consent_limit;
+  if (silence < wait) return false;
+  return silence >= wait + kReclaimStep * ReclaimRank(subject, registry);
+}
+
+std::int64_t LeaseKeeper::ReclaimRank(const base::InstanceId& subject,
+                                      const Registry& registry) const {
+  const auto weight = [&](const base::InstanceId& id) {
+    return base::RendezvousWeight(subject.value, id.value);
+  };
+  const std::uint64_t own = weight(identity_.instance);
+  std::int64_t rank = 0;
+  for (const auto& [id, member] : registry.Members()) {
+    if (member.end == End::kNone && id != subject && weight(id) > own) ++rank;
+  }
+  return rank;
+}
+
+LeaseKeeper::Watch& LeaseKeeper::WatchOf(base::TimePoint now, const base::InstanceId& instance,
+                                         const Member& member) {
+  Watch& watch = watches_[instance];
+  if (watch.incarnation != member.incarnation) {
+    watch = Watch{};
+    watch.incarnation = member.incarnation;
+    watch.read_at = now;
+  }
+  return watch;
+}
+
+}  // namespace persimmonstair::membership
