--- /dev/null
+++ b/bench/limits.cmake
@@ -0,0 +1,6 @@
+foreach(program limits_fuzz limits_bench)
+  if(EXISTS ${CMAKE_CURRENT_LIST_DIR}/${program}.cpp)
+    add_executable(${program} ${CMAKE_CURRENT_LIST_DIR}/${program}.cpp)
+    target_link_libraries(${program} PRIVATE persimmonstair_limits_sim)
+  endif()
+endforeach()
--- /dev/null
+++ b/src/persimmonstair/limits/sim/world.cpp
@@ -0,0 +1,320 @@
+#include "sim/world.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <sstream>
+#include <utility>
+#include <variant>
+
+#include "persimmonstair/schema/codec.hpp"
+#include "sim/process.hpp"
+
+namespace persimmonstair::limits::sim {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr base::Duration kTick = milliseconds{100};
+constexpr base::Duration kHeartbeat = milliseconds{500};
+// Authentication, incarnation and sequence number of a message, in bytes.
+constexpr std::uint64_t kEnvelopeBytes = 48;
+
+}  // namespace
+
+World::World(Plan plan, Switches switches, Observer observer)
+    : plan_(std::move(plan)),
+      switches_(switches),
+      observer_(std::move(observer)),
+      now_(base::TimePoint{} + std::chrono::seconds{1}),
+      random_(plan_.seed) {
+  Config first{plan_.limits, 1, {}};
+  for (std::size_t n = 0; n < plan_.instances; ++n) {
+    first.floors[InstanceName(n)] = static_cast<std::uint32_t>(200'000 / plan_.instances);
+  }
+  configs_.push_back(std::move(first));
+  exact_.resize(plan_.limits.size());
+  exact_limits_.resize(plan_.limits.size());
+  for (std::size_t n = 0; n < plan_.instances; ++n) Start(instances_++);
+  for (const Fault& fault : plan_.faults) {
+    After(fault.at, nullptr, [this, fault] { Apply(fault); });
+  }
+  for (std::size_t n = 0; n < plan_.limits.size(); ++n) ScheduleArrival(n);
+}
+
+World::~World() = default;
+
+std::optional<std::string> World::Run() { return RunUntil(plan_.length); }
+
+std::optional<std::string> World::RunUntil(base::Duration at) {
+  const base::TimePoint end = base::TimePoint{} + std::chrono::seconds{1} + at;
+  while (!violation_ && !events_.empty() && events_.top().at <= end) {
+    Event event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    if (event.process) {
+      if (!event.process->alive) continue;
+      if (now_ < event.process->paused_until) {
+        // After a pause the process finds its messages and timers in any order.
+        event.at = event.process->paused_until + microseconds{Between(0, 20'000)};
+        event.order = ++order_;
+        events_.push(std::move(event));
+        continue;
+      }
+    }
+    event.run();
+  }
+  return violation_;
+}
+
+void World::At(base::TimePoint at, std::shared_ptr<Process> process, std::function<void()> run) {
+  events_.push({std::max(at, now_), ++order_, std::move(process), std::move(run)});
+}
+
+void World::After(base::Duration delay, std::shared_ptr<Process> process,
+                  std::function<void()> run) {
+  At(now_ + delay, std::move(process), std::move(run));
+}
+
+double World::Unit() { return static_cast<double>(random_() >> 11U) * 0x1p-53; }
+
+std::int64_t World::Between(std::int64_t low, std::int64_t high) {
+  return low + static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(high - low + 1));
+}
+
+void World::Start(std::size_t instance) {
+  const std::string name = "p" + std::to_string(next_process_++);
+  const base::DataCentreId data_centre{"dc" + std::to_string(instance % plan_.data_centres)};
+  auto process = std::make_shared<Process>(instance, name, data_centre, switches_, random_());
+  process->clock_offset = milliseconds{Between(0, 1'000'000)};
+  process->patience = milliseconds{Between(300, 3'000)};
+  // The log can't be read: state comes from any process that can be reached.
+  if (!LogReachable(instance)) {
+    for (const auto& other : processes_) {
+      if (!other->alive || !CanTalk(instance, other->instance)) continue;
+      auto registry = membership::Registry::Restore(other->registry.Snapshot());
+      if (registry) process->registry = std::move(*registry);
+      if (!process->limiter.Restore(process->Local(now_), other->limiter.Snapshot())) continue;
+      break;
+    }
+  }
+  processes_.push_back(process);
+  AdoptConfig(*process);
+  After(microseconds{Between(0, 100'000)}, process, [this, process] { Tick(process); });
+  After(microseconds{Between(0, 500'000)}, process, [this, process] { Heartbeat(process); });
+}
+
+void World::Tick(const std::shared_ptr<Process>& process) {
+  Process& p = *process;
+  if (LogReachable(p.instance) && Unit() < 0.3) AdoptConfig(p);
+  Read(p);
+  const bool reachable = now_ - p.last_read < p.patience;
+  const base::TimePoint local = p.Local(now_);
+  Perform(process, p.keeper.Tick(local, p.registry, reachable));
+  p.limiter.SetLease(local, p.keeper.View());
+  Perform(process, p.limiter.Tick(local, p.registry, reachable));
+  Flush(process);
+  if (p.keeper.Superseded() || p.keeper.Left()) {
+    Stop(p);
+    return;
+  }
+  After(kTick, process, [this, process] { Tick(process); });
+}
+
+void World::Wake(const std::shared_ptr<Process>& process) {
+  const auto next = process->limiter.NextDeadline();
+  if (!next) return;
+  const base::TimePoint at = std::max(now_ + microseconds{100}, *next - process->clock_offset);
+  if (at >= process->wake_at) return;
+  process->wake_at = at;
+  At(at, process, [this, process] {
+    process->wake_at = base::TimePoint::max();
+    // Only waiting requests: reading and leases keep to the regular tick.
+    Perform(process, process->limiter.Tick(process->Local(now_), process->registry, false));
+  });
+}
+
+void World::Perform(const std::shared_ptr<Process>& process, LimiterOutput output) {
+  for (auto& record : output.records) process->queue.push_back(std::move(record));
+  Send(process, output.messages);
+  for (const base::RequestId request : output.admitted) Admitted(request.value);
+  for (const Refusal& refusal : output.refused) Refused(refusal.request.value);
+  Wake(process);
+}
+
+void World::Perform(const std::shared_ptr<Process>& process, membership::Output output) {
+  for (auto& record : output.records) process->queue.push_back(std::move(record));
+  Send(process, output.messages);
+}
+
+void World::Send(const std::shared_ptr<Process>& process,
+                 std::vector<membership::Outgoing>& messages) {
+  for (auto& [to, message] : messages) {
+    ++totals_.messages;
+    if (count_bytes_) totals_.message_bytes += schema::EncodePeer(message).size() + kEnvelopeBytes;
+    const std::size_t target = NumberOf(to.value);
+    bool delivered = false;
+    for (const auto& receiver : processes_) {
+      if (receiver->instance != target || !receiver->alive) continue;
+      if (!CanTalk(process->instance, target) || Chance(plan_.chances.lose_message)) continue;
+      delivered = true;
+      const int copies = Chance(plan_.chances.repeat_message) ? 2 : 1;
+      for (int n = 0; n < copies; ++n) {
+        const std::int64_t latency =
+            plan_.peer_latency_us > 0 ? plan_.peer_latency_us : Between(200, 2'000);
+        const std::int64_t late = Chance(plan_.chances.late_message) ? Between(0, 400'000) : 0;
+        After(microseconds{latency + late}, receiver,
+              [this, receiver, from = process->id, message,
+               incarnation = process->keeper.View().incarnation] {
+                Deliver(receiver, from, incarnation, message);
+              });
+      }
+    }
+    const auto* request = std::get_if<schema::TokenLoanRequest>(&message);
+    if (delivered || request == nullptr || Unit() < 0.5) continue;
+    After(milliseconds{1}, process, [this, process, to = to, request = *request] {
+      Perform(process, process->limiter.OnLoanRequestFailed(process->Local(now_), to, request));
+    });
+  }
+}
+
+void World::Deliver(const std::shared_ptr<Process>& to, const base::InstanceId& from,
+                    base::Incarnation incarnation, const schema::PeerMessage& message) {
+  const base::TimePoint local = to->Local(now_);
+  if (const auto* ask = std::get_if<schema::TokenLoanRequest>(&message)) {
+    Perform(to, to->limiter.OnLoanRequest(local, from, *ask));
+  } else if (const auto* loan = std::get_if<schema::TokenLoan>(&message)) {
+    Perform(to, to->limiter.OnLoan(local, from, *loan));
+  } else if (const auto* consent = std::get_if<schema::LeaseConsentRequest>(&message)) {
+    Perform(to, to->keeper.OnConsentRequest(local, from, incarnation, *consent, to->registry));
+  } else if (const auto* answer = std::get_if<schema::LeaseConsent>(&message)) {
+    to->keeper.OnConsent(local, from, incarnation, *answer, to->registry);
+  }
+  to->limiter.SetLease(local, to->keeper.View());
+}
+
+void World::Heartbeat(const std::shared_ptr<Process>& process) {
+  const base::Incarnation incarnation = process->keeper.View().incarnation;
+  for (const auto& other : processes_) {
+    if (other == process || !other->alive || !CanTalk(process->instance, other->instance)) continue;
+    const bool same = other->instance == process->instance;
+    if (!same && Chance(plan_.chances.lose_message)) continue;
+    // Heartbeats only matter for duplicates in this model; large fleets would drown in them.
+    if (!same && processes_.size() > 64) continue;
+    After(microseconds{Between(200, 2'000)}, other, [this, other, process, incarnation] {
+      const base::TimePoint local = other->Local(now_);
+      other->keeper.OnPeerSeen(process->id, incarnation);
+      other->liveness.OnHeartbeat(local, process->id, incarnation, process->data_centre, false);
+      other->limiter.SetLease(local, other->keeper.View());
+    });
+  }
+  After(kHeartbeat, process, [this, process] { Heartbeat(process); });
+}
+
+void World::ScheduleArrival(std::size_t workspace) {
+  const double rate = configs_.back().limits[workspace].rate_per_s * plan_.load;
+  const double wait = rate <= 0 ? 1 : -std::log(1 - Unit()) / rate;
+  After(microseconds{static_cast<std::int64_t>(wait * 1e6) + 1}, nullptr, [this, workspace] {
+    Arrive(workspace);
+    ScheduleArrival(workspace);
+  });
+}
+
+void World::Arrive(std::size_t workspace) {
+  std::size_t instance = static_cast<std::size_t>(Between(0, instances_ - 1));
+  if (Unit() < plan_.skew) {
+    const std::int64_t turn =
+        plan_.skew_period.count() == 0 ? 0 : now_.time_since_epoch() / plan_.skew_period;
+    instance = (workspace + static_cast<std::size_t>(turn)) % instances_;
+  }
+  const std::shared_ptr<Process> process = Pick(instance);
+  if (!process) return;
+  const std::uint64_t request = ++next_request_;
+  ++totals_.arrivals;
+  open_[request] = {workspace, process};
+  At(now_, process, [this, process, workspace, request] {
+    if (observer_.arrived) observer_.arrived(now_, workspace, request, process->instance);
+    AdmitResult result = process->limiter.Admit(process->Local(now_), WorkspaceName(workspace),
+                                                base::RequestId{request});
+    if (result.admission.decision == Decision::kAdmitted) Admitted(request);
+    if (result.admission.decision == Decision::kRefused) Refused(request);
+    Perform(process, std::move(result.output));
+  });
+}
+
+void World::Admitted(std::uint64_t request) {
+  const auto it = open_.find(request);
+  if (it == open_.end()) {
+    violation_ = "request decided twice";
+    return;
+  }
+  const std::size_t workspace = it->second.workspace;
+  const auto process = it->second.process;
+  open_.erase(it);
+  ++totals_.admitted;
+  if (observer_.admitted) observer_.admitted(now_, workspace, request);
+  if (exact_[workspace].Take(now_)) return;
+  std::ostringstream out;
+  out << "workspace w" << workspace << " exceeded its limits at "
+      << base::ToMillis(now_.time_since_epoch()) - 1'000 << " ms on " << process->id.value
+      << ": exact bucket at " << exact_[workspace].Level();
+  violation_ = std::move(out).str();
+}
+
+void World::Refused(std::uint64_t request) {
+  const auto it = open_.find(request);
+  if (it == open_.end()) {
+    violation_ = "request decided twice";
+    return;
+  }
+  ++totals_.refused;
+  if (observer_.refused) observer_.refused(now_, it->second.workspace, request);
+  open_.erase(it);
+}
+
+LimiterCounters World::Counters() const {
+  LimiterCounters sum;
+  for (const auto& process : processes_) {
+    const LimiterCounters& part = process->limiter.Counters();
+    sum.admitted += part.admitted;
+    sum.admitted_with_loan += part.admitted_with_loan;
+    sum.refused += part.refused;
+    sum.loan_requests += part.loan_requests;
+    sum.loans_given += part.loans_given;
+    sum.loans_unused += part.loans_unused;
+    sum.moves += part.moves;
+    sum.moves_invalid += part.moves_invalid;
+  }
+  return sum;
+}
+
+std::size_t World::Running() const {
+  return static_cast<std::size_t>(
+      std::count_if(processes_.begin(), processes_.end(), [](const auto& p) { return p->alive; }));
+}
+
+std::uint32_t World::UsablePpm(std::size_t workspace) const {
+  std::uint32_t sum = 0;
+  for (const auto& p : processes_) {
+    if (!p->alive || !p->keeper.View().LeasedUsable(p->Local(now_))) continue;
+    sum += p->limiter.Table().Held(WorkspaceName(workspace), p->id);
+  }
+  return sum;
+}
+
+std::uint32_t World::UsableFloorPpm() const {
+  std::uint32_t sum = 0;
+  for (const auto& p : processes_) {
+    if (p->alive && p->keeper.View().FloorUsable(p->Local(now_))) sum += p->limiter.FloorPpm();
+  }
+  return sum;
+}
+
+std::uint64_t World::Gaps() const {
+  std::uint64_t sum = 0;
+  for (const auto& p : processes_) sum += p->keeper.Gaps();
+  return sum;
+}
+
+}  // namespace persimmonstair::limits::sim
--- /dev/null
+++ b/src/persimmonstair/limits/sim/world_faults.cpp
@@ -0,0 +1,148 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "sim/process.hpp"
+#include "sim/world.hpp"
+
+// The faults of a plan, and edits of the configuration.
+namespace persimmonstair::limits::sim {
+
+void World::Apply(const Fault& fault) {
+  const std::size_t instance = fault.subject % instances_;
+  const std::size_t data_centre = fault.subject % plan_.data_centres;
+  const base::TimePoint until = now_ + fault.length;
+  switch (fault.kind) {
+    case FaultKind::kKill:
+      return Kill(instance, fault.length);
+    case FaultKind::kPause:
+      return Pause(instance, fault.length);
+    case FaultKind::kDuplicate:
+      return Start(instance);
+    case FaultKind::kJoin:
+      Start(instances_++);
+      return EditFloors();
+    case FaultKind::kLeave:
+      return Leave(instance);
+    case FaultKind::kLogOutage:
+      log_down_until_ = std::max(log_down_until_, until);
+      return;
+    case FaultKind::kLogSlow:
+      log_slow_until_ = std::max(log_slow_until_, until);
+      return;
+    case FaultKind::kLogBlind:
+      blind_until_[instance] = until;
+      return;
+    case FaultKind::kReadBlind:
+      read_blind_until_[instance] = until;
+      return;
+    case FaultKind::kPartition:
+      cut_until_[data_centre] = until;
+      return;
+    case FaultKind::kPeerSplit:
+      split_until_[data_centre] = until;
+      return;
+    case FaultKind::kLimitEdit:
+      return EditLimit(fault);
+    case FaultKind::kFloorEdit:
+      return EditFloors();
+  }
+}
+
+std::shared_ptr<World::Process> World::Pick(std::size_t instance) {
+  std::vector<std::shared_ptr<Process>> running;
+  for (const auto& process : processes_) {
+    if (process->instance == instance && process->alive) running.push_back(process);
+  }
+  if (running.empty()) return nullptr;
+  return running[running.size() == 1 ? 0
+                                     : static_cast<std::size_t>(Between(0, running.size() - 1))];
+}
+
+void World::Pause(std::size_t instance, base::Duration length) {
+  if (const auto process = Pick(instance)) process->paused_until = now_ + length;
+}
+
+void World::Stop(Process& process) {
+  process.alive = false;
+  const std::size_t before = open_.size();
+  std::erase_if(open_, [&](const auto& entry) { return entry.second.process.get() == &process; });
+  totals_.lost += before - open_.size();
+  UpdateExact();
+}
+
+void World::Kill(std::size_t instance, base::Duration restart_after) {
+  const auto process = Pick(instance);
+  if (!process) return;
+  Stop(*process);
+  if (restart_after.count() > 0) {
+    After(restart_after, nullptr, [this, instance] { Start(instance); });
+  }
+}
+
+void World::Leave(std::size_t instance) {
+  const auto process = Pick(instance);
+  if (!process) return;
+  const auto heir = Pick((instance + 1) % instances_);
+  At(now_, process, [this, process, heir] {
+    const base::TimePoint local = process->Local(now_);
+    if (heir) Perform(process, process->limiter.Leave(local, process->registry, heir->id));
+    process->keeper.Leave(local);
+    process->limiter.SetLease(local, process->keeper.View());
+  });
+}
+
+void World::EditLimit(const Fault& fault) {
+  Config next = configs_.back();
+  next.limits[fault.subject % next.limits.size()] = fault.limit;
+  configs_.push_back(std::move(next));
+}
+
+void World::EditFloors() {
+  Config next = configs_.back();
+  ++next.floors_version;
+  next.floors.clear();
+  std::int64_t left = 200'000;
+  for (std::size_t n = 0; n < instances_; ++n) {
+    const std::int64_t floor = Between(0, std::min<std::int64_t>(left, 400'000 / instances_));
+    left -= floor;
+    next.floors[InstanceName(n)] = static_cast<std::uint32_t>(floor);
+  }
+  configs_.push_back(std::move(next));
+}
+
+void World::AdoptConfig(Process& process) {
+  const bool first = process.limiter.FloorsVersion() == 0;
+  if (!first && process.config + 1 == configs_.size()) return;
+  process.config = configs_.size() - 1;
+  const Config& config = configs_.back();
+  const base::TimePoint local = process.Local(now_);
+  process.limiter.SetFloors(local, config.floors_version, config.floors);
+  process.keeper.SetFloorsVersion(process.limiter.FloorsVersion());
+  for (std::size_t n = 0; n < config.limits.size(); ++n) {
+    process.limiter.SetLimit(local, WorkspaceName(n), config.limits[n]);
+  }
+  UpdateExact();
+}
+
+void World::UpdateExact() {
+  for (std::size_t n = 0; n < exact_.size(); ++n) {
+    Limit largest;
+    for (const auto& process : processes_) {
+      if (!process->alive) continue;
+      const Limit& limit = configs_[process->config].limits[n];
+      largest.rate_per_s = std::max(largest.rate_per_s, limit.rate_per_s);
+      largest.burst = std::max(largest.burst, limit.burst);
+    }
+    // With no process running nothing is admitted, and the last limits stay.
+    if (largest.rate_per_s <= 0) continue;
+    if (largest.rate_per_s == exact_limits_[n].rate_per_s &&
+        largest.burst == exact_limits_[n].burst) {
+      continue;
+    }
+    exact_limits_[n] = largest;
+    exact_[n].SetLimit(now_, largest);
+  }
+}
+
+}  // namespace persimmonstair::limits::sim
