Add peer transport and daemon library

Cause: an instance needs peers, rings, an admin port and a scheduler thread around the caller and target sides. Change: sealed datagrams with a replay filter; connections whose frames carry a text chosen by the receiver; daemon library with a template over the scheduler.

--- /dev/null
+++ b/daemon/instance.hpp
@@ -0,0 +1,116 @@
+#ifndef PERSIMMONSTAIR_DAEMON_INSTANCE_HPP_
+#define PERSIMMONSTAIR_DAEMON_INSTANCE_HPP_
+
+#include <chrono>
+#include <concepts>
+#include <memory>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "instance_core.hpp"
+#include "log.hpp"
+
+namespace persimmonstair::daemon {
+
+/// @brief scheduler::Scheduler, or a substitute in tests.
+template <class T>
+concept SchedulerLike = requires(T scheduler, const base::Now& now, scheduler::Event event) {
+  { scheduler.Handle(now, std::move(event)) } -> std::same_as<std::vector<scheduler::Action>>;
+  { scheduler.status(now) } -> std::same_as<scheduler::Status>;
+};
+
+/// Interval of Tick events.
+inline constexpr std::chrono::milliseconds kTickInterval{50};
+
+inline base::Now ReadClocks() {
+  const auto micros = [](auto time) {
+    return std::chrono::duration_cast<base::Duration>(time.time_since_epoch());
+  };
+  return {base::TimePoint(micros(std::chrono::steady_clock::now())),
+          base::WallTime(micros(std::chrono::system_clock::now()))};
+}
+
+/// @brief One instance: the scheduler on its own thread, and everything around it.
+///
+///     auto instance = Instance<scheduler::Scheduler>::Start(options, platform, scheduler);
+///     return (*instance)->Run();
+template <SchedulerLike S>
+class Instance {
+ public:
+  static base::Result<std::unique_ptr<Instance>> Start(InstanceOptions options,
+                                                       const PlatformStarter& platform,
+                                                       S scheduler) {
+    auto core = InstanceCore::Start(std::move(options), platform);
+    if (!core) return tl::make_unexpected(core.error());
+    return std::unique_ptr<Instance>(new Instance(std::move(*core), std::move(scheduler)));
+  }
+  ~Instance() { Finish(); }
+  Instance(const Instance&) = delete;
+  Instance& operator=(const Instance&) = delete;
+
+  /// From any thread, also from several.
+  void RequestStop() { core_->RequestStop(); }
+
+  /// Waits for the end and returns the process's exit code.
+  int Run() {
+    const Ending ending = core_->WaitForEnd();
+    Finish();
+    switch (ending) {
+      case Ending::kStopped:
+        return kExitStopped;
+      case Ending::kSuperseded:
+        return kExitSuperseded;
+      default:
+        return kExitForced;
+    }
+  }
+
+  InstanceCore& core() { return *core_; }
+
+ private:
+  Instance(std::unique_ptr<InstanceCore> core, S scheduler)
+      : core_(std::move(core)), scheduler_(std::move(scheduler)), thread_([this] { Loop(); }) {}
+
+  void Loop() {
+    auto next_tick = std::chrono::steady_clock::now();
+    while (!core_->ended() && !stopping_) {
+      const auto now = std::chrono::steady_clock::now();
+      const auto wait = std::chrono::duration_cast<std::chrono::microseconds>(next_tick - now);
+      for (auto& event : core_->events().PopAll(std::max(wait, std::chrono::microseconds{0}))) {
+        Handle(std::move(event));
+        TickIfDue(next_tick);
+      }
+      TickIfDue(next_tick);
+    }
+  }
+
+  void TickIfDue(std::chrono::steady_clock::time_point& next_tick) {
+    const auto now = std::chrono::steady_clock::now();
+    if (now < next_tick) return;
+    next_tick = now + kTickInterval;
+    Handle(scheduler::Tick{});
+    core_->SetStatus(scheduler_.status(ReadClocks()));
+  }
+
+  void Handle(scheduler::Event event) {
+    for (auto& action : scheduler_.Handle(ReadClocks(), std::move(event))) {
+      core_->Execute(std::move(action));
+    }
+  }
+
+  void Finish() {
+    stopping_ = true;
+    if (thread_.joinable()) thread_.join();
+    core_->Shutdown();
+  }
+
+  std::unique_ptr<InstanceCore> core_;
+  S scheduler_;
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+}  // namespace persimmonstair::daemon
+
+#endif  // PERSIMMONSTAIR_DAEMON_INSTANCE_HPP_
--- /dev/null
+++ b/daemon/instance_actions.cpp
@@ -0,0 +1,80 @@
+#include <utility>
+#include <variant>
+
+#include "instance_core.hpp"
+#include "log.hpp"
+
+namespace persimmonstair::daemon {
+
+void InstanceCore::Execute(scheduler::Action action) {
+  std::visit([this](auto&& alternative) { Run(std::forward<decltype(alternative)>(alternative)); },
+             std::move(action));
+}
+
+void InstanceCore::CountReply(const scheduler::Reply& reply) {
+  Clock::time_point started;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto it = started_.find(reply.request.value);
+    // A request from another instance is counted where its caller is.
+    if (it == started_.end()) return;
+    started = it->second;
+    started_.erase(it);
+  }
+  const auto latency = std::chrono::duration_cast<base::Duration>(Clock::now() - started);
+  metrics_.CountAnswer(reply.workspace.value, reply.entry_class, reply.status, latency);
+}
+
+void InstanceCore::Run(scheduler::Reply reply) {
+  if (auto remote = forwards_.TakeIncoming(reply.request)) {
+    peers_->SendReliable(remote->from,
+                         schema::ForwardedReply{remote->request, reply.status,
+                                                std::move(reply.headers), std::move(reply.body)});
+    return;
+  }
+  CountReply(reply);
+  forwards_.RemoveOutgoing(reply.request);
+  callers_->Reply(std::move(reply));
+}
+
+void InstanceCore::Run(scheduler::Dispatch dispatch) { targets_->Dispatch(std::move(dispatch)); }
+
+void InstanceCore::Run(scheduler::CancelAttempt cancel) { targets_->Cancel(cancel.attempt); }
+
+void InstanceCore::Run(scheduler::CloseIdleConnections close) {
+  Log(Level::kWarning, "close_idle_connections",
+      {{"address", close.address}, {"port", close.port}});
+  targets_->CloseIdle(close.address, close.port);
+}
+
+void InstanceCore::Run(scheduler::Append append) { platform_.append(std::move(append)); }
+
+void InstanceCore::Run(scheduler::FetchRecords fetch) { platform_.fetch(std::move(fetch)); }
+
+void InstanceCore::Run(scheduler::SendPeer send) {
+  if (const auto* request = std::get_if<schema::ForwardedRequest>(&send.message)) {
+    forwards_.AddOutgoing(request->request, send.to);
+  } else if (const auto* cancel = std::get_if<schema::ForwardedCancel>(&send.message)) {
+    forwards_.RemoveOutgoing(cancel->request);
+  }
+  if (send.reliable) {
+    peers_->SendReliable(send.to, std::move(send.message));
+  } else {
+    peers_->SendDatagram(send.to, send.message);
+  }
+}
+
+void InstanceCore::Run(scheduler::BroadcastPeer broadcast) { peers_->Broadcast(broadcast.message); }
+
+void InstanceCore::Run(scheduler::Stopped stopped) {
+  Log(stopped.left.empty() ? Level::kInfo : Level::kWarning, "stopped", {{"left", stopped.left}});
+  End(Ending::kStopped);
+}
+
+void InstanceCore::Run(scheduler::Superseded /*superseded*/) {
+  Log(Level::kError, "superseded",
+      {{"reason", "another process registered under the same instance id"}});
+  End(Ending::kSuperseded);
+}
+
+}  // namespace persimmonstair::daemon
--- /dev/null
+++ b/daemon/instance_core.hpp
@@ -0,0 +1,153 @@
+#ifndef PERSIMMONSTAIR_DAEMON_INSTANCE_CORE_HPP_
+#define PERSIMMONSTAIR_DAEMON_INSTANCE_CORE_HPP_
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "admin_server.hpp"
+#include "event_queue.hpp"
+#include "forwards.hpp"
+#include "metrics.hpp"
+#include "persimmonstair/net/caller_server.hpp"
+#include "persimmonstair/net/io_pool.hpp"
+#include "persimmonstair/net/peer_transport.hpp"
+#include "persimmonstair/net/target_client.hpp"
+#include "persimmonstair/scheduler/actions.hpp"
+#include "persimmonstair/scheduler/scheduler.hpp"
+#include "persimmonstair/schema/settings.hpp"
+
+namespace persimmonstair::daemon {
+
+/// @brief Everything an instance needs beside its scheduler.
+struct InstanceOptions {
+  schema::Settings settings;
+  net::Credentials credentials;
+  std::string fleet_key;
+  /// Text that differs between any two processes of the fleet.
+  std::string process;
+  base::Incarnation incarnation;
+  /// Events that wait for the scheduler thread. Each open request causes only a few, so that this
+  /// leaves room for `caller.max_connections` of its default.
+  std::size_t ring_capacity = 65'536;
+};
+
+/// @brief The platform thread as the instance sees it.
+struct PlatformPort {
+  std::function<void(scheduler::Append)> append;
+  std::function<void(scheduler::FetchRecords)> fetch;
+  std::function<void()> stop;
+};
+
+/// @brief Takes an event, or returns false and leaves it unchanged.
+using EventSink = std::function<bool(scheduler::Event&&)>;
+/// @brief Starts the platform thread; its events go into the sink.
+using PlatformStarter = std::function<base::Result<PlatformPort>(EventSink)>;
+
+/// @brief How an instance ended.
+enum class Ending { kStopped, kForced, kSuperseded };
+
+/// Process exit codes.
+inline constexpr int kExitStopped = 0;
+inline constexpr int kExitForced = 1;
+inline constexpr int kExitSuperseded = 3;
+
+/// @brief Sockets, rings and counters of an instance: turns what happens on them into events and
+/// executes actions. The scheduler thread owns the scheduler and calls Execute() and SetStatus().
+class InstanceCore {
+ public:
+  static base::Result<std::unique_ptr<InstanceCore>> Start(InstanceOptions options,
+                                                           const PlatformStarter& platform);
+  ~InstanceCore();
+  InstanceCore(const InstanceCore&) = delete;
+  InstanceCore& operator=(const InstanceCore&) = delete;
+
+  EventQueue& events() { return events_; }
+  void Execute(scheduler::Action action);
+  void SetStatus(scheduler::Status status);
+
+  /// First call: planned stop. Second call: end at once. From any thread.
+  void RequestStop();
+  bool ended() const;
+  /// Waits until the instance has ended, by itself or by the stop timeout.
+  Ending WaitForEnd();
+  /// Sends what has been answered, closes everything and reports what was left.
+  void Shutdown();
+
+  std::uint16_t caller_port() const { return callers_->port(); }
+  std::uint16_t admin_port() const { return admin_->port(); }
+  std::uint16_t udp_port() const { return peers_->udp_port(); }
+  std::uint16_t tcp_port() const { return peers_->tcp_port(); }
+  net::PeerTransport& peers() { return *peers_; }
+
+ private:
+  using Clock = std::chrono::steady_clock;
+
+  explicit InstanceCore(InstanceOptions options);
+
+  base::Result<void> StartTargets();
+  base::Result<void> StartCallers();
+  base::Result<void> StartPeers();
+  base::Result<void> StartAdmin();
+
+  base::RequestId NextRequest() { return {++last_request_}; }
+  bool OnCallerRequest(scheduler::CallerRequest request);
+  void OnCallerGone(base::RequestId request);
+  void OnTargetFailed(scheduler::TargetFailed failed);
+  void OnRelay(base::RequestId request, std::string data);
+  void OnPeer(const base::InstanceId& from, base::Incarnation incarnation,
+              schema::PeerMessage message);
+  void OnForwarded(const base::InstanceId& from, base::Incarnation incarnation,
+                   schema::PeerMessage message);
+  void OnPeerSendFailed(const base::InstanceId& to, schema::PeerMessage message, bool sent);
+  AdminResponse OnAdmin(const std::string& method, const std::string& path);
+  std::string StatusText() const;
+  std::string MetricsText();
+  std::string LeftText() const;
+
+  void Run(scheduler::Reply reply);
+  void Run(scheduler::Dispatch dispatch);
+  void Run(scheduler::CancelAttempt cancel);
+  void Run(scheduler::CloseIdleConnections close);
+  void Run(scheduler::Append append);
+  void Run(scheduler::FetchRecords fetch);
+  void Run(scheduler::SendPeer send);
+  void Run(scheduler::BroadcastPeer broadcast);
+  void Run(scheduler::Stopped stopped);
+  void Run(scheduler::Superseded superseded);
+
+  void CountReply(const scheduler::Reply& reply);
+  void End(Ending ending);
+
+  const InstanceOptions options_;
+  EventQueue events_;
+  Metrics metrics_;
+  Forwards forwards_;
+  std::atomic<std::uint64_t> last_request_{0};
+  PlatformPort platform_;
+  net::IoPool pool_;
+  std::unique_ptr<net::TargetClient> targets_;
+  std::unique_ptr<net::CallerServer> callers_;
+  std::unique_ptr<net::PeerTransport> peers_;
+  std::unique_ptr<AdminServer> admin_;
+
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  std::optional<Ending> ending_;
+  std::optional<Clock::time_point> stop_deadline_;
+  scheduler::Status status_;
+  Clock::time_point status_at_ = Clock::now();
+  std::unordered_map<std::uint64_t, Clock::time_point> started_;
+  bool shut_down_ = false;
+};
+
+}  // namespace persimmonstair::daemon
+
+#endif  // PERSIMMONSTAIR_DAEMON_INSTANCE_CORE_HPP_
--- /dev/null
+++ b/daemon/log.cpp
@@ -0,0 +1,87 @@
+#include "log.hpp"
+
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <memory>
+#include <mutex>
+
+namespace persimmonstair::daemon {
+namespace {
+
+struct LogState {
+  std::mutex mutex;
+  std::string instance;
+  std::vector<std::string> secrets;
+};
+
+LogState& State() {
+  static LogState state;
+  return state;
+}
+
+spdlog::level::level_enum ToSpdlog(Level level) {
+  switch (level) {
+    case Level::kDebug:
+      return spdlog::level::debug;
+    case Level::kInfo:
+      return spdlog::level::info;
+    case Level::kWarning:
+      return spdlog::level::warn;
+    default:
+      return spdlog::level::err;
+  }
+}
+
+void Start(const std::string& level, const std::string& instance, std::vector<std::string> secrets,
+           spdlog::sink_ptr sink) {
+  auto logger = std::make_shared<spdlog::logger>("persimmonstair", std::move(sink));
+  logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",%v})");
+  logger->set_level(spdlog::level::from_str(level));
+  logger->flush_on(spdlog::level::info);
+  spdlog::set_default_logger(std::move(logger));
+  const std::lock_guard lock(State().mutex);
+  State().instance = instance;
+  State().secrets = std::move(secrets);
+}
+
+void Redact(std::string& text) {
+  for (const auto& secret : State().secrets) {
+    if (secret.empty()) continue;
+    for (auto at = text.find(secret); at != std::string::npos; at = text.find(secret, at)) {
+      text.replace(at, secret.size(), "***");
+    }
+  }
+}
+
+}  // namespace
+
+void StartLog(const std::string& level, const std::string& instance,
+              std::vector<std::string> secrets) {
+  Start(level, instance, std::move(secrets), std::make_shared<spdlog::sinks::stderr_sink_mt>());
+}
+
+void StartLog(const std::string& level, const std::string& instance,
+              std::vector<std::string> secrets, std::ostream& out) {
+  Start(level, instance, std::move(secrets),
+        std::make_shared<spdlog::sinks::ostream_sink_mt>(out, true));
+}
+
+void Log(Level level, std::string_view event, const nlohmann::json& fields) {
+  if (!spdlog::should_log(ToSpdlog(level))) return;
+  nlohmann::json line = fields;
+  line["event"] = event;
+  std::string text;
+  {
+    const std::lock_guard lock(State().mutex);
+    line["instance"] = State().instance;
+    text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    Redact(text);
+  }
+  // The pattern supplies the outer braces.
+  spdlog::default_logger_raw()->log(ToSpdlog(level),
+                                    spdlog::string_view_t(text.data() + 1, text.size() - 2));
+}
+
+}  // namespace persimmonstair::daemon
--- /dev/null
+++ b/daemon/log.hpp
@@ -0,0 +1,31 @@
+#ifndef PERSIMMONSTAIR_DAEMON_LOG_HPP_
+#define PERSIMMONSTAIR_DAEMON_LOG_HPP_
+
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace persimmonstair::daemon {
+
+/// @brief Sets the level and the secrets that no line may contain; lines go to standard error.
+void StartLog(const std::string& level, const std::string& instance,
+              std::vector<std::string> secrets);
+
+/// @brief The same, into a stream; for tests.
+void StartLog(const std::string& level, const std::string& instance,
+              std::vector<std::string> secrets, std::ostream& out);
+
+enum class Level { kDebug, kInfo, kWarning, kError };
+
+/// @brief Writes one JSON line: time, level, instance, event and the fields. Text that is a secret
+/// is replaced. Callers pass no request bodies, headers or keys.
+///
+///     Log(Level::kInfo, "listening", {{"port", 8080}});
+void Log(Level level, std::string_view event,
+         const nlohmann::json& fields = nlohmann::json::object());
+
+}  // namespace persimmonstair::daemon
+
+#endif  // PERSIMMONSTAIR_DAEMON_LOG_HPP_
--- /dev/null
+++ b/daemon/metrics.cpp
@@ -0,0 +1,83 @@
+#include "metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace persimmonstair::daemon {
+namespace {
+
+// Pairs of workspace and class beyond this number share one series, so that a mistake in the
+// catalogue cannot fill the memory. The target size has 340 workspaces.
+constexpr std::size_t kMaxSeries = 1'024;
+
+// Seconds; from a plain service's answer to a long generation.
+const prometheus::Histogram::BucketBoundaries kLatencyBounds = {
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120};
+
+std::string LabelOr(const std::string& label) { return label.empty() ? "none" : label; }
+
+}  // namespace
+
+Metrics::Metrics()
+    : answers_(prometheus::BuildCounter()
+                   .Name("persimmonstair_answers_total")
+                   .Help("Answers to callers of this instance")
+                   .Register(registry_)),
+      latency_(prometheus::BuildHistogram()
+                   .Name("persimmonstair_request_seconds")
+                   .Help("Time from a whole request to its reply")
+                   .Register(registry_)),
+      attempts_(prometheus::BuildCounter()
+                    .Name("persimmonstair_attempts_total")
+                    .Help("Dispatches to targets by result")
+                    .Register(registry_)),
+      ring_full_(prometheus::BuildCounter()
+                     .Name("persimmonstair_ring_full_total")
+                     .Help("Requests refused because the event ring was full")
+                     .Register(registry_)
+                     .Add({})) {}
+
+Metrics::Series& Metrics::SeriesOf(const std::string& workspace, const std::string& entry_class) {
+  std::pair<std::string, std::string> labels{LabelOr(workspace), LabelOr(entry_class)};
+  if (series_.size() >= kMaxSeries && !series_.contains(labels)) labels = {"other", "other"};
+  Series& series = series_[labels];
+  if (series.latency == nullptr) {
+    series.latency =
+        &latency_.Add({{"workspace", labels.first}, {"class", labels.second}}, kLatencyBounds);
+  }
+  return series;
+}
+
+void Metrics::CountAnswer(const std::string& workspace, const std::string& entry_class,
+                          std::uint32_t status, base::Duration latency) {
+  const std::lock_guard lock(mutex_);
+  Series& series = SeriesOf(workspace, entry_class);
+  series.latency->Observe(base::ToSeconds(latency));
+  auto& counter = series.by_status[status];
+  if (counter == nullptr) {
+    counter = &answers_.Add({{"workspace", LabelOr(workspace)},
+                             {"class", LabelOr(entry_class)},
+                             {"status", std::to_string(status)}});
+  }
+  counter->Increment();
+}
+
+void Metrics::CountAttempt(const std::string& result) {
+  attempts_.Add({{"result", result}}).Increment();
+}
+
+void Metrics::CountRingFull() { ring_full_.Increment(); }
+
+void Metrics::SetGauge(const std::string& name, const std::string& help, double value) {
+  const std::lock_guard lock(mutex_);
+  auto& gauge = gauges_[name];
+  if (gauge == nullptr) {
+    gauge = &prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add({});
+  }
+  gauge->Set(value);
+}
+
+std::string Metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace persimmonstair::daemon
--- a/src/persimmonstair/net/caller_server_test.cpp
+++ b/src/persimmonstair/net/caller_server_test.cpp
@@ -17,6 +17,16 @@
     "Authorization: Bearer sk-test-1\r\nContent-Length: 15\r\n\r\n{\"stream\":true}";
 constexpr const char* kGet = "GET /v1/programs/p.1 HTTP/1.1\r\nHost: a\r\n\r\n";
 
+scheduler::Reply MakeReply(base::RequestId request, std::uint32_t status,
+                           std::map<std::string, std::string> headers, std::string body) {
+  scheduler::Reply reply;
+  reply.request = request;
+  reply.status = status;
+  reply.headers = std::move(headers);
+  reply.body = std::move(body);
+  return reply;
+}
+
 class CallerServerTest : public testing::Test {
  protected:
   ~CallerServerTest() override {
@@ -40,7 +50,7 @@
   }
 
   void Reply(base::RequestId request, std::string body) {
-    server_->Reply({request, 200, {}, std::move(body)});
+    server_->Reply(MakeReply(request, 200, {}, std::move(body)));
   }
 
   // A whole exchange on a new connection, to show that the server still works.
@@ -76,7 +86,7 @@
     const auto request = requests_.Pop();
     EXPECT_EQ(request.program.value, "p.1");
     EXPECT_TRUE(request.stream);
-    server_->Reply({request.request, 201, {{"x-note", "a"}}, "{\"n\":1}"});
+    server_->Reply(MakeReply(request.request, 201, {{"x-note", "a"}}, "{\"n\":1}"));
     const auto response = client.ReadResponse();
     EXPECT_EQ(response.status, 201U);
     EXPECT_EQ(response.headers.at("x-note"), "a");
@@ -112,7 +122,7 @@
   EXPECT_NE(client.ReadUntil("\n\n\r\n").find("{\"a\":1}"), std::string::npos);
   server_->Relay(id, "data: {\"a\":2}\n\n");
   EXPECT_NE(client.ReadUntil("\n\n\r\n").find("{\"a\":2}"), std::string::npos);
-  server_->Reply({id, 200, {{"persimmonstair-durability", "log"}}, "data: [DONE]\n\n"});
+  server_->Reply(MakeReply(id, 200, {{"persimmonstair-durability", "log"}}, "data: [DONE]\n\n"));
   // A part after the end must not be sent.
   server_->Relay(id, "data: late\n\n");
   const std::string end = client.ReadUntil(": log\r\n\r\n");
@@ -276,10 +286,8 @@
   Start();
   TestSocket client(server_->port());
   client.Send(kGet);
-  server_->Reply({requests_.Pop().request,
-                  200,
-                  {{"x-a", "1\r\nx-injected: 2"}, {"content-length", "1"}},
-                  "body"});
+  server_->Reply(MakeReply(requests_.Pop().request, 200,
+                           {{"x-a", "1\r\nx-injected: 2"}, {"content-length", "1"}}, "body"));
   const auto response = client.ReadResponse();
   EXPECT_EQ(response.body, "body");
   EXPECT_EQ(response.headers.count("x-injected"), 0U);
--- /dev/null
+++ b/src/persimmonstair/net/peer_receiver.hpp
@@ -0,0 +1,47 @@
+#ifndef PERSIMMONSTAIR_SRC_NET_PEER_RECEIVER_HPP_
+#define PERSIMMONSTAIR_SRC_NET_PEER_RECEIVER_HPP_
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+
+#include "deadline.hpp"
+#include "peer_core.hpp"
+
+namespace persimmonstair::net {
+
+/// @brief An incoming connection of a peer. It gets a random text at its begin, which each of its
+/// frames must carry; frame numbers follow each other without gap.
+class PeerReceiver : public std::enable_shared_from_this<PeerReceiver> {
+ public:
+  PeerReceiver(std::shared_ptr<PeerCore> core, boost::asio::ip::tcp::socket socket,
+               std::shared_ptr<int> slot);
+
+  void Start();
+  void Close();
+  /// Empty until the first authentic frame.
+  const base::InstanceId& from() const { return from_; }
+  bool open() const { return socket_.is_open(); }
+
+ private:
+  void ReadLength();
+  void ReadFrame();
+  void OnFrame();
+
+  std::shared_ptr<PeerCore> core_;
+  boost::asio::ip::tcp::socket socket_;
+  /// Share of the number of connections that have not proved their identity.
+  std::shared_ptr<int> slot_;
+  Deadline deadline_;
+  std::string binding_;
+  base::InstanceId from_;
+  base::Incarnation incarnation_;
+  std::uint64_t sequence_ = 0;
+  std::array<char, kLengthBytes> length_{};
+  std::string frame_;
+};
+
+}  // namespace persimmonstair::net
+
+#endif  // PERSIMMONSTAIR_SRC_NET_PEER_RECEIVER_HPP_
--- /dev/null
+++ b/src/persimmonstair/net/peer_sender.hpp
@@ -0,0 +1,62 @@
+#ifndef PERSIMMONSTAIR_SRC_NET_PEER_SENDER_HPP_
+#define PERSIMMONSTAIR_SRC_NET_PEER_SENDER_HPP_
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "deadline.hpp"
+#include "peer_core.hpp"
+
+namespace persimmonstair::net {
+
+/// @brief The persistent outgoing connection to one peer. Messages wait while it is being opened;
+/// between two attempts to open it they fail at once.
+class PeerSender : public std::enable_shared_from_this<PeerSender> {
+ public:
+  PeerSender(std::shared_ptr<PeerCore> core, schema::PeerSettings peer);
+
+  void Start();
+  void Send(std::string payload);
+  /// Breaks the connection; messages that have not been sent fail.
+  void Break();
+  void Stop();
+  const schema::PeerSettings& peer() const { return peer_; }
+
+ private:
+  enum class State { kConnecting, kGreeting, kOpen, kBackoff, kStopped };
+
+  void Connect();
+  void OnConnected(boost::system::error_code ec);
+  void OnBinding(boost::system::error_code ec);
+  void Watch();
+  void Flush();
+  void OnWritten(boost::system::error_code ec, std::size_t size);
+  void FailUnsent(std::size_t written);
+  void Fail(const std::string& payload, bool sent);
+
+  std::shared_ptr<PeerCore> core_;
+  schema::PeerSettings peer_;
+  State state_ = State::kBackoff;
+  boost::asio::ip::tcp::socket socket_;
+  Deadline deadline_;
+  boost::asio::steady_timer retry_;
+  std::chrono::milliseconds backoff_;
+  /// Counts connections, so that handlers of an earlier one do nothing.
+  std::uint64_t generation_ = 0;
+  std::array<char, kBindingBytes> binding_{};
+  std::array<char, 1> byte_{};
+  std::uint64_t sequence_ = 0;
+  /// Payloads that have not been handed to the socket; the first `writing_.size()` are in flight.
+  std::deque<std::string> queue_;
+  std::size_t queued_bytes_ = 0;
+  std::vector<std::string> writing_;
+};
+
+}  // namespace persimmonstair::net
+
+#endif  // PERSIMMONSTAIR_SRC_NET_PEER_SENDER_HPP_
--- /dev/null
+++ b/src/persimmonstair/net/peer_transport.cpp
@@ -0,0 +1,289 @@
+#include "persimmonstair/net/peer_transport.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+#include <map>
+#include <random>
+#include <thread>
+
+#include "peer_core.hpp"
+#include "peer_receiver.hpp"
+#include "peer_sender.hpp"
+#include "persimmonstair/schema/codec.hpp"
+
+namespace persimmonstair::net {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+// Incoming connections that have not proved their identity yet; more are closed at once.
+constexpr long kMaxUnproved = 64;
+constexpr std::chrono::milliseconds kAcceptRetry{50};
+
+class Transport : public PeerTransport {
+ public:
+  Transport(PeerTransportOptions options, PeerTransportHandlers handlers)
+      : core_(std::make_shared<PeerCore>(std::move(options), std::move(handlers))),
+        udp_(core_->context),
+        acceptor_(core_->context),
+        retry_(core_->context) {}
+  ~Transport() override { End(); }
+
+  base::Result<void> Open();
+
+  void SendDatagram(const base::InstanceId& to, const schema::PeerMessage& message) override {
+    asio::post(core_->context, [this, to, payload = schema::EncodePeer(message)] {
+      if (const auto it = peers_.find(to); it != peers_.end()) Datagram(*it->second, payload);
+    });
+  }
+  void Broadcast(const schema::PeerMessage& message) override {
+    asio::post(core_->context, [this, payload = schema::EncodePeer(message)] {
+      for (const auto& [id, sender] : peers_) Datagram(*sender, payload);
+    });
+  }
+  void SendReliable(const base::InstanceId& to, schema::PeerMessage message) override {
+    asio::post(core_->context, [this, to, message = std::move(message)] {
+      const auto it = peers_.find(to);
+      if (it == peers_.end()) return core_->handlers.on_send_failed(to, message, false);
+      std::string payload = schema::EncodePeer(message);
+      // Room for header, authentication and binding.
+      constexpr std::size_t kOverhead = 1U << 10U;
+      if (payload.size() + kOverhead > kMaxFrameBytes) {
+        ++core_->oversized;
+        return core_->handlers.on_send_failed(to, message, false);
+      }
+      it->second->Send(std::move(payload));
+    });
+  }
+  void SetPeer(const schema::PeerSettings& peer) override {
+    asio::post(core_->context, [this, peer] { AddPeer(peer); });
+  }
+  void SetFaults(const LinkFaults& faults) override {
+    asio::post(core_->context, [this, faults] {
+      faults_ = faults;
+      random_.seed(faults.seed);
+    });
+  }
+  void CutLink(const base::InstanceId& peer, bool cut) override;
+
+  PeerTransportStats stats() const override {
+    return {core_->received,  core_->forged,    core_->replayed,
+            core_->malformed, core_->oversized, core_->sent_bytes};
+  }
+  std::uint16_t udp_port() const override { return udp_port_; }
+  std::uint16_t tcp_port() const override { return tcp_port_; }
+  void Stop() override { End(); }
+
+ private:
+  void End();
+  base::Result<void> OpenSockets();
+  void AddPeer(const schema::PeerSettings& peer);
+  void Datagram(const PeerSender& to, const std::string& payload);
+  void Inject(const udp::endpoint& to, std::string bytes);
+  void Transmit(const udp::endpoint& to, const std::string& bytes);
+  void Receive();
+  void OnDatagram(std::size_t size);
+  void Accept();
+  void OnAccept(tcp::socket socket);
+  bool Chance(double probability) {
+    return probability > 0 && std::uniform_real_distribution<double>(0, 1)(random_) < probability;
+  }
+
+  std::shared_ptr<PeerCore> core_;
+  udp::socket udp_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer retry_;
+  std::uint16_t udp_port_ = 0;
+  std::uint16_t tcp_port_ = 0;
+  std::map<base::InstanceId, std::shared_ptr<PeerSender>> peers_;
+  std::list<std::weak_ptr<PeerReceiver>> receivers_;
+  std::shared_ptr<int> unproved_ = std::make_shared<int>();
+  std::map<base::InstanceId, std::uint64_t> sequences_;
+  ReplayFilter replay_;
+  std::array<char, 2'048> datagram_{};
+  udp::endpoint sender_;
+  LinkFaults faults_;
+  std::mt19937_64 random_{1};
+  /// A datagram that the fault injection holds back until the next one.
+  std::vector<std::pair<udp::endpoint, std::string>> held_;
+  std::thread thread_;
+};
+
+base::Result<void> Transport::OpenSockets() {
+  const auto& options = core_->options;
+  boost::system::error_code ec;
+  const auto address = asio::ip::make_address(options.bind_address, ec);
+  const udp::endpoint datagrams(address, options.udp_port);
+  const tcp::endpoint connections(address, options.tcp_port);
+  if (!ec) udp_.open(datagrams.protocol(), ec);
+  if (!ec) udp_.bind(datagrams, ec);
+  if (!ec) acceptor_.open(connections.protocol(), ec);
+  if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec) acceptor_.bind(connections, ec);
+  if (!ec) acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec) {
+    return base::Fail(base::ErrorCode::kInvalidRequest,
+                      "peer ports at " + options.bind_address + ": " + ec.message());
+  }
+  udp_port_ = udp_.local_endpoint(ec).port();
+  tcp_port_ = acceptor_.local_endpoint(ec).port();
+  return {};
+}
+
+base::Result<void> Transport::Open() {
+  if (core_->options.fleet_key.empty()) {
+    return base::Fail(base::ErrorCode::kInvalidRequest, "the fleet key is empty");
+  }
+  if (auto open = OpenSockets(); !open) return open;
+  asio::post(core_->context, [this] {
+    for (const auto& peer : core_->options.peers) AddPeer(peer);
+    Receive();
+    Accept();
+  });
+  thread_ = std::thread([this] {
+    const auto work = asio::make_work_guard(core_->context);
+    core_->context.run();
+  });
+  return {};
+}
+
+void Transport::End() {
+  if (!thread_.joinable()) return;
+  core_->context.stop();
+  thread_.join();
+  // Handlers that are left hold connections, and those hold the context; closing breaks the cycle.
+  for (const auto& [id, sender] : peers_) sender->Stop();
+  for (const auto& weak : receivers_) {
+    if (const auto receiver = weak.lock()) receiver->Close();
+  }
+  boost::system::error_code ec;
+  udp_.close(ec);
+  acceptor_.close(ec);
+  retry_.cancel();
+  core_->context.restart();
+  core_->context.poll();
+}
+
+void Transport::AddPeer(const schema::PeerSettings& peer) {
+  if (peer.instance == core_->options.instance) return;
+  auto& sender = peers_[peer.instance];
+  if (sender && sender->peer() == peer) return;
+  if (sender) {
+    sender->Break();
+    sender->Stop();
+  }
+  sender = std::make_shared<PeerSender>(core_, peer);
+  sender->Start();
+}
+
+void Transport::CutLink(const base::InstanceId& peer, bool cut) {
+  asio::post(core_->context, [this, peer, cut] {
+    if (!cut) {
+      core_->cut.erase(peer);
+      return;
+    }
+    core_->cut.insert(peer);
+    if (const auto it = peers_.find(peer); it != peers_.end()) it->second->Break();
+    for (const auto& weak : receivers_) {
+      const auto receiver = weak.lock();
+      if (receiver && receiver->from() == peer) receiver->Close();
+    }
+  });
+}
+
+void Transport::Datagram(const PeerSender& to, const std::string& payload) {
+  const auto& peer = to.peer();
+  if (core_->cut.contains(peer.instance)) return;
+  const auto header = core_->Header(peer.instance, ++sequences_[peer.instance]);
+  std::string bytes = SealFrame(header, payload, core_->options.fleet_key);
+  if (bytes.size() > kMaxDatagramBytes) {
+    ++core_->oversized;
+    return;
+  }
+  boost::system::error_code ec;
+  const auto address = asio::ip::make_address(peer.address, ec);
+  if (ec) return;
+  Inject({address, static_cast<std::uint16_t>(peer.udp_port)}, std::move(bytes));
+}
+
+// Applies the faults of a test; without them the datagram is sent as it is.
+void Transport::Inject(const udp::endpoint& to, std::string bytes) {
+  if (Chance(faults_.loss)) return;
+  const bool twice = Chance(faults_.duplication);
+  if (held_.empty() && Chance(faults_.reordering)) {
+    held_.emplace_back(to, std::move(bytes));
+    return;
+  }
+  Transmit(to, bytes);
+  if (twice) Transmit(to, bytes);
+  for (const auto& [endpoint, late] : std::exchange(held_, {})) Transmit(endpoint, late);
+}
+
+void Transport::Transmit(const udp::endpoint& to, const std::string& bytes) {
+  boost::system::error_code ec;
+  // A full send buffer drops the datagram, as the network may do.
+  const auto size = udp_.send_to(asio::buffer(bytes), to, MSG_DONTWAIT, ec);
+  if (!ec) core_->sent_bytes += size;
+}
+
+void Transport::Receive() {
+  udp_.async_receive_from(asio::buffer(datagram_), sender_,
+                          [this](boost::system::error_code ec, std::size_t size) {
+                            if (ec == asio::error::operation_aborted || !udp_.is_open()) return;
+                            if (!ec) OnDatagram(size);
+                            Receive();
+                          });
+}
+
+void Transport::OnDatagram(std::size_t size) {
+  if (size > kMaxDatagramBytes) {
+    ++core_->oversized;
+    return;
+  }
+  const auto frame = core_->Open({datagram_.data(), size});
+  if (!frame) return;
+  if (!frame->header.binding.empty() || !replay_.Accept(frame->header, PeerCore::WallMs())) {
+    ++core_->replayed;
+    return;
+  }
+  core_->Deliver(*frame);
+}
+
+void Transport::Accept() {
+  acceptor_.async_accept([this](boost::system::error_code ec, tcp::socket socket) {
+    if (ec == asio::error::operation_aborted || !acceptor_.is_open()) return;
+    if (!ec) {
+      OnAccept(std::move(socket));
+      return Accept();
+    }
+    retry_.expires_after(kAcceptRetry);
+    retry_.async_wait([this](boost::system::error_code failure) {
+      if (!failure) Accept();
+    });
+  });
+}
+
+void Transport::OnAccept(tcp::socket socket) {
+  receivers_.remove_if([](const auto& weak) { return weak.expired(); });
+  // The transport holds one share itself.
+  if (unproved_.use_count() > kMaxUnproved) return;
+  auto receiver = std::make_shared<PeerReceiver>(core_, std::move(socket), unproved_);
+  receivers_.push_back(receiver);
+  receiver->Start();
+}
+
+}  // namespace
+
+base::Result<std::unique_ptr<PeerTransport>> StartPeerTransport(PeerTransportOptions options,
+                                                                PeerTransportHandlers handlers) {
+  auto transport = std::make_unique<Transport>(std::move(options), std::move(handlers));
+  if (auto open = transport->Open(); !open) return tl::make_unexpected(open.error());
+  return transport;
+}
+
+}  // namespace persimmonstair::net
