--- /dev/null
+++ b/daemon/program/main.cpp
@@ -0,0 +1,147 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <thread>
+
+#include "instance.hpp"
+#include "log.hpp"
+#include "persimmonstair/platform/platform_worker.hpp"
+#include "persimmonstair/scheduler/scheduler.hpp"
+#include "settings_load.hpp"
+
+namespace persimmonstair::daemon {
+namespace {
+
+using DaemonInstance = Instance<scheduler::Scheduler>;
+
+constexpr int kExitSettings = 2;
+
+int Fail(const base::Error& error) {
+  std::cerr << error.message << '\n';
+  return kExitSettings;
+}
+
+std::string RandomText() {
+  std::random_device device;
+  char text[17];
+  std::snprintf(text, sizeof text, "%08x%08x", device(), device());
+  return text;
+}
+
+base::Result<InstanceOptions> ReadOptions(const schema::Settings& settings) {
+  InstanceOptions options;
+  options.settings = settings;
+  auto key = ReadFleetKey(settings);
+  if (!key) return tl::make_unexpected(key.error());
+  // Without peers nobody else needs to know the key.
+  options.fleet_key = key->empty() ? RandomText() + RandomText() : *key;
+  if (!settings.credentials_file.empty()) {
+    auto credentials = net::ReadCredentials(settings.credentials_file);
+    if (!credentials) return tl::make_unexpected(credentials.error());
+    options.credentials = std::move(*credentials);
+  }
+  options.process = RandomText();
+  // Grows with each start unless the clock goes back.
+  options.incarnation.value =
+      static_cast<std::uint64_t>(ReadClocks().wall.time_since_epoch().count());
+  return options;
+}
+
+scheduler::Options SchedulerOptions(const InstanceOptions& options) {
+  const auto& settings = options.settings;
+  scheduler::Options out;
+  out.instance = settings.instance;
+  out.data_centre = settings.data_centre;
+  out.process = options.process;
+  out.incarnation = options.incarnation;
+  for (const auto& peer : settings.peers) {
+    if (peer.instance != settings.instance) {
+      out.peers.push_back({peer.instance, peer.data_centre});
+    }
+  }
+  out.seed = std::random_device{}();
+  out.alone_stop = std::chrono::milliseconds(settings.isolation.alone_stop_ms);
+  out.datacentre_stop = std::chrono::milliseconds(settings.isolation.datacentre_stop_ms);
+  out.stop_timeout = std::chrono::milliseconds(settings.stop.timeout_ms);
+  return out;
+}
+
+base::Result<PlatformPort> StartPlatform(const schema::Settings& settings, EventSink sink) {
+  platform::WorkerSettings worker_settings;
+  auto log = platform::ParseEndpoint(settings.platform.log_url);
+  if (!log) return tl::make_unexpected(log.error());
+  worker_settings.log = *log;
+  if (!settings.platform.list_url.empty()) {
+    auto list = platform::ParseEndpoint(settings.platform.list_url);
+    if (!list) return tl::make_unexpected(list.error());
+    worker_settings.list = *list;
+  }
+  worker_settings.client.timeout = std::chrono::milliseconds(settings.platform.timeout_ms);
+  worker_settings.client.user_agent = "persimmonstair/" + settings.instance.value;
+  auto worker = std::make_shared<platform::PlatformWorker>(worker_settings, std::move(sink));
+  for (const auto& stream : scheduler::Scheduler::Streams()) worker->Follow(stream, {});
+  return PlatformPort{
+      [worker](scheduler::Append append) { worker->Execute(std::move(append)); },
+      [worker](scheduler::FetchRecords fetch) { worker->Execute(std::move(fetch)); },
+      [worker] { worker->Stop(); }};
+}
+
+// SIGTERM and SIGINT ask for a planned stop, and the second time for the end.
+int RunUntilStopped(DaemonInstance& instance) {
+  boost::asio::io_context context;
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  std::function<void()> wait = [&] {
+    signals.async_wait([&](boost::system::error_code ec, int /*number*/) {
+      if (ec) return;
+      instance.RequestStop();
+      wait();
+    });
+  };
+  wait();
+  std::thread listening([&] { context.run(); });
+  const int code = instance.Run();
+  context.stop();
+  listening.join();
+  return code;
+}
+
+int Main(int argc, char** argv) {
+  const auto line = ReadCommandLine({argv + 1, argv + argc});
+  if (!line) return Fail(line.error());
+  if (!line->help.empty()) {
+    std::cout << line->help;
+    return 0;
+  }
+  const auto options = ReadOptions(line->settings);
+  if (!options) return Fail(options.error());
+  if (line->print_effective) std::cout << nlohmann::json(line->settings).dump(2) << '\n';
+  if (line->check || line->print_effective) return 0;
+  std::vector<std::string> secrets = {options->fleet_key};
+  for (const auto& [name, token] : options->credentials) secrets.push_back(token);
+  StartLog(line->settings.log_level, line->settings.instance.value, std::move(secrets));
+  const auto platform = [&](EventSink sink) {
+    return StartPlatform(line->settings, std::move(sink));
+  };
+  auto instance =
+      DaemonInstance::Start(*options, platform, scheduler::Scheduler(SchedulerOptions(*options)));
+  if (!instance) return Fail(instance.error());
+  return RunUntilStopped(**instance);
+}
+
+}  // namespace
+}  // namespace persimmonstair::daemon
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return persimmonstair::daemon::Main(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "persimmonstaird: " << error.what() << '\n';
+    return 1;
+  }
+}
--- /dev/null
+++ b/daemon/settings_load.cpp
@@ -0,0 +1,167 @@
+#include "settings_load.hpp"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+namespace persimmonstair::daemon {
+namespace {
+
+using base::ErrorCode;
+using base::Fail;
+using Json = nlohmann::json;
+
+// HMAC-SHA-256 keys shorter than its output weaken it; 32 characters of hexadecimal or base64 text
+// hold at least 128 bits.
+constexpr std::size_t kMinFleetKeyBytes = 32;
+
+struct Flag {
+  Json::json_pointer path;
+  Json::value_t type;
+  std::string text;
+};
+
+// "/caller/port" is --caller.port and PERSIMMONSTAIR_CALLER_PORT.
+std::string FlagName(const std::string& pointer) {
+  std::string name = pointer.substr(1);
+  std::replace(name.begin(), name.end(), '/', '.');
+  return "--" + name;
+}
+
+std::string EnvironmentName(const std::string& pointer) {
+  std::string name = "PERSIMMONSTAIR" + pointer;
+  for (char& c : name) c = c == '/' ? '_' : static_cast<char>(std::toupper(c));
+  return name;
+}
+
+// One flag for each single value of the settings.
+std::map<std::string, Flag> AllFlags() {
+  std::map<std::string, Flag> flags;
+  for (const auto& [pointer, value] : Json(schema::Settings{}).flatten().items()) {
+    if (value.is_primitive() && !value.is_null()) {
+      flags[pointer] = Flag{Json::json_pointer(pointer), value.type(), {}};
+    }
+  }
+  return flags;
+}
+
+base::Result<Json> ReadFile(const std::string& file) {
+  std::ifstream in(file);
+  if (!in) return Fail(ErrorCode::kInvalidRequest, "settings file '" + file + "' cannot be read");
+  std::stringstream text;
+  text << in.rdbuf();
+  Json json;
+  try {
+    json = Json::parse(text.str());
+  } catch (const Json::parse_error& error) {
+    return Fail(ErrorCode::kInvalidRequest,
+                "settings file '" + file + "' is not valid JSON: " + error.what());
+  }
+  if (!json.is_object()) {
+    return Fail(ErrorCode::kInvalidRequest, "settings file '" + file + "' is not a JSON object");
+  }
+  return json;
+}
+
+base::Result<Json> ToValue(const Flag& flag) {
+  if (flag.type == Json::value_t::string) return Json(flag.text);
+  std::uint64_t number = 0;
+  const char* end = flag.text.data() + flag.text.size();
+  const auto [last, ec] = std::from_chars(flag.text.data(), end, number);
+  if (ec != std::errc{} || last != end) {
+    return Fail(ErrorCode::kInvalidRequest,
+                flag.path.to_string() + " = \"" + flag.text + "\": must be a whole number");
+  }
+  return Json(number);
+}
+
+// A value of the wrong shape in the file, such as a text instead of an object, is left for the
+// schema check, which names it.
+base::Result<void> Apply(const std::map<std::string, Flag>& flags, const CLI::App& app,
+                         Json& json) {
+  for (const auto& [pointer, flag] : flags) {
+    if (app.count(FlagName(pointer)) == 0) continue;
+    auto value = ToValue(flag);
+    if (!value) return tl::make_unexpected(value.error());
+    try {
+      json[flag.path] = std::move(*value);
+    } catch (const Json::exception&) {
+      return Fail(ErrorCode::kInvalidRequest,
+                  flag.path.parent_pointer().to_string() + ": must be an object");
+    }
+  }
+  return {};
+}
+
+std::string Trimmed(std::string text) {
+  const auto end = text.find_last_not_of(" \t\r\n");
+  text.erase(end == std::string::npos ? 0 : end + 1);
+  return text;
+}
+
+}  // namespace
+
+base::Result<CommandLine> ReadCommandLine(std::vector<std::string> arguments) {
+  CLI::App app("Entry instance of persimmonstair", "persimmonstaird");
+  CommandLine out;
+  std::string file;
+  app.add_option("--config", file, "JSON settings file")->envname("PERSIMMONSTAIR_CONFIG");
+  app.add_flag("--check", out.check, "Check the settings and exit");
+  app.add_flag("--print-effective", out.print_effective, "Print the settings in effect and exit");
+  auto flags = AllFlags();
+  for (auto& [pointer, flag] : flags) {
+    app.add_option(FlagName(pointer), flag.text)->envname(EnvironmentName(pointer));
+  }
+  // CLI11 takes the arguments from the back.
+  std::reverse(arguments.begin(), arguments.end());
+  try {
+    app.parse(std::move(arguments));
+  } catch (const CLI::CallForHelp&) {
+    out.help = app.help();
+    return out;
+  } catch (const CLI::ParseError& error) {
+    return Fail(ErrorCode::kInvalidRequest, error.what());
+  }
+  Json json = Json::object();
+  if (!file.empty()) {
+    auto read = ReadFile(file);
+    if (!read) return tl::make_unexpected(read.error());
+    json = std::move(*read);
+  }
+  if (auto applied = Apply(flags, app, json); !applied) {
+    return tl::make_unexpected(applied.error());
+  }
+  auto settings = ParseSettings(json);
+  if (!settings) return tl::make_unexpected(settings.error());
+  out.settings = std::move(*settings);
+  return out;
+}
+
+base::Result<std::string> ReadFleetKey(const schema::Settings& settings) {
+  std::string key;
+  if (const char* text = std::getenv("PERSIMMONSTAIR_FLEET_KEY"); text != nullptr) {
+    key = Trimmed(text);
+  } else if (!settings.fleet_key_file.empty()) {
+    std::ifstream in(settings.fleet_key_file);
+    if (!in) {
+      return Fail(ErrorCode::kInvalidRequest,
+                  "/fleet_key_file = \"" + settings.fleet_key_file + "\": the file cannot be read");
+    }
+    std::stringstream text;
+    text << in.rdbuf();
+    key = Trimmed(text.str());
+  }
+  if (key.empty() && settings.peers.empty()) return key;
+  if (key.size() < kMinFleetKeyBytes) {
+    return Fail(ErrorCode::kInvalidRequest,
+                "the fleet key (PERSIMMONSTAIR_FLEET_KEY or /fleet_key_file) must have at least " +
+                    std::to_string(kMinFleetKeyBytes) + " characters");
+  }
+  return key;
+}
+
+}  // namespace persimmonstair::daemon
