--- a/src/persimmonstair/scheduler/callers.cpp
+++ b/src/persimmonstair/scheduler/callers.cpp
@@ -248,8 +248,17 @@
 
 void Scheduler::Core::ExpireRequests() {
   std::vector<base::RequestId> due;
+  std::vector<base::RequestId> lost;
   for (const auto& [id, request] : requests_) {
     if (now_.monotonic >= request.deadline + kDeadlineSlack) due.push_back(id);
+    if (request.stage == Stage::kForwarded &&
+        liveness_.StateOf(request.handler, now_.monotonic) == membership::State::kDead) {
+      lost.push_back(id);
+    }
+  }
+  for (const auto& id : lost) {
+    FinishError(id, {ErrorCode::kOwnerUnavailable, "the instance that handles the request died",
+                     Verdict::kMayHaveRun, std::chrono::seconds{5}});
   }
   for (const auto& id : due) {
     const Request* request = Find(id);
--- a/src/persimmonstair/scheduler/promises_test.cpp
+++ b/src/persimmonstair/scheduler/promises_test.cpp
@@ -150,7 +150,7 @@
   const std::string orphan = fleet.MustOpen(1);
   ASSERT_EQ(StatusCode(fleet.Wait(fleet.Turn(1, orphan, "x", 1))), 200U);
   fleet.Kill(1);
-  fleet.Run(seconds{20 * 60});
+  fleet.Run(seconds{20 * 60}, milliseconds{100});
   for (const char* name : {"engine-1", "engine-2"}) {
     EXPECT_TRUE(fleet.targets[name].held.empty()) << name;
   }
@@ -368,8 +368,10 @@
 }
 
 // Guards against an instance that starts after the first records expired and misses their state.
-TEST_F(PromiseTest, LateReaderReachesTheSameStateFromASnapshot) {
-  fleet.Run(std::chrono::hours{12} + seconds{30});
+TEST(RetentionTest, LateReaderReachesTheSameStateFromASnapshot) {
+  Fleet fleet{3, 1, seconds{60}};
+  fleet.Start();
+  fleet.Run(seconds{40});
   for (auto& [name, stream] : fleet.log.streams) {
     if (name.value == "catalogue" || name.value == "control") stream.oldest = 1;
   }
--- a/src/persimmonstair/scheduler/test/fleet.cpp
+++ b/src/persimmonstair/scheduler/test/fleet.cpp
@@ -96,11 +96,13 @@
   return out;
 }
 
-Fleet::Fleet(int instances, std::uint64_t seed) : now_(std::chrono::seconds{1000}), seed_(seed) {
+Fleet::Fleet(int instances, std::uint64_t seed, base::Duration retention)
+    : now_(std::chrono::seconds{1000}), seed_(seed) {
   nodes_.resize(static_cast<std::size_t>(instances));
   for (int n = 0; n < instances; ++n) {
     Options& options = nodes_[n].options;
     options.instance = {"i" + std::to_string(n + 1)};
+    options.retention = retention;
     options.data_centre = {"d" + std::to_string(1 + n % 3)};
     for (int other = 0; other < instances; ++other) {
       if (other == n) continue;
@@ -197,10 +199,10 @@
   });
 }
 
-void Fleet::Run(base::Duration duration) {
+void Fleet::Run(base::Duration duration, base::Duration step) {
   const base::TimePoint end = now_ + duration;
   while (now_ < end) {
-    now_ += kStep;
+    now_ += step;
     while (!queue_.empty() && queue_.begin()->first <= now_) {
       auto action = std::move(queue_.begin()->second);
       queue_.erase(queue_.begin());
--- a/src/persimmonstair/scheduler/test/fleet.hpp
+++ b/src/persimmonstair/scheduler/test/fleet.hpp
@@ -48,12 +48,13 @@
 class Fleet {
  public:
   /// Instances "i1".."iN", spread over data centres "d1".."d3".
-  explicit Fleet(int instances, std::uint64_t seed = 1);
+  explicit Fleet(int instances, std::uint64_t seed = 1,
+                 base::Duration retention = std::chrono::hours{24});
 
   /// Appends the test catalogue and waits until every instance has it.
   void Start();
-  /// Runs for this long in virtual time.
-  void Run(base::Duration duration);
+  /// Runs for this long in virtual time; a longer step makes long runs cheaper.
+  void Run(base::Duration duration, base::Duration step = std::chrono::milliseconds{10});
   /// Runs until the request is answered or the time is over.
   const Reply* Wait(base::RequestId request, base::Duration longest = std::chrono::seconds{30});
 
