--- a/src/persimmonstair/scheduler/core.cpp
+++ b/src/persimmonstair/scheduler/core.cpp
@@ -85,11 +85,11 @@
   out.stopping = stopping_since_.has_value();
   out.log_reachable = LogReachable();
   out.catalogue_version = catalogue_.version();
-  out.incarnation = keeper_.view().incarnation;
+  out.incarnation = keeper_.View().incarnation;
   out.live = liveness_.Live(now.monotonic);
   out.requests = requests_.size();
-  out.queued = router_.queued();
-  out.running = router_.running();
+  out.queued = router_.Queued();
+  out.running = router_.Running();
   out.programs_known = store_.index().size();
   out.program_bytes = store_.bytes();
   out.unsettled = store_.Unsettled() + effects_.live();
--- a/src/persimmonstair/scheduler/peers.cpp
+++ b/src/persimmonstair/scheduler/peers.cpp
@@ -55,7 +55,7 @@
   heartbeat.in_flight = Rotate(router_.InFlight(), kHeartbeatTargets, heartbeat_rotation_);
   heartbeat.attained_us =
       Rotate(router_.AttainedMicros(), kHeartbeatWorkspaces, heartbeat_rotation_);
-  heartbeat.registered = keeper_.view().incarnation;
+  heartbeat.registered = keeper_.View().incarnation;
   Emit(BroadcastPeer{std::move(heartbeat)});
 }
 
--- a/src/persimmonstair/scheduler/stop.cpp
+++ b/src/persimmonstair/scheduler/stop.cpp
@@ -46,7 +46,7 @@
     if (!live.empty()) Perform(limiter_.Leave(now_.monotonic, registry_, live.front()));
     keeper_.Leave(now_.monotonic);
   }
-  const bool done = leaving_ && keeper_.left() && appends_.pending() == 0;
+  const bool done = leaving_ && keeper_.Left() && appends_.pending() == 0;
   if (!done && !late) return;
   stopped_ = true;
   Emit(Stopped{done ? std::string() : Unfinished()});
