--- /dev/null
+++ b/daemon/instance_test.cpp
@@ -0,0 +1,317 @@
+#include "instance.hpp"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "test_socket.hpp"
+
+namespace persimmonstair::daemon {
+namespace {
+
+using net::TestQueue;
+using net::TestServer;
+using net::TestSocket;
+using scheduler::Action;
+using scheduler::Event;
+
+constexpr const char* kTurn =
+    "POST /v1/programs/p.1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+    "Authorization: Bearer sk-test-0123456789\r\nContent-Length: 15\r\n\r\n{\"stream\":true}";
+constexpr const char* kGet = "GET /v1/programs/p.1 HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr const char* kChunk =
+    "data: {\"id\":\"c1\",\"model\":\"m\",\"choices\":[{\"delta\":{\"content\":\"hi\"}}]}\n\n";
+
+using Actions = std::vector<Action>;
+
+// A scheduler whose decisions a test states as a function.
+class FakeScheduler {
+ public:
+  using Function = std::function<Actions(const Event&)>;
+  explicit FakeScheduler(Function function) : function_(std::move(function)) {}
+
+  std::vector<Action> Handle(const base::Now& /*now*/, Event event) { return function_(event); }
+  scheduler::Status status(const base::Now& /*now*/) const {
+    scheduler::Status status;
+    status.ready = true;
+    status.catalogue_version = 7;
+    status.live = {{"i1"}};
+    return status;
+  }
+
+ private:
+  Function function_;
+};
+
+using FakeInstance = Instance<FakeScheduler>;
+
+scheduler::Reply MakeReply(base::RequestId request, std::string body) {
+  scheduler::Reply reply;
+  reply.request = request;
+  reply.body = std::move(body);
+  reply.workspace = {"north"};
+  reply.entry_class = "interactive";
+  return reply;
+}
+
+InstanceOptions Options(const std::string& id) {
+  InstanceOptions options;
+  options.settings.instance = {id};
+  options.settings.data_centre = {"dc1"};
+  options.settings.caller.port = 0;
+  options.settings.udp_port = 0;
+  options.settings.tcp_port = 0;
+  options.settings.admin_port = 0;
+  options.fleet_key = "fleet-key-of-the-tests-0123456789";
+  options.process = "process-" + id;
+  options.incarnation.value = 5;
+  return options;
+}
+
+// Gives back what an append would do without a log.
+PlatformStarter NoPlatform() {
+  return [](EventSink sink) -> base::Result<PlatformPort> {
+    return PlatformPort{
+        [sink](scheduler::Append append) {
+          sink(scheduler::AppendDone{append.append, scheduler::AppendOutcome::kNotAppended, {}});
+        },
+        [sink](scheduler::FetchRecords fetch) {
+          sink(scheduler::RecordsFetched{fetch.stream, {}, true});
+        },
+        [] {}};
+  };
+}
+
+std::unique_ptr<FakeInstance> StartInstance(InstanceOptions options,
+                                            FakeScheduler::Function function) {
+  auto instance =
+      FakeInstance::Start(std::move(options), NoPlatform(), FakeScheduler(std::move(function)));
+  if (!instance) ADD_FAILURE() << instance.error().message;
+  return instance ? std::move(*instance) : nullptr;
+}
+
+scheduler::Dispatch ToTarget(base::RequestId request, std::uint16_t port) {
+  scheduler::Dispatch dispatch;
+  dispatch.attempt = {request.value};
+  dispatch.request = request;
+  dispatch.address = "127.0.0.1";
+  dispatch.port = port;
+  dispatch.path = "/v1/chat/completions";
+  dispatch.body = "{}";
+  dispatch.relay = true;
+  return dispatch;
+}
+
+// Sends turns to a target, answers when it is done, and stops when asked.
+Actions Proxy(const Event& event, std::uint16_t port) {
+  if (const auto* request = std::get_if<scheduler::CallerRequest>(&event)) {
+    if (request->kind != scheduler::CallKind::kTurn) return {MakeReply(request->request, "read")};
+    return {ToTarget(request->request, port)};
+  }
+  if (const auto* done = std::get_if<scheduler::TargetDone>(&event)) {
+    return {MakeReply({done->attempt.value}, "data: [DONE]\n\n")};
+  }
+  if (const auto* gone = std::get_if<scheduler::CallerGone>(&event)) {
+    return {scheduler::CancelAttempt{{gone->request.value}}};
+  }
+  if (std::holds_alternative<scheduler::StopRequested>(event)) return {scheduler::Stopped{}};
+  return {};
+}
+
+std::string Get(std::uint16_t port, const std::string& path, const std::string& method = "GET") {
+  TestSocket client(port);
+  client.Send(method + " " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+  const auto response = client.ReadResponse();
+  return std::to_string(response.status) + " " + response.body;
+}
+
+TEST(InstanceTest, RelaysAStreamFromTargetToCallerAndEndsItByTheReply) {
+  TestServer target([](TestSocket& socket) {
+    EXPECT_EQ(socket.ReadRequest().start, "POST /v1/chat/completions");
+    socket.Send(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked"
+        "\r\n\r\n");
+    const std::string body = std::string(kChunk) + "data: [DONE]\n\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", body.size());
+    socket.Send(size + body + "\r\n0\r\n\r\n");
+    socket.ReadAll();
+  });
+  auto instance =
+      StartInstance(Options("i1"), [&](const Event& event) { return Proxy(event, target.port()); });
+  TestSocket client(instance->core().caller_port());
+  client.Send(kTurn);
+  const auto response = client.ReadResponse();
+  EXPECT_EQ(response.status, 200U);
+  EXPECT_EQ(response.body, std::string(kChunk) + "data: [DONE]\n\n");
+}
+
+TEST(InstanceTest, ACallerThatLeavesCancelsItsAttempt) {
+  TestQueue<std::string> ended;
+  TestServer target([&](TestSocket& socket) {
+    socket.ReadRequest();
+    // Silent until the instance closes the connection.
+    ended.Push(socket.ReadAll());
+  });
+  TestQueue<scheduler::TargetFailed> failed;
+  auto instance = StartInstance(Options("i1"), [&](const Event& event) {
+    if (const auto* failure = std::get_if<scheduler::TargetFailed>(&event)) failed.Push(*failure);
+    return Proxy(event, target.port());
+  });
+  TestSocket client(instance->core().caller_port());
+  client.Send(kTurn);
+  while (target.connections() == 0) std::this_thread::yield();
+  client.Reset();
+  const auto failure = failed.Pop();
+  EXPECT_EQ(failure.kind, scheduler::FailureKind::kCancelled);
+  EXPECT_EQ(failure.verdict, base::Verdict::kMayHaveRun);
+  EXPECT_EQ(ended.Pop(), "");
+}
+
+TEST(InstanceTest, AdminPortReportsStateAndFigures) {
+  auto instance = StartInstance(Options("i1"), [](const Event& event) { return Proxy(event, 1); });
+  TestSocket client(instance->core().caller_port());
+  client.Send(kGet);
+  EXPECT_EQ(client.ReadResponse().body, "read");
+  const auto port = instance->core().admin_port();
+  while (Get(port, "/readyz") != "200 ready\n") std::this_thread::yield();
+  EXPECT_EQ(Get(port, "/healthz"), "200 ok\n");
+  const auto status = nlohmann::json::parse(Get(port, "/status").substr(4));
+  EXPECT_EQ(status["instance"], "i1");
+  EXPECT_EQ(status["data_centre"], "dc1");
+  EXPECT_EQ(status["state"], "live");
+  EXPECT_EQ(status["catalogue_version"], 7);
+  EXPECT_EQ(status["live"], nlohmann::json::array({"i1"}));
+  const std::string metrics = Get(port, "/metrics");
+  for (const char* name :
+       {"persimmonstair_request_seconds_bucket{class=\"interactive\",workspace=\"north\"",
+        "persimmonstair_answers_total{class=\"interactive\",status=\"200\",workspace=\"north\"} 1",
+        "persimmonstair_catalogue_version 7", "persimmonstair_ring_used", "persimmonstair_queued",
+        "persimmonstair_running"}) {
+    EXPECT_NE(metrics.find(name), std::string::npos) << name;
+  }
+  EXPECT_EQ(Get(port, "/other").substr(0, 3), "404");
+}
+
+// Guards against a planned stop that breaks a request that is being served.
+TEST(InstanceTest, DrainFinishesRequestsAndExitsWithZero) {
+  TestQueue<base::RequestId> asked;
+  std::atomic<bool> stop_seen{false};
+  base::RequestId open;
+  auto instance = StartInstance(Options("i1"), [&](const Event& event) -> Actions {
+    if (const auto* request = std::get_if<scheduler::CallerRequest>(&event)) {
+      open = request->request;
+      asked.Push(open);
+    }
+    if (std::holds_alternative<scheduler::StopRequested>(event)) stop_seen = true;
+    // The request is answered only after the stop has begun.
+    if (std::holds_alternative<scheduler::Tick>(event) && stop_seen) {
+      return {MakeReply(open, "whole"), scheduler::Stopped{}};
+    }
+    return {};
+  });
+  TestSocket client(instance->core().caller_port());
+  client.Send(kGet);
+  asked.Pop();
+  EXPECT_EQ(Get(instance->core().admin_port(), "/admin/drain", "POST").substr(0, 3), "202");
+  EXPECT_EQ(instance->Run(), kExitStopped);
+  const auto response = client.ReadResponse();
+  EXPECT_EQ(response.body, "whole");
+  EXPECT_EQ(response.headers.at("connection"), "close");
+}
+
+TEST(InstanceTest, AStopThatHangsEndsAfterItsTimeout) {
+  auto options = Options("i1");
+  options.settings.stop.timeout_ms = 0;
+  auto instance = StartInstance(std::move(options), [](const Event&) { return Actions{}; });
+  instance->RequestStop();
+  EXPECT_EQ(instance->Run(), kExitForced);
+}
+
+TEST(InstanceTest, ASecondStopRequestEndsAtOnce) {
+  auto instance = StartInstance(Options("i1"), [](const Event&) { return Actions{}; });
+  instance->RequestStop();
+  EXPECT_EQ(Get(instance->core().admin_port(), "/readyz"), "503 not ready\n");
+  instance->RequestStop();
+  EXPECT_EQ(instance->Run(), kExitForced);
+}
+
+TEST(InstanceTest, ASupersededProcessEnds) {
+  auto instance =
+      StartInstance(Options("i1"), [](const Event&) { return Actions{scheduler::Superseded{}}; });
+  EXPECT_EQ(instance->Run(), kExitSuperseded);
+}
+
+// Guards against a full ring that blocks or drops: requests are refused, the rest goes on.
+TEST(InstanceTest, AFullRingRefusesRequests) {
+  auto options = Options("i1");
+  options.ring_capacity = 4;
+  std::atomic<bool> hang{true};
+  std::atomic<bool> hanging{false};
+  auto instance = StartInstance(std::move(options), [&](const Event& event) -> Actions {
+    hanging = true;
+    while (hang) std::this_thread::yield();
+    return Proxy(event, 1);
+  });
+  while (!hanging) std::this_thread::yield();
+  const auto port = instance->core().caller_port();
+  std::vector<std::unique_ptr<TestSocket>> clients;
+  for (int n = 0; n < 3; ++n) {
+    clients.push_back(std::make_unique<TestSocket>(port));
+    clients.back()->Send(kGet);
+    if (n < 2) {
+      while (instance->core().events().size() != static_cast<std::size_t>(n) + 1) {
+        std::this_thread::yield();
+      }
+    }
+  }
+  const auto refused = clients[2]->ReadResponse();
+  hang = false;
+  EXPECT_EQ(refused.status, 503U);
+  EXPECT_NE(refused.body.find("not_run"), std::string::npos);
+  for (int n = 0; n < 2; ++n) EXPECT_EQ(clients[n]->ReadResponse().body, "read");
+}
+
+// Two instances: the first sends its caller's turns on to the second, which has the target.
+TEST(InstanceTest, AForwardedStreamPassesThroughBothInstances) {
+  TestServer target([](TestSocket& socket) {
+    socket.ReadRequest();
+    socket.Send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + std::string(kChunk) +
+                "data: [DONE]\n\n");
+  });
+  auto owner = StartInstance(Options("i2"), [&](const Event& event) -> Actions {
+    const auto* peer = std::get_if<scheduler::PeerReceived>(&event);
+    if (peer != nullptr && std::holds_alternative<schema::ForwardedRequest>(peer->message)) {
+      EXPECT_EQ(peer->from.value, "i1");
+      return {ToTarget(peer->request, target.port())};
+    }
+    return Proxy(event, target.port());
+  });
+  auto options = Options("i1");
+  options.settings.peers = {
+      {{"i2"}, {"dc1"}, "127.0.0.1", owner->core().udp_port(), owner->core().tcp_port()}};
+  auto entry = StartInstance(std::move(options), [&](const Event& event) -> Actions {
+    if (const auto* request = std::get_if<scheduler::CallerRequest>(&event)) {
+      schema::ForwardedRequest forwarded;
+      forwarded.request = request->request;
+      return {scheduler::SendPeer{{"i2"}, forwarded, true}};
+    }
+    // The link may not be open yet.
+    if (const auto* failed = std::get_if<scheduler::PeerSendFailed>(&event)) {
+      return {scheduler::SendPeer{failed->to, failed->message, true}};
+    }
+    const auto* peer = std::get_if<scheduler::PeerReceived>(&event);
+    if (peer == nullptr) return {};
+    const auto* reply = std::get_if<schema::ForwardedReply>(&peer->message);
+    return reply == nullptr ? Actions{} : Actions{MakeReply(reply->request, reply->body)};
+  });
+  owner->core().peers().SetPeer(
+      {{"i1"}, {"dc1"}, "127.0.0.1", entry->core().udp_port(), entry->core().tcp_port()});
+  TestSocket client(entry->core().caller_port());
+  client.Send(kTurn);
+  EXPECT_EQ(client.ReadResponse().body, std::string(kChunk) + "data: [DONE]\n\n");
+}
+
+}  // namespace
+}  // namespace persimmonstair::daemon
