--- a/daemon/settings_load.cpp
+++ b/daemon/settings_load.cpp
@@ -41,7 +41,8 @@
 // One flag for each single value of the settings.
 std::map<std::string, Flag> AllFlags() {
   std::map<std::string, Flag> flags;
-  for (const auto& [pointer, value] : Json(schema::Settings{}).flatten().items()) {
+  const Json defaults = Json(schema::Settings{}).flatten();
+  for (const auto& [pointer, value] : defaults.items()) {
     if (value.is_primitive() && !value.is_null()) {
       flags[pointer] = Flag{Json::json_pointer(pointer), value.type(), {}};
     }
--- a/daemon/settings_test.cpp
+++ b/daemon/settings_test.cpp
@@ -68,8 +68,9 @@
                                {"address", "127.0.0.1"},
                                {"udp_port", 1},
                                {"tcp_port", 1}};
-  EXPECT_EQ(ErrorOf("/peers", {peer}), "");
-  EXPECT_NE(ErrorOf("/peers", {peer, peer}).find("unique"), std::string::npos);
+  EXPECT_EQ(ErrorOf("/peers", nlohmann::json::array({peer})), "");
+  EXPECT_NE(ErrorOf("/peers", nlohmann::json::array({peer, peer})).find("unique"),
+            std::string::npos);
   const auto missing = ParseSettings(nlohmann::json::parse(R"({"data_centre":"dc1"})"));
   ASSERT_FALSE(missing.has_value());
   EXPECT_NE(missing.error().message.find("instance"), std::string::npos);
--- /dev/null
+++ b/src/persimmonstair/net/target_client_test.cpp
@@ -0,0 +1,369 @@
+#include "persimmonstair/net/target_client.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "test_socket.hpp"
+
+namespace persimmonstair::net {
+namespace {
+
+using base::Verdict;
+using scheduler::FailureKind;
+
+constexpr const char* kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr const char* kStreamHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr const char* kEvent = "data: {\"choices\":[{\"delta\":{\"content\":\"hi\"}}]}\n\n";
+
+// An ended attempt: `kind` is empty for a whole answer.
+struct Outcome {
+  std::string kind;
+  scheduler::TargetDone done;
+  scheduler::TargetFailed failed;
+};
+
+std::string Chunk(const std::string& data) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", data.size());
+  return size + data + "\r\n";
+}
+
+class TargetClientTest : public testing::Test {
+ protected:
+  ~TargetClientTest() override {
+    if (client_) client_->Stop();
+    pool_.Stop();
+  }
+
+  void Start() {
+    options_.correlation_prefix = "test";
+    TargetClientHandlers handlers;
+    handlers.on_first_byte = [this](scheduler::TargetFirstByte event) { first_.Push(event); };
+    handlers.on_done = [this](scheduler::TargetDone event) {
+      outcomes_.Push({"", std::move(event), {}});
+    };
+    handlers.on_failed = [this](scheduler::TargetFailed event) {
+      outcomes_.Push({"failed", {}, event});
+    };
+    handlers.relay = [this](base::RequestId request, std::string data) {
+      EXPECT_EQ(request.value, 77U);
+      relayed_.Push(std::move(data));
+    };
+    client_ = MakeTargetClient(pool_, options_, handlers);
+  }
+
+  scheduler::Dispatch To(std::uint16_t port) {
+    scheduler::Dispatch dispatch;
+    dispatch.attempt = {++attempts_};
+    dispatch.request = {77};
+    dispatch.address = "127.0.0.1";
+    dispatch.port = port;
+    dispatch.path = "/run";
+    dispatch.body = "{}";
+    dispatch.relay = true;
+    return dispatch;
+  }
+
+  Outcome Run(scheduler::Dispatch dispatch) {
+    const auto attempt = dispatch.attempt;
+    client_->Dispatch(std::move(dispatch));
+    auto outcome = outcomes_.Pop();
+    EXPECT_EQ(outcome.kind.empty() ? outcome.done.attempt : outcome.failed.attempt, attempt);
+    return outcome;
+  }
+
+  // Runs one attempt against a target that answers with these bytes and closes.
+  Outcome RunAgainst(const std::string& answer) {
+    TestServer server([&](TestSocket& socket) {
+      socket.ReadRequest();
+      socket.Send(answer);
+    });
+    return Run(To(server.port()));
+  }
+
+  void ExpectFailed(const Outcome& outcome, FailureKind kind, Verdict verdict) {
+    ASSERT_EQ(outcome.kind, "failed");
+    EXPECT_EQ(outcome.failed.kind, kind);
+    EXPECT_EQ(outcome.failed.verdict, verdict);
+  }
+
+  // One thread, so that all attempts share one pool of connections.
+  IoPool pool_{1};
+  TargetClientOptions options_;
+  std::unique_ptr<TargetClient> client_;
+  std::uint64_t attempts_ = 0;
+  TestQueue<scheduler::TargetFirstByte> first_;
+  TestQueue<Outcome> outcomes_;
+  TestQueue<std::string> relayed_;
+};
+
+// Guards against a caller's key, or framing, that gets to a target through dispatch headers.
+TEST_F(TargetClientTest, SendsOnlyAllowedHeadersAndTheNamedCredential) {
+  options_.credentials["engine"] = "engine-token";
+  Start();
+  TestQueue<TestMessage> requests;
+  TestServer server([&](TestSocket& socket) {
+    requests.Push(socket.ReadRequest());
+    socket.Send(kOk);
+  });
+  auto dispatch = To(server.port());
+  dispatch.credential = "engine";
+  dispatch.headers = {{"x-a", "1"},
+                      {"Authorization", "Bearer callers-key"},
+                      {"content-length", "9"},
+                      {"x-split", "1\r\nx-injected: 1"}};
+  EXPECT_EQ(Run(dispatch).done.body, "ok");
+  const auto request = requests.Pop();
+  EXPECT_EQ(request.start, "POST /run");
+  EXPECT_EQ(request.body, "{}");
+  EXPECT_EQ(request.headers.at("authorization"), "Bearer engine-token");
+  EXPECT_EQ(request.headers.at("x-a"), "1");
+  EXPECT_EQ(request.headers.at("persimmonstair-correlation"), "test-1");
+  EXPECT_EQ(request.headers.count("x-split") + request.headers.count("x-injected"), 0U);
+}
+
+TEST_F(TargetClientTest, ADispatchThatCannotBeSentHasNotRun) {
+  Start();
+  TestServer server([](TestSocket& socket) { socket.ReadAll(); });
+  auto unknown = To(server.port());
+  unknown.credential = "missing";
+  ExpectFailed(Run(unknown), FailureKind::kConnectRefused, Verdict::kNotRun);
+  auto path = To(server.port());
+  path.path = "/a b";
+  ExpectFailed(Run(path), FailureKind::kConnectRefused, Verdict::kNotRun);
+  auto address = To(server.port());
+  address.address = "localhost";
+  ExpectFailed(Run(address), FailureKind::kConnectRefused, Verdict::kNotRun);
+  EXPECT_EQ(server.connections(), 0);
+}
+
+TEST_F(TargetClientTest, ARefusedConnectionHasNotRun) {
+  Start();
+  std::uint16_t port = 0;
+  {
+    port = TestServer([](TestSocket&) {}).port();
+  }
+  ExpectFailed(Run(To(port)), FailureKind::kConnectRefused, Verdict::kNotRun);
+}
+
+TEST_F(TargetClientTest, ConnectionsAreReused) {
+  Start();
+  TestServer server([](TestSocket& socket) {
+    while (socket.ReadRequest().status != 0) socket.Send(kOk);
+  });
+  for (int n = 0; n < 3; ++n) EXPECT_EQ(Run(To(server.port())).done.body, "ok");
+  EXPECT_EQ(server.connections(), 1);
+  auto fresh = To(server.port());
+  fresh.fresh_connection = true;
+  EXPECT_EQ(Run(fresh).done.body, "ok");
+  EXPECT_EQ(server.connections(), 2);
+}
+
+// Guards against a late answer that is taken for the answer of the next request.
+TEST_F(TargetClientTest, AConnectionWithAnUnexpectedByteIsNotReused) {
+  Start();
+  TestQueue<int> sent;
+  TestQueue<std::string> ended;
+  std::atomic<int> first{0};
+  TestServer server([&](TestSocket& socket) {
+    if (first++ > 0) {
+      socket.ReadRequest();
+      socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew");
+      return;
+    }
+    socket.ReadRequest();
+    socket.Send(kOk);
+    // The idle connection gets a whole answer that nobody asked for.
+    sent.Pop();
+    socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+    ended.Push(socket.ReadAll());
+  });
+  EXPECT_EQ(Run(To(server.port())).done.body, "ok");
+  sent.Push(1);
+  EXPECT_EQ(ended.Pop(), "");
+  EXPECT_EQ(Run(To(server.port())).done.body, "new");
+}
+
+TEST_F(TargetClientTest, BytesAfterAnAnswerEndTheConnection) {
+  Start();
+  TestQueue<std::string> ended;
+  TestServer server([&](TestSocket& socket) {
+    socket.ReadRequest();
+    socket.Send(std::string(kOk) + "x");
+    ended.Push(socket.ReadAll());
+  });
+  EXPECT_EQ(Run(To(server.port())).done.body, "ok");
+  EXPECT_EQ(ended.Pop(), "");
+}
+
+// Guards against an answer to another request.
+TEST_F(TargetClientTest, AnEchoedCorrelationIdMustBeOurs) {
+  Start();
+  const auto head = std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n");
+  EXPECT_EQ(RunAgainst(head + "persimmonstair-correlation: test-1\r\n\r\nok").done.body, "ok");
+  ExpectFailed(RunAgainst(head + "persimmonstair-correlation: test-1\r\n\r\nok"),
+               FailureKind::kMalformedAnswer, Verdict::kMayHaveRun);
+}
+
+TEST_F(TargetClientTest, TruncatedAndMalformedAnswersFail) {
+  Start();
+  const auto closed = FailureKind::kConnectionClosed;
+  const auto malformed = FailureKind::kMalformedAnswer;
+  ExpectFailed(RunAgainst(""), closed, Verdict::kMayHaveRun);
+  ExpectFailed(RunAgainst("HTTP/1.1 200 OK\r\nContent-Le"), closed, Verdict::kMayHaveRun);
+  ExpectFailed(RunAgainst("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"), closed,
+               Verdict::kMayHaveRun);
+  ExpectFailed(RunAgainst("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"),
+               closed, Verdict::kMayHaveRun);
+  ExpectFailed(RunAgainst("HTTP/1.1 200 OK\r\n\r\nno length"), malformed, Verdict::kMayHaveRun);
+  ExpectFailed(RunAgainst("nonsense\r\n\r\n"), malformed, Verdict::kMayHaveRun);
+  ExpectFailed(RunAgainst("HTTP/1.1 101 Switching\r\n\r\n"), malformed, Verdict::kMayHaveRun);
+  options_.max_answer_bytes = 10;
+  Start();
+  ExpectFailed(RunAgainst("HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n"), malformed,
+               Verdict::kMayHaveRun);
+}
+
+TEST_F(TargetClientTest, AStreamIsRelayedAndAssembled) {
+  Start();
+  const auto outcome = RunAgainst(kStreamHead + Chunk(kEvent) + Chunk(kEvent) +
+                                  Chunk("data: [DONE]\n\n") + "0\r\n\r\n");
+  ASSERT_EQ(outcome.kind, "");
+  const auto json = nlohmann::json::parse(outcome.done.body);
+  EXPECT_EQ(json["choices"][0]["message"]["content"], "hihi");
+  std::string relayed;
+  for (auto left = relayed_.size(); left > 0; --left) relayed += relayed_.Pop();
+  EXPECT_EQ(relayed, std::string(kEvent) + kEvent);
+  EXPECT_EQ(first_.size(), 1U);
+}
+
+TEST_F(TargetClientTest, AStreamWithoutItsEndFails) {
+  Start();
+  auto outcome = RunAgainst(kStreamHead + Chunk(kEvent));
+  ExpectFailed(outcome, FailureKind::kConnectionClosed, Verdict::kMayHaveRun);
+  EXPECT_TRUE(outcome.failed.partly_relayed);
+  outcome = RunAgainst(kStreamHead + Chunk(kEvent) + "0\r\n\r\n");
+  ExpectFailed(outcome, FailureKind::kMalformedAnswer, Verdict::kMayHaveRun);
+  outcome = RunAgainst(kStreamHead + Chunk("data: {\"error\":\"x\"}\n\n"));
+  ExpectFailed(outcome, FailureKind::kMalformedAnswer, Verdict::kMayHaveRun);
+  EXPECT_FALSE(outcome.failed.partly_relayed);
+}
+
+TEST_F(TargetClientTest, ErrorStatusesAndRedirectsAreAnswers) {
+  Start();
+  auto outcome = RunAgainst(
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 302 Found\r\nLocation: http://127.0.0.1:1/\r\n"
+      "Content-Length: 0\r\n\r\n");
+  EXPECT_EQ(outcome.done.status, 302U);
+  const std::string body = "{\"error\":{\"code\":\"leaving\"}}";
+  outcome = RunAgainst("HTTP/1.1 503 Busy\r\nContent-Length: " + std::to_string(body.size()) +
+                       "\r\n\r\n" + body);
+  EXPECT_EQ(outcome.done.status, 503U);
+  EXPECT_TRUE(outcome.done.leaving);
+  EXPECT_EQ(outcome.done.body, body);
+}
+
+TEST_F(TargetClientTest, ReadsTokenCounts) {
+  Start();
+  const std::string body = "{\"usage\":{\"prompt_tokens\":5,\"completion_tokens\":6}}";
+  const auto outcome = RunAgainst(
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  EXPECT_EQ(outcome.done.prompt_tokens, 5);
+  EXPECT_EQ(outcome.done.completion_tokens, 6);
+}
+
+// Guards against a silent connection that holds an attempt, and its memory, for ever.
+TEST_F(TargetClientTest, SilenceEndsAtTheDeadlines) {
+  Start();
+  TestServer silent([](TestSocket& socket) { socket.ReadAll(); });
+  auto dispatch = To(silent.port());
+  dispatch.first_byte_timeout = std::chrono::milliseconds(50);
+  ExpectFailed(Run(dispatch), FailureKind::kFirstByteTimeout, Verdict::kMayHaveRun);
+  TestServer stalls([](TestSocket& socket) {
+    socket.ReadRequest();
+    socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
+    socket.ReadAll();
+  });
+  dispatch = To(stalls.port());
+  dispatch.between_bytes_timeout = std::chrono::milliseconds(50);
+  ExpectFailed(Run(dispatch), FailureKind::kBetweenBytesTimeout, Verdict::kMayHaveRun);
+}
+
+// A listener whose queue is full does not accept: the connection attempt stays open.
+TEST_F(TargetClientTest, AConnectTimeoutHasNotRun) {
+  Start();
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor full(context);
+  full.open(boost::asio::ip::tcp::v4());
+  full.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+  full.listen(0);
+  const auto port = full.local_endpoint().port();
+  std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> fill;
+  for (int n = 0; n < 4; ++n) {
+    fill.push_back(std::make_unique<boost::asio::ip::tcp::socket>(context));
+    fill.back()->open(boost::asio::ip::tcp::v4());
+    fill.back()->non_blocking(true);
+    boost::system::error_code ec;
+    fill.back()->connect({boost::asio::ip::make_address("127.0.0.1"), port}, ec);
+  }
+  auto dispatch = To(port);
+  dispatch.connect_timeout = std::chrono::milliseconds(50);
+  ExpectFailed(Run(dispatch), FailureKind::kConnectTimeout, Verdict::kNotRun);
+}
+
+TEST_F(TargetClientTest, CancelEndsAnAttemptOnce) {
+  Start();
+  TestQueue<int> asked;
+  TestServer server([&](TestSocket& socket) {
+    socket.ReadRequest();
+    asked.Push(1);
+    socket.ReadAll();
+  });
+  const auto dispatch = To(server.port());
+  client_->Dispatch(dispatch);
+  asked.Pop();
+  client_->Cancel(dispatch.attempt);
+  client_->Cancel(dispatch.attempt);
+  ExpectFailed(outcomes_.Pop(), FailureKind::kCancelled, Verdict::kMayHaveRun);
+  EXPECT_EQ(client_->in_flight(), 0U);
+  EXPECT_EQ(outcomes_.size(), 1U);
+}
+
+TEST_F(TargetClientTest, IdleConnectionsCloseByAgeAndOnRequest) {
+  options_.idle_age = std::chrono::milliseconds(20);
+  Start();
+  TestQueue<std::string> ended;
+  TestServer server([&](TestSocket& socket) {
+    socket.ReadRequest();
+    socket.Send(kOk);
+    ended.Push(socket.ReadAll());
+  });
+  EXPECT_EQ(Run(To(server.port())).done.body, "ok");
+  EXPECT_EQ(ended.Pop(), "");
+  options_.idle_age = std::chrono::hours(1);
+  Start();
+  EXPECT_EQ(Run(To(server.port())).done.body, "ok");
+  client_->CloseIdle("127.0.0.1", server.port());
+  EXPECT_EQ(ended.Pop(), "");
+}
+
+TEST(CredentialsTest, ErrorsNameTheFileAndNoToken) {
+  const std::string file = testing::TempDir() + "persimmonstair_credentials_test.json";
+  std::ofstream(file) << R"({"engine":"token-1"})";
+  EXPECT_EQ(ReadCredentials(file)->at("engine"), "token-1");
+  std::ofstream(file) << R"({"engine":"bad\ntoken"})";
+  const auto bad = ReadCredentials(file);
+  ASSERT_FALSE(bad.has_value());
+  EXPECT_EQ(bad.error().message.find("token\n"), std::string::npos);
+  EXPECT_NE(bad.error().message.find(file), std::string::npos);
+  std::remove(file.c_str());
+  EXPECT_FALSE(ReadCredentials(file).has_value());
+}
+
+}  // namespace
+}  // namespace persimmonstair::net
--- a/src/persimmonstair/net/test_socket.hpp
+++ b/src/persimmonstair/net/test_socket.hpp
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -42,10 +43,15 @@
     socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
     SetTimeout();
   }
-  explicit TestSocket(int accepted) : socket_(context_) {
+  /// `on_close` runs before the descriptor can be used again by another connection.
+  TestSocket(int accepted, std::function<void()> on_close)
+      : socket_(context_), on_close_(std::move(on_close)) {
     socket_.assign(Tcp::v4(), accepted);
     SetTimeout();
   }
+  ~TestSocket() { Close(); }
+  TestSocket(const TestSocket&) = delete;
+  TestSocket& operator=(const TestSocket&) = delete;
 
   bool Send(const std::string& bytes) {
     boost::system::error_code ec;
@@ -90,6 +96,7 @@
     Close();
   }
   void Close() {
+    if (on_close_) std::exchange(on_close_, nullptr)();
     boost::system::error_code ec;
     socket_.close(ec);
   }
@@ -155,6 +162,7 @@
 
   boost::asio::io_context context_;
   Tcp::socket socket_;
+  std::function<void()> on_close_;
   boost::beast::flat_buffer buffer_;
 };
 
@@ -175,7 +183,11 @@
     stopping_ = true;
     ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
     accepting_.join();
-    for (const int fd : open_) ::shutdown(fd, SHUT_RDWR);
+    {
+      // Ends handlers that still read.
+      const std::lock_guard lock(mutex_);
+      for (const int fd : open_) ::shutdown(fd, SHUT_RDWR);
+    }
     for (auto& thread : threads_) thread.join();
   }
 
@@ -188,10 +200,15 @@
       const int fd = ::accept(acceptor_.native_handle(), nullptr, nullptr);
       if (fd < 0) return;
       ++connections_;
-      // The copy lets the destructor end a handler that still reads.
-      open_.push_back(::dup(fd));
+      {
+        const std::lock_guard lock(mutex_);
+        open_.insert(fd);
+      }
       threads_.emplace_back([this, fd] {
-        TestSocket socket(fd);
+        TestSocket socket(fd, [this, fd] {
+          const std::lock_guard lock(mutex_);
+          open_.erase(fd);
+        });
         handler_(socket);
       });
     }
@@ -205,7 +222,8 @@
   std::atomic<int> connections_{0};
   std::thread accepting_;
   std::vector<std::thread> threads_;
-  std::vector<int> open_;
+  std::mutex mutex_;
+  std::set<int> open_;
 };
 
 /// @brief Values that one thread adds and another waits for.
