--- a/include/persimmonstair/platform/http_client.hpp
+++ b/include/persimmonstair/platform/http_client.hpp
@@ -29,18 +29,18 @@
 struct HttpRequest {
   std::string method = "GET";
   /// Path with query, for example "/v1/instances".
-  std::string target;
-  std::map<std::string, std::string> headers;
+  std::string target{};
+  std::map<std::string, std::string> headers{};
   /// Sent with its length, also when empty, for methods other than GET.
-  std::string body;
+  std::string body{};
 };
 
 /// @brief A whole answer: its length or chunked end was stated and reached.
 struct HttpResponse {
   std::uint32_t status = 0;
   /// Names in lower case.
-  std::map<std::string, std::string> headers;
-  std::string body;
+  std::map<std::string, std::string> headers{};
+  std::string body{};
 };
 
 /// @brief HTTP/1.1 client for one endpoint, for platform services and operators' tools.
--- a/include/persimmonstair/platform/log_client.hpp
+++ b/include/persimmonstair/platform/log_client.hpp
@@ -15,7 +15,7 @@
   base::Duration timeout = std::chrono::seconds(2);
   /// Sent as User-Agent, for example "persimmonstair/entry-1".
   std::string user_agent = "persimmonstair";
-  HttpLimits limits;
+  HttpLimits limits{};
 };
 
 /// @brief Client of the log service in docs/platform-protocol.md. A LogClient. Not thread-safe:
--- a/include/persimmonstair/platform/log_follower.hpp
+++ b/include/persimmonstair/platform/log_follower.hpp
@@ -44,7 +44,7 @@
   /// Delivers nothing any more.
   void Stop() { state_->stopped = true; }
   /// Offset of the next read.
-  base::Offset next() const { return state_->next; }
+  base::Offset Next() const { return state_->next; }
 
  private:
   struct State {
@@ -76,7 +76,9 @@
                       base::Duration pause) {
     if (state->stopped) return;
     if (!state->sink(std::move(event))) {
-      auto kept = std::make_shared<scheduler::Event>(std::move(event));
+      // The sink's contract leaves a refused event unchanged.
+      auto kept =
+          std::make_shared<scheduler::Event>(std::move(event));  // NOLINT(bugprone-use-after-move)
       state->executor.RunAfter(state->settings.redeliver_delay, [state, kept, next, pause] {
         Deliver(state, std::move(*kept), next, pause);
       });
--- /dev/null
+++ b/src/persimmonstair/platform/http_client.cpp
@@ -0,0 +1,234 @@
+#include "persimmonstair/platform/http_client.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <cctype>
+#include <deque>
+#include <optional>
+#include <unordered_set>
+#include <utility>
+
+namespace persimmonstair::platform {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Clock = std::chrono::steady_clock;
+using StreamPtr = std::shared_ptr<beast::tcp_stream>;
+using Message = http::request<http::string_body>;
+using Parser = http::response_parser<http::string_body>;
+
+/// True if the other side closed the connection or sent something without being asked.
+bool IsStale(beast::tcp_stream& stream) {
+  char byte = 0;
+  const auto n = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+Message ToMessage(HttpRequest request, const Endpoint& endpoint) {
+  Message out;
+  out.method_string(request.method);
+  out.target(request.target);
+  out.set(http::field::host, ToUrl(endpoint).substr(std::string_view("http://").size()));
+  for (const auto& [name, value] : request.headers) out.set(name, value);
+  out.body() = std::move(request.body);
+  if (request.method != "GET" || !out.body().empty()) out.prepare_payload();
+  return out;
+}
+
+HttpResponse ToResponse(Parser& parser) {
+  auto message = parser.release();
+  HttpResponse out;
+  out.status = message.result_int();
+  for (const auto& field : message) {
+    std::string name(field.name_string());
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    out.headers[name] = std::string(field.value());
+  }
+  out.body = std::move(message.body());
+  return out;
+}
+
+base::Error ToError(boost::system::error_code ec, bool sent, bool answer_began) {
+  const auto verdict = sent ? base::Verdict::kMayHaveRun : base::Verdict::kNotRun;
+  if (ec == beast::error::timeout) {
+    return {base::ErrorCode::kTimeout, "no whole answer before the deadline", verdict, {}};
+  }
+  if (ec == http::error::body_limit || ec == http::error::header_limit ||
+      ec == http::error::buffer_overflow) {
+    return {base::ErrorCode::kIncompleteAnswer, "answer exceeds the size limit", verdict, {}};
+  }
+  if (answer_began) {
+    return {base::ErrorCode::kIncompleteAnswer, "answer incomplete: " + ec.message(), verdict, {}};
+  }
+  const std::string what = sent ? "no answer: " : "cannot connect: ";
+  return {base::ErrorCode::kTargetFailed, what + ec.message(), verdict, {}};
+}
+
+/// An answer that ends with the connection cannot be told from a truncated one.
+bool StatesItsLength(const Parser& parser, bool head) {
+  const auto status = parser.get().result_int();
+  return head || status == 204 || status == 304 || parser.chunked() ||
+         parser.content_length().has_value();
+}
+
+}  // namespace
+
+class HttpClient::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& io, Endpoint endpoint, HttpLimits limits)
+      : io_(io), endpoint_(std::move(endpoint)), limits_(limits) {}
+
+  void Send(HttpRequest request, base::Duration deadline, Callback done) {
+    asio::co_spawn(io_, Run(shared_from_this(), std::move(request), deadline, std::move(done)),
+                   asio::detached);
+  }
+
+  void Close() {
+    closed_ = true;
+    idle_.clear();
+    for (const StreamPtr& stream : active_) stream->close();
+  }
+
+ private:
+  struct Idle {
+    StreamPtr stream;
+    Clock::time_point since;
+  };
+  /// How far a request got.
+  struct Progress {
+    bool sent = false;
+    bool answer_began = false;
+    boost::system::error_code ec;
+  };
+
+  static asio::awaitable<void> Run(std::shared_ptr<Impl> self, HttpRequest request,
+                                   base::Duration deadline, Callback done) {
+    base::Result<HttpResponse> result = co_await self->Exchange(std::move(request), deadline);
+    asio::post(self->io_, [done = std::move(done), result = std::move(result)]() mutable {
+      done(std::move(result));
+    });
+  }
+
+  asio::awaitable<base::Result<HttpResponse>> Exchange(HttpRequest request,
+                                                       base::Duration deadline) {
+    if (closed_) co_return base::Fail(base::ErrorCode::kTargetFailed, "client is closed");
+    StreamPtr stream = TakeIdle();
+    const bool connected = stream != nullptr;
+    if (!connected) stream = std::make_shared<beast::tcp_stream>(io_);
+    stream->expires_after(deadline);
+    active_.insert(stream);
+    const bool head = request.method == "HEAD";
+    Message message = ToMessage(std::move(request), endpoint_);
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
+    parser.body_limit(limits_.max_body_bytes);
+    parser.skip(head);
+    Progress progress;
+    if (!connected) {
+      co_await Connect(*stream, progress);
+    }
+    if (!progress.ec) {
+      co_await Transfer(stream, message, parser, progress);
+    }
+    active_.erase(stream);
+    if (progress.ec) {
+      base::Error error = ToError(progress.ec, progress.sent, progress.answer_began);
+      co_return tl::make_unexpected(std::move(error));
+    }
+    if (!StatesItsLength(parser, head)) {
+      co_return base::Fail(base::ErrorCode::kIncompleteAnswer, "answer without a stated length",
+                           base::Verdict::kMayHaveRun);
+    }
+    co_return ToResponse(parser);
+  }
+
+  asio::awaitable<void> Connect(beast::tcp_stream& stream, Progress& progress) {
+    const auto address = asio::ip::make_address(endpoint_.address, progress.ec);
+    if (progress.ec) co_return;
+    const asio::ip::tcp::endpoint to(address, endpoint_.port);
+    co_await stream.async_connect(to, asio::redirect_error(asio::use_awaitable, progress.ec));
+    if (progress.ec) co_return;
+    boost::system::error_code ignored;
+    stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  }
+
+  asio::awaitable<void> Transfer(StreamPtr stream, const Message& message, Parser& parser,
+                                 Progress& progress) {
+    // Raised before the first byte is handed over: afterwards the request may have an effect.
+    progress.sent = true;
+    co_await http::async_write(*stream, message,
+                               asio::redirect_error(asio::use_awaitable, progress.ec));
+    if (progress.ec) co_return;
+    beast::flat_buffer buf;
+    co_await http::async_read(*stream, buf, parser,
+                              asio::redirect_error(asio::use_awaitable, progress.ec));
+    progress.answer_began = parser.got_some();
+    if (progress.ec || buf.size() > 0 || !parser.get().keep_alive()) co_return;
+    PutIdle(std::move(stream));
+  }
+
+  StreamPtr TakeIdle() {
+    while (!idle_.empty()) {
+      Idle item = std::move(idle_.back());
+      idle_.pop_back();
+      const bool young = Clock::now() - item.since <= limits_.max_idle_age;
+      if (young && !IsStale(*item.stream)) return item.stream;
+    }
+    return nullptr;
+  }
+
+  void PutIdle(StreamPtr stream) {
+    if (closed_ || limits_.max_idle_connections == 0) return;
+    stream->expires_never();
+    idle_.push_back({std::move(stream), Clock::now()});
+    if (idle_.size() > limits_.max_idle_connections) idle_.pop_front();
+  }
+
+  asio::io_context& io_;
+  Endpoint endpoint_;
+  HttpLimits limits_;
+  bool closed_ = false;
+  std::deque<Idle> idle_;
+  std::unordered_set<StreamPtr> active_;
+};
+
+HttpClient::HttpClient(asio::io_context& io, Endpoint endpoint, HttpLimits limits)
+    : impl_(std::make_shared<Impl>(io, std::move(endpoint), limits)) {}
+
+HttpClient::~HttpClient() { Close(); }
+
+void HttpClient::Send(HttpRequest request, base::Duration deadline, Callback done) {
+  impl_->Send(std::move(request), deadline, std::move(done));
+}
+
+void HttpClient::Close() { impl_->Close(); }
+
+base::Result<HttpResponse> SendAndWait(const Endpoint& endpoint, HttpRequest request,
+                                       base::Duration deadline, HttpLimits limits) {
+  asio::io_context io{1};
+  limits.max_idle_connections = 0;
+  HttpClient client(io, endpoint, limits);
+  base::Result<HttpResponse> out = base::Fail(base::ErrorCode::kInternal, "no result");
+  client.Send(std::move(request), deadline,
+              [&out](base::Result<HttpResponse> result) { out = std::move(result); });
+  io.run();
+  return out;
+}
+
+}  // namespace persimmonstair::platform
--- /dev/null
+++ b/src/persimmonstair/platform/log_format.hpp
@@ -0,0 +1,43 @@
+#ifndef PERSIMMONSTAIR_PLATFORM_LOG_FORMAT_HPP_
+#define PERSIMMONSTAIR_PLATFORM_LOG_FORMAT_HPP_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "persimmonstair/platform/concepts.hpp"
+#include "persimmonstair/platform/http_client.hpp"
+
+namespace persimmonstair::platform {
+
+/// @brief Body of an append; empty if the records cannot be stated in JSON (not UTF-8, or ids that
+/// do not match).
+std::optional<std::string> FormatAppend(const scheduler::Append& append);
+
+/// @brief Outcome of an append whose answer or failure is `answer`.
+scheduler::AppendDone ReadAppendAnswer(base::AppendId append,
+                                       const base::Result<HttpResponse>& answer);
+
+/// @brief Reads the answer to a read. kIncompleteAnswer if it contradicts the protocol: offsets not
+/// rising, below `from`, or beyond the next offset.
+base::Result<scheduler::LogRead> ReadLogAnswer(const ReadRequest& read,
+                                               const base::Result<HttpResponse>& answer);
+
+std::string FormatFetch(const std::vector<base::Offset>& offsets);
+
+struct FetchAnswer {
+  std::vector<scheduler::LogEntry> entries;
+  /// Did not fit into this answer.
+  std::vector<base::Offset> unread;
+};
+
+/// @brief Reads the answer to a fetch of `asked`; kIncompleteAnswer if it names other offsets.
+base::Result<FetchAnswer> ReadFetchAnswer(const std::vector<base::Offset>& asked,
+                                          const base::Result<HttpResponse>& answer);
+
+/// @brief Reads the instance list; kIncompleteAnswer if it contradicts the protocol.
+base::Result<scheduler::InstanceListRead> ReadListAnswer(const base::Result<HttpResponse>& answer);
+
+}  // namespace persimmonstair::platform
+
+#endif  // PERSIMMONSTAIR_PLATFORM_LOG_FORMAT_HPP_
--- /dev/null
+++ b/src/persimmonstair/platform/platform_worker.cpp
@@ -0,0 +1,154 @@
+#include "persimmonstair/platform/platform_worker.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <thread>
+#include <unordered_set>
+#include <utility>
+
+#include "persimmonstair/platform/directory_clients.hpp"
+
+namespace persimmonstair::platform {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Runs tasks later on one io_context. A DelayedExecutor.
+class Timers {
+ public:
+  explicit Timers(asio::io_context& io) : io_(io) {}
+
+  /// Runs `task` after the delay, or at once after Expedite().
+  void RunAfter(base::Duration delay, std::function<void()> task) {
+    auto timer = std::make_shared<asio::steady_timer>(io_, expedited_ ? base::Duration{0} : delay);
+    timers_.insert(timer);
+    timer->async_wait([this, timer, task = std::move(task)](boost::system::error_code) {
+      timers_.erase(timer);
+      task();
+    });
+  }
+
+  void Expedite() {
+    expedited_ = true;
+    for (const auto& timer : timers_) timer->cancel();
+  }
+
+ private:
+  asio::io_context& io_;
+  std::unordered_set<std::shared_ptr<asio::steady_timer>> timers_;
+  bool expedited_ = false;
+};
+
+}  // namespace
+
+class PlatformWorker::Impl {
+ public:
+  Impl(WorkerSettings settings, EventSink sink)
+      : settings_(std::move(settings)),
+        sink_(std::move(sink)),
+        work_(asio::make_work_guard(io_)),
+        timers_(io_),
+        log_(io_, settings_.log, settings_.client) {
+    if (settings_.list) list_.emplace(io_, *settings_.list, settings_.client);
+    thread_ = std::thread([this] {
+      if (list_) ReadList();
+      io_.run();
+    });
+  }
+
+  ~Impl() { Stop(); }
+
+  /// Runs a task on the worker's thread.
+  void Post(std::function<void()> task) { asio::post(io_, std::move(task)); }
+
+  void Follow(base::StreamName stream, base::Offset from) {
+    if (stopping_ || followers_.contains(stream)) return;
+    auto follower =
+        std::make_unique<Follower>(log_, timers_, sink_, stream, from, settings_.follower);
+    follower->Start();
+    followers_.emplace(std::move(stream), std::move(follower));
+  }
+
+  void Append(scheduler::Append append) {
+    log_.Append(std::move(append), [this](scheduler::AppendDone done) { Deliver(done); });
+  }
+
+  void Fetch(scheduler::FetchRecords fetch) {
+    log_.Fetch(std::move(fetch),
+               [this](scheduler::RecordsFetched done) { Deliver(std::move(done)); });
+  }
+
+  void Stop() {
+    if (!thread_.joinable()) return;
+    Post([this] {
+      stopping_ = true;
+      for (auto& [stream, follower] : followers_) follower->Stop();
+      log_.Close();
+      if (list_) list_->Close();
+      timers_.Expedite();
+      work_.reset();
+    });
+    thread_.join();
+  }
+
+ private:
+  using Follower = LogFollower<HttpLogClient, Timers>;
+
+  void Deliver(scheduler::Event event) {
+    if (sink_(std::move(event)) || stopping_) return;
+    // The sink's contract leaves a refused event unchanged.
+    auto kept =
+        std::make_shared<scheduler::Event>(std::move(event));  // NOLINT(bugprone-use-after-move)
+    timers_.RunAfter(settings_.follower.redeliver_delay,
+                     [this, kept] { Deliver(std::move(*kept)); });
+  }
+
+  void ReadList() {
+    if (stopping_) return;
+    list_->Read([this](base::Result<scheduler::InstanceListRead> list) {
+      // A list that cannot be read changes nothing; the instance keeps the last one.
+      if (list) Deliver(std::move(*list));
+      timers_.RunAfter(settings_.list_interval, [this] { ReadList(); });
+    });
+  }
+
+  WorkerSettings settings_;
+  EventSink sink_;
+  asio::io_context io_{1};
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  Timers timers_;
+  HttpLogClient log_;
+  std::optional<HttpInstanceList> list_;
+  std::map<base::StreamName, std::unique_ptr<Follower>> followers_;
+  /// Used on the worker's thread only.
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+PlatformWorker::PlatformWorker(WorkerSettings settings, EventSink sink)
+    : impl_(std::make_unique<Impl>(std::move(settings), std::move(sink))) {}
+
+PlatformWorker::~PlatformWorker() = default;
+
+void PlatformWorker::Follow(base::StreamName stream, base::Offset from) {
+  impl_->Post(
+      [impl = impl_.get(), stream = std::move(stream), from] { impl->Follow(stream, from); });
+}
+
+void PlatformWorker::Execute(scheduler::Append append) {
+  impl_->Post([impl = impl_.get(), append = std::move(append)]() mutable {
+    impl->Append(std::move(append));
+  });
+}
+
+void PlatformWorker::Execute(scheduler::FetchRecords fetch) {
+  impl_->Post(
+      [impl = impl_.get(), fetch = std::move(fetch)]() mutable { impl->Fetch(std::move(fetch)); });
+}
+
+void PlatformWorker::Stop() { impl_->Stop(); }
+
+}  // namespace persimmonstair::platform
--- a/standin/log_role.cpp
+++ b/standin/log_role.cpp
@@ -61,7 +61,7 @@
     : io_(io),
       settings_(settings),
       random_(settings.seed),
-      rate_tokens_(settings.max_appends_per_s),
+      rate_tokens_(std::max(1.0, settings.max_appends_per_s)),
       rate_at_(Clock::now()) {}
 
 LogRole::~LogRole() = default;
@@ -115,8 +115,8 @@
   const auto now = Clock::now();
   const double passed_s = std::chrono::duration<double>(now - rate_at_).count();
   rate_at_ = now;
-  rate_tokens_ =
-      std::min(settings_.max_appends_per_s, rate_tokens_ + passed_s * settings_.max_appends_per_s);
+  rate_tokens_ = std::min(std::max(1.0, settings_.max_appends_per_s),
+                          rate_tokens_ + passed_s * settings_.max_appends_per_s);
   if (rate_tokens_ < 1) return false;
   rate_tokens_ -= 1;
   return true;
