--- a/include/persimmonstair/limits/limiter.hpp
+++ b/include/persimmonstair/limits/limiter.hpp
@@ -107,6 +107,12 @@
   std::uint64_t moves_invalid = 0;
 };
 
+/// @brief Parts of a workspace's limits in use, in millionths.
+struct SharesInUse {
+  std::uint32_t floor_ppm = 0;
+  std::uint32_t leased_ppm = 0;
+};
+
 class WorkspaceLimiter;
 
 /// @brief One instance's token buckets for all workspaces.
@@ -183,6 +189,8 @@
 
   const ShareTable& Table() const;
   const LimiterCounters& Counters() const;
+  /// @brief Shares that this instance may use now, for metrics. Zero where the lease forbids it.
+  SharesInUse Shares(base::TimePoint now, const base::WorkspaceId& workspace);
   /// Floor in use, in millionths of each workspace's limits.
   std::uint32_t FloorPpm() const;
   /// Tokens that could be used now, for metrics.
--- a/src/persimmonstair/limits/floors.cpp
+++ b/src/persimmonstair/limits/floors.cpp
@@ -58,6 +58,9 @@
     current_ = FloorOf(newest, self_);
     return;
   }
+  // The others take an instance that has told no version for one that uses no floor.
+  const membership::Member* self = registry.Find(self_);
+  if (self == nullptr || self->floors_version == 0) return;
   const Acknowledged seen = Acknowledgements(registry, newest);
   if (Version() < seen.most || versions_.begin()->first > seen.least) return;
   std::optional<std::uint32_t> least;
--- a/src/persimmonstair/limits/limiter.cpp
+++ b/src/persimmonstair/limits/limiter.cpp
@@ -240,6 +240,11 @@
 const ShareTable& Limiter::Table() const { return impl_->context.table; }
 const LimiterCounters& Limiter::Counters() const { return impl_->context.counters; }
 
+SharesInUse Limiter::Shares(base::TimePoint now, const base::WorkspaceId& workspace) {
+  WorkspaceLimiter* found = impl_->Find(workspace);
+  return found == nullptr ? SharesInUse{} : found->Shares(now);
+}
+
 double Limiter::Available(base::TimePoint now, const base::WorkspaceId& workspace) {
   WorkspaceLimiter* found = impl_->Find(workspace);
   return found == nullptr ? 0 : found->Available(now);
--- a/src/persimmonstair/limits/workspace_limiter.cpp
+++ b/src/persimmonstair/limits/workspace_limiter.cpp
@@ -84,6 +84,16 @@
   return sum;
 }
 
+SharesInUse WorkspaceLimiter::Shares(base::TimePoint now) {
+  Refresh(now);
+  SharesInUse out;
+  if (context_.FloorUsable(now))
+    out.floor_ppm = static_cast<std::uint32_t>(floor_share_ * kWhole + 0.5);
+  if (context_.LeasedUsable(now))
+    out.leased_ppm = static_cast<std::uint32_t>(leased_share_ * kWhole + 0.5);
+  return out;
+}
+
 bool WorkspaceLimiter::TakeOne(base::TimePoint now) {
   if (Available(now) < 1 - kRounding) return false;
   double left = 1;
--- a/src/persimmonstair/limits/workspace_limiter.hpp
+++ b/src/persimmonstair/limits/workspace_limiter.hpp
@@ -93,6 +93,7 @@
   /// A record of this instance was read: a share record or a renewal.
   void OnOwnRecord(base::TimePoint now, const schema::Record& record, bool changed_table);
   void OnNotAppended(base::TimePoint now, const base::RecordId& id);
+  SharesInUse Shares(base::TimePoint now);
   double Available(base::TimePoint now);
 
  private:
