Add the policy benchmark

Programs, engines with continuous batching and LRU prefix caches, heartbeats and lagged reports in virtual time; the naive version once with rate/N and once with the exact limiter, because the waits of rate/N alone dominate its latency.

--- /dev/null
+++ b/bench/policy/simulation.cpp
@@ -0,0 +1,265 @@
+#include "simulation.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "engine.hpp"
+#include "events.hpp"
+#include "frontend.hpp"
+
+namespace persimmonstair::bench {
+namespace {
+
+// Pause of a caller that the rate limiter refused, as the retry hint says.
+constexpr double kRateRetrySeconds = 1;
+
+class Simulation {
+ public:
+  Simulation(const Deployment& deployment, const Workload& workload, const Policy& policy,
+             const Span& span)
+      : deployment_(deployment),
+        workload_(workload),
+        span_(span),
+        static_rate_(policy.static_rate),
+        fleet_(events_, deployment),
+        runs_(workload.programs.size()) {
+    frontend_ = policy.settings
+                    ? MakeRouted(events_, deployment_, fleet_, *policy.settings, span.limit_s)
+                    : MakeNaive(events_, deployment_, fleet_);
+    const std::size_t buckets =
+        static_cast<std::size_t>(deployment.instances) * deployment.shares.size();
+    levels_.assign(buckets, 0);
+    for (std::size_t i = 0; i < buckets; ++i) levels_[i] = Burst(i);
+    filled_at_.assign(buckets, 0);
+    for (std::size_t i = 0; i < runs_.size(); ++i) {
+      runs_[i].instance = workload.programs[i].instance;
+    }
+  }
+
+  Measures Run() {
+    for (std::size_t i = 0; i < workload_.programs.size(); ++i) {
+      const ProgramPlan& plan = workload_.programs[i];
+      if (plan.parent >= 0) continue;
+      ++alive_;
+      events_.After(plan.arrival_s, [this, i] { Arrive(static_cast<int>(i)); });
+    }
+    events_.After(span_.end_s, [this] {
+      for (const auto& it : fleet_.engines) work_s_ += it->work_s();
+    });
+    while (alive_ > 0 && events_.Step(span_.limit_s)) {
+    }
+    return Collect();
+  }
+
+ private:
+  struct ProgramRun {
+    std::size_t turn = 0;
+    int context = 0;
+    int engine = -1;
+    int pending = 0;
+    /// Instance that the load balancer chose.
+    int instance = 0;
+    bool started = false;
+    bool ended = false;
+    double begin_s = 0;
+    double end_s = 0;
+  };
+
+  const ProgramPlan& Plan(int i) const { return workload_.programs[static_cast<std::size_t>(i)]; }
+  ProgramRun& State(int i) { return runs_[static_cast<std::size_t>(i)]; }
+  bool Measured(const ProgramPlan& plan) const { return plan.arrival_s >= span_.warm_up_s; }
+
+  double Burst(std::size_t bucket) const {
+    return workload_.burst[bucket % workload_.burst.size()] / deployment_.instances;
+  }
+
+  // Static rate/N: each instance has its own bucket for each workspace.
+  bool TakeStaticToken(int i) {
+    const ProgramPlan& plan = Plan(i);
+    const std::size_t bucket = static_cast<std::size_t>(plan.instance) * deployment_.shares.size() +
+                               static_cast<std::size_t>(plan.workspace);
+    const double rate =
+        workload_.rate_per_s[static_cast<std::size_t>(plan.workspace)] / deployment_.instances;
+    // A bucket below one token would never admit anything.
+    const double capacity = std::max(1.0, Burst(bucket));
+    levels_[bucket] =
+        std::min(capacity, levels_[bucket] + (events_.now() - filled_at_[bucket]) * rate);
+    filled_at_[bucket] = events_.now();
+    if (levels_[bucket] < 1) return false;
+    levels_[bucket] -= 1;
+    return true;
+  }
+
+  void Arrive(int i) {
+    const ProgramPlan& plan = Plan(i);
+    ProgramRun& run = State(i);
+    // The excess of the flooding workspace is refused exactly with static rates too; otherwise
+    // it would compete with that workspace's own admitted programs.
+    if (!plan.in_rate) {
+      --alive_;
+      return;
+    }
+    if (!run.started) run.begin_s = events_.now();
+    run.started = true;
+    if (static_rate_ && plan.workspace != 0 && !TakeStaticToken(i)) {
+      if (Measured(plan)) ++rate_refusals_;
+      run.instance = (run.instance + 1) % deployment_.instances;
+      events_.After(kRateRetrySeconds, [this, i] { Arrive(i); });
+      return;
+    }
+    events_.After(deployment_.caller_delay_s, [this, i] { StartTurn(i); });
+  }
+
+  void StartTurn(int i) {
+    const ProgramPlan& plan = Plan(i);
+    ProgramRun& run = State(i);
+    const Turn& turn = plan.turns[run.turn];
+    Call call = Base(i);
+    call.prompt_tokens = run.context + turn.new_tokens;
+    call.completion_tokens = turn.completion_tokens;
+    call.last_engine = run.engine;
+    call.held_tokens = run.context;
+    call.on_done = [this, i](int engine, int cached) { EndTurn(i, engine, cached); };
+    call.on_refused = [this, i](double retry_s) { Retry(i, retry_s, &Simulation::StartTurn); };
+    frontend_->Submit(std::move(call));
+  }
+
+  Call Base(int i) {
+    const ProgramPlan& plan = Plan(i);
+    Call call;
+    call.program = i;
+    call.root = plan.root;
+    call.workspace = plan.workspace;
+    call.instance = State(i).instance;
+    return call;
+  }
+
+  void Retry(int i, double retry_s, void (Simulation::*action)(int)) {
+    if (Measured(Plan(Plan(i).root))) ++queue_refusals_;
+    events_.After(std::max(retry_s, 0.1), [this, i, action] { (this->*action)(i); });
+  }
+
+  void EndTurn(int i, int engine, int cached) {
+    const ProgramPlan& plan = Plan(i);
+    ProgramRun& run = State(i);
+    const Turn& turn = plan.turns[run.turn];
+    if (Measured(Plan(plan.root))) {
+      const int again = std::max(0, run.context - cached);
+      wasted_ += again;
+      if (engine == run.engine) evicted_ += again;
+    }
+    run.context += turn.new_tokens + turn.completion_tokens;
+    run.engine = engine;
+    const bool last = run.turn + 1 == plan.turns.size();
+    if (last && turn.children.empty()) {
+      Finish(i);
+      return;
+    }
+    run.pending = static_cast<int>(turn.children.size()) + (last ? 0 : 1);
+    for (const int child : turn.children) StartTurn(child);
+    if (last) return;
+    if (turn.service_s > 0) {
+      ++run.pending;
+      CallService(i);
+    }
+    events_.After(turn.pause_s + 2 * deployment_.caller_delay_s, [this, i] { Joined(i); });
+  }
+
+  void CallService(int i) {
+    Call call = Base(i);
+    call.service = true;
+    call.service_s = Plan(i).turns[State(i).turn].service_s;
+    call.on_done = [this, i](int, int) { Joined(i); };
+    call.on_refused = [this, i](double retry_s) { Retry(i, retry_s, &Simulation::CallService); };
+    frontend_->Submit(std::move(call));
+  }
+
+  // One of the activities between two turns has ended.
+  void Joined(int i) {
+    ProgramRun& run = State(i);
+    if (--run.pending > 0) return;
+    if (++run.turn < Plan(i).turns.size()) {
+      StartTurn(i);
+    } else {
+      Finish(i);
+    }
+  }
+
+  void Finish(int i) {
+    const ProgramPlan& plan = Plan(i);
+    State(i).ended = true;
+    State(i).end_s = events_.now();
+    if (plan.parent >= 0) {
+      Joined(plan.parent);
+    } else {
+      --alive_;
+    }
+  }
+
+  Measures Collect() const {
+    Measures out;
+    std::vector<double> latencies;
+    std::vector<double> slowdown(deployment_.shares.size(), 0);
+    std::vector<int> count(slowdown.size(), 0);
+    for (std::size_t i = 0; i < runs_.size(); ++i) {
+      const ProgramPlan& plan = workload_.programs[i];
+      const ProgramRun& run = runs_[i];
+      if (plan.parent >= 0 || !Measured(plan) || !run.started) continue;
+      const double latency = (run.ended ? run.end_s : events_.now()) - run.begin_s;
+      latencies.push_back(latency);
+      out.unfinished += run.ended ? 0 : 1;
+      slowdown[static_cast<std::size_t>(plan.workspace)] += latency / plan.ideal_s;
+      ++count[static_cast<std::size_t>(plan.workspace)];
+    }
+    std::ranges::sort(latencies);
+    const auto quantile = [&latencies](double q) {
+      return latencies.empty() ? 0
+                               : latencies[static_cast<std::size_t>(
+                                     q * static_cast<double>(latencies.size() - 1))];
+    };
+    out.p50_s = quantile(0.5);
+    out.p95_s = quantile(0.95);
+    out.p99_s = quantile(0.99);
+    for (std::size_t w = 0; w < slowdown.size(); ++w) {
+      const double mean = slowdown[w] / std::max(1, count[w]);
+      if (mean <= out.worst_slowdown) continue;
+      out.worst_slowdown = mean;
+      out.worst_workspace = static_cast<int>(w);
+    }
+    out.wasted_tokens = wasted_;
+    out.evicted_tokens = evicted_;
+    out.rate_refusals = rate_refusals_;
+    out.queue_refusals = queue_refusals_;
+    out.utilisation = work_s_ / (span_.end_s * deployment_.engines);
+    out.programs = static_cast<int>(latencies.size());
+    return out;
+  }
+
+  const Deployment& deployment_;
+  const Workload& workload_;
+  Span span_;
+  bool static_rate_;
+  EventQueue events_;
+  Fleet fleet_;
+  std::unique_ptr<Frontend> frontend_;
+  std::vector<ProgramRun> runs_;
+  std::vector<double> levels_;
+  std::vector<double> filled_at_;
+  int alive_ = 0;
+  double wasted_ = 0;
+  double evicted_ = 0;
+  double rate_refusals_ = 0;
+  double queue_refusals_ = 0;
+  double work_s_ = 0;
+};
+
+}  // namespace
+
+Measures Simulate(const Deployment& deployment, const Workload& workload, const Policy& policy,
+                  const Span& span) {
+  return Simulation(deployment, workload, policy, span).Run();
+}
+
+}  // namespace persimmonstair::bench
