Count the delay to other requests in the choice of an engine

Cause: a prefill stops decoding of the whole batch, which the estimate for the request alone ignores, so requests left the engine that holds their prefix for a slightly less loaded one. Change: add prefill time x running requests to the estimate. Conclusion: adopted; it does not help while all slots are taken, where there is no choice.

--- a/src/persimmonstair/routing/estimate.cpp
+++ b/src/persimmonstair/routing/estimate.cpp
@@ -37,6 +37,11 @@
          DecodeSeconds(request, target) * (1 + kBatchSlowdown * load);
 }
 
+double DelayToOthers(const Request& request, const Target& target) {
+  const double others = std::min(Slots(target), static_cast<double>(TargetTable::Occupied(target)));
+  return PrefillSeconds(request, target) * others;
+}
+
 double SlotWaitSeconds(const Request& request, const Target& target) {
   return request.request_class->mean_service_s / Slots(target);
 }
--- a/src/persimmonstair/routing/estimate.hpp
+++ b/src/persimmonstair/routing/estimate.hpp
@@ -16,6 +16,10 @@
 /// Seconds from dispatch to the end of the response, with the load the target has now.
 double ServiceSeconds(const Request& request, const Target& target);
 
+/// Seconds by which the request's prefill delays the others in the batch, summed over them: a batch
+/// decodes nothing while a prompt is prefilled.
+double DelayToOthers(const Request& request, const Target& target);
+
 /// Seconds until a slot of a full target is free for one more request.
 double SlotWaitSeconds(const Request& request, const Target& target);
 
--- a/src/persimmonstair/routing/router_schedule.cpp
+++ b/src/persimmonstair/routing/router_schedule.cpp
@@ -92,7 +92,7 @@
   bool best_failed = false;
   const auto consider = [&](Target* target) {
     if (!MayRun(request, *target)) return false;
-    double seconds = ServiceSeconds(request, *target);
+    double seconds = ServiceSeconds(request, *target) + DelayToOthers(request, *target);
     if (target->entry.data_centre != settings.data_centre) {
       seconds += base::ToSeconds(settings.remote_penalty);
     }
