Let plan-ahead count the queue for the holder and the delay to others

The old rule waited only if the request alone gained, and for any number of waiting requests. Change: compare estimates that include the delay to others and the requests that wait for the same engine; wait no longer than the wait can save.

--- a/src/persimmonstair/routing/router_schedule.cpp
+++ b/src/persimmonstair/routing/router_schedule.cpp
@@ -52,10 +52,18 @@
   Request* head = nullptr;
   std::uint32_t seen = 0;
   int waiting = 0;
+  // Requests earlier in the order that wait for a busy engine.
+  std::map<const Target*, int> ahead;
   request_class.queue.Walk([&](Request& request) {
     Target* best = BestFree(request);
     if (best == nullptr) return false;
-    if (settings.plan_ahead && WorthWaiting(request, *best)) return ++waiting >= kPlanAheadScan;
+    if (settings.plan_ahead && !Holds(request, *best)) {
+      const Target* holder = BusyHolder(request);
+      if (holder != nullptr && WorthWaiting(request, *best, *holder, ahead[holder])) {
+        ++ahead[holder];
+        return ++waiting >= kPlanAheadScan;
+      }
+    }
     if (head == nullptr) {
       head = chosen = &request;
       place = best;
@@ -118,14 +126,23 @@
   return best;
 }
 
-bool Router::State::WorthWaiting(const Request& request, const Target& free) const {
-  if (Holds(request, free) || request.spec.last_target.empty()) return false;
-  const auto it = targets.All().find(request.spec.last_target);
-  if (it == targets.All().end()) return false;
-  const Target& holder = *it->second;
-  if (!TargetTable::Usable(holder) || holder.ranked) return false;
-  return SlotWaitSeconds(request, holder) + ServiceSeconds(request, holder) <
-         ServiceSeconds(request, free);
+const Target* Router::State::BusyHolder(const Request& request) const {
+  if (request.spec.last_target.empty()) return nullptr;
+  const Target* holder = targets.Find(request.spec.last_target);
+  if (holder == nullptr || !TargetTable::Usable(*holder) || holder->ranked) return nullptr;
+  const auto& classes = holder->classes;
+  const bool serves = std::ranges::find(classes, request.request_class) != classes.end();
+  return serves ? holder : nullptr;
+}
+
+bool Router::State::WorthWaiting(const Request& request, const Target& free, const Target& holder,
+                                 int ahead) const {
+  const double go = ServiceSeconds(request, free) + DelayToOthers(request, free);
+  const double stay = ServiceSeconds(request, holder) + DelayToOthers(request, holder);
+  // Waiting longer than what it can save would make a wrong estimate cost more than twice the
+  // better choice.
+  if (base::ToSeconds(now - request.queued_at) > go - stay) return false;
+  return (ahead + 1) * SlotWaitSeconds(request, holder) + stay < go;
 }
 
 void Router::State::Charge(Request& request, double seconds, bool served) {
--- a/src/persimmonstair/routing/router_state.hpp
+++ b/src/persimmonstair/routing/router_state.hpp
@@ -67,7 +67,11 @@
   bool ScheduleOne(RequestClass& request_class);
   Target* BestFree(const Request& request) const;
   bool MayRun(const Request& request, const Target& target) const;
-  bool WorthWaiting(const Request& request, const Target& free) const;
+  /// The full engine that holds the request's prefix, or null.
+  const Target* BusyHolder(const Request& request) const;
+  /// Whether to wait for `holder`, for which `ahead` requests wait already, instead of `free`.
+  bool WorthWaiting(const Request& request, const Target& free, const Target& holder,
+                    int ahead) const;
   void Start(Request& request, Target& target);
   void Charge(Request& request, double seconds, bool served);
 
