Let requests with a prefix at a free engine go first within a window of 16

Cause: when a slot frees, the request at the head of the fair order seldom has its prefix there. Change: affinity_window 1 to 16; the head is passed over at most 16 times.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -40,6 +40,8 @@
   return {{"naive", std::nullopt, true},
           {"naive+exact", std::nullopt},
           {"fifo", with(QueuePolicy::kFirstInFirstOut, false)},
+          {"fifo+plan", with(QueuePolicy::kFirstInFirstOut, true)},
+          {"las+plan", with(QueuePolicy::kLeastAttained, true)},
           {"las", with(QueuePolicy::kLeastAttained, false)},
           {"fair+las", with(QueuePolicy::kFairLeastAttained, false)},
           {"fair+las+plan", with(QueuePolicy::kFairLeastAttained, true)}};
--- a/include/persimmonstair/routing/settings.hpp
+++ b/include/persimmonstair/routing/settings.hpp
@@ -32,7 +32,7 @@
   bool plan_ahead = false;
   /// Requests at the head of the fair order among which one with a cached prefix at a free engine
   /// may go first.
-  std::uint32_t affinity_window = 1;
+  std::uint32_t affinity_window = 16;
 
   /// Queued requests of this instance.
   std::size_t max_queued = 1000;
