--- a/src/persimmonstair/scheduler/log.cpp
+++ b/src/persimmonstair/scheduler/log.cpp
@@ -87,7 +87,9 @@
     if (event.stream == kProgramsStream) Perform(store_.OnRecord(now_, offset, record));
   }
   if (event.stream == kClaimsStream) {
-    Perform(effects_.OnReadEnd(now_, event.oldest, event.oldest_at, event.at_end));
+    // While the first record is still retained nothing has expired, and every key can be judged.
+    const base::WallTime oldest_at = event.oldest.value == 0 ? base::WallTime{} : event.oldest_at;
+    Perform(effects_.OnReadEnd(now_, event.oldest, oldest_at, event.at_end));
   } else if (event.stream == kProgramsStream) {
     Perform(store_.OnReadEnd(now_, event.oldest, event.at_end));
   } else if (event.stream == kCatalogueStream && !records.empty()) {
