Add program index, program store and their simulation

Cause: turns of a program must run in order, keep their history and stay within budget while instances die, pause, lose append answers or cannot reach the log. Change: ProgramIndex (function of the programs stream), ProgramStore (owned programs), life cycles as Boost.MSM machines, and a simulation of three instances that compares every answer with a naive model. The simulation found and led to fixes of: a late opening record that nobody owned, a handover without the log whose receiver died, a handover that overtook the sender's records, and one that overtook a sub-program.

--- /dev/null
+++ b/bench/programs.cmake
@@ -0,0 +1,2 @@
+add_executable(programs_fuzz programs_fuzz.cpp)
+target_link_libraries(programs_fuzz PRIVATE persimmonstair_programs_simulation)
--- a/include/persimmonstair/programs/program_index.hpp
+++ b/include/persimmonstair/programs/program_index.hpp
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -16,6 +15,9 @@
 
 namespace persimmonstair::programs {
 
+/// Most programs under one root, the root among them.
+inline constexpr std::size_t kMaxFamily = 64;
+
 /// @brief What every instance knows of a program, without its text.
 struct ProgramEntry {
   base::WorkspaceId workspace;
@@ -63,6 +65,7 @@
 
 /// @brief State of all programs as a pure function of the retained prefix of the `programs`
 /// stream. A program and its sub-programs change owner together by one OwnerRecord of the root.
+/// A repeated record is invalid by its turn number, epoch or program id, so no record ids are kept.
 ///
 ///     index.Apply(offset, record);
 ///     if (const ProgramEntry* entry = index.Find(program)) Forward(index.Family(*entry).owner);
@@ -73,7 +76,7 @@
   /// Applies one record; records of other types change nothing. Returns true if it was valid.
   bool Apply(base::Offset offset, const schema::Record& record);
 
-  /// Forgets repeated-record checks and ends of programs before `oldest`.
+  /// Forgets ends of programs before `oldest`, the oldest retained offset.
   void Retain(base::Offset oldest);
 
   /// Null for unknown and ended programs.
@@ -105,18 +108,29 @@
   bool ApplyOne(base::Offset /*offset*/, const T& /*other*/) {
     return false;
   }
-  bool Remember(base::Offset offset, const base::RecordId& id);
-  bool EpochHolds(const FamilyEntry& family, base::Epoch epoch) const;
-  bool SnapshotHolds(const schema::ProgramSnapshot& record, const base::ProgramId& root) const;
-  void EraseMember(const base::ProgramId& program, base::Offset offset);
+  struct End {
+    base::Offset offset;
+    base::Epoch epoch;
+  };
+  struct Owned {
+    ProgramEntry* entry = nullptr;
+    FamilyEntry* family = nullptr;
+  };
+
+  /// The program if the record's workspace and epoch are the current ones.
+  template <class T>
+  Owned FindCurrent(const T& record);
+  /// Takes a program from a snapshot whose earlier records were not read.
+  bool Adopt(base::Offset offset, const schema::ProgramSnapshot& record);
+  bool AdoptFamily(const base::ProgramId& root, base::Epoch epoch, FamilyEntry family);
+  void EraseFamily(const base::ProgramId& root);
+  bool UnseenOwner(const schema::OwnerRecord& record, base::Offset offset);
 
   IndexChecks checks_;
   std::unordered_map<base::ProgramId, ProgramEntry> programs_;
   std::unordered_map<base::ProgramId, FamilyEntry> families_;
-  /// Hash of each ended program's id and the offset of its end.
-  std::unordered_map<std::uint64_t, std::uint64_t> ended_;
-  std::unordered_map<std::uint64_t, std::uint64_t> applied_;
-  std::map<std::uint64_t, std::uint64_t> applied_by_offset_;
+  /// Ends by hash of the program's id; they keep late records from reviving a program.
+  std::unordered_map<std::uint64_t, End> ended_;
   base::Offset next_;
   /// First offset this index read; epochs before it were not seen.
   std::optional<base::Offset> start_;
--- a/include/persimmonstair/programs/program_store.hpp
+++ b/include/persimmonstair/programs/program_store.hpp
@@ -47,6 +47,8 @@
   base::Duration release_grace = std::chrono::seconds{30};
   /// Wait for the record that opens a program.
   base::Duration open_limit = std::chrono::seconds{5};
+  /// Wait, with the log readable, for the record that confirms a handover.
+  base::Duration confirm_limit = std::chrono::seconds{30};
   /// Copies of other owners' turns held for peers.
   std::size_t max_copies = 4096;
   IndexChecks checks{};
--- a/include/persimmonstair/schema/records.hpp
+++ b/include/persimmonstair/schema/records.hpp
@@ -506,6 +506,8 @@
   base::Epoch previous;
   /// Offset of the newest turn or snapshot record of the program.
   base::Offset chain;
+  /// True after a planned handover: no turn was running at the former owner.
+  bool planned = false;
 
   bool operator==(const OwnerRecord&) const = default;
 };
@@ -514,7 +516,7 @@
   json = nlohmann::json{
       {"id", value.id},       {"program", value.program},         {"workspace", value.workspace},
       {"owner", value.owner}, {"incarnation", value.incarnation}, {"previous", value.previous},
-      {"chain", value.chain},
+      {"chain", value.chain}, {"planned", value.planned},
   };
 }
 
@@ -526,6 +528,7 @@
   if (const auto it = json.find("incarnation"); it != json.end()) it->get_to(value.incarnation);
   if (const auto it = json.find("previous"); it != json.end()) it->get_to(value.previous);
   if (const auto it = json.find("chain"); it != json.end()) it->get_to(value.chain);
+  if (const auto it = json.find("planned"); it != json.end()) it->get_to(value.planned);
 }
 
 /// @brief Result of one turn; valid only under the current epoch and as the next number.
--- /dev/null
+++ b/src/persimmonstair/programs/simulation/world.hpp
@@ -0,0 +1,178 @@
+#ifndef PERSIMMONSTAIR_PROGRAMS_SIMULATION_WORLD_HPP_
+#define PERSIMMONSTAIR_PROGRAMS_SIMULATION_WORLD_HPP_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "naive.hpp"
+#include "persimmonstair/programs/program_store.hpp"
+
+namespace persimmonstair::programs::simulation {
+
+enum class OpKind : std::uint8_t {
+  kOpen,
+  kTurn,
+  kDuplicate,
+  kEarlyTurn,
+  kEnd,
+  kEngine,
+  kAppend,
+  kRead,
+  kDeliver,
+  kTime,
+  kKill,
+  kPause,
+  kOutage,
+  kPartition,
+  kHandOver,
+  kLateAppend,
+  kCount,
+};
+
+/// @brief One step. The numbers choose among what is possible when the step is made, so that any
+/// part of a sequence is a sequence.
+struct Op {
+  OpKind kind = OpKind::kTime;
+  std::uint32_t a = 0;
+  std::uint32_t b = 0;
+};
+
+std::string ToString(const Op& op);
+/// @brief The sequence of a seed.
+std::vector<Op> Sequence(std::uint64_t seed, std::size_t length);
+
+/// @brief Three instances, a log, two engines and callers, with faults. All text of all programs
+/// is compared with the naive model.
+class World {
+ public:
+  explicit World(IndexChecks checks = {});
+
+  /// Runs a sequence, then heals all faults, ends all programs and checks the final state.
+  /// Returns the first broken rule, or an empty text.
+  std::string Run(const std::vector<Op>& ops);
+
+  /// Turns that callers got an answer to, takeovers in the log, and engine runs of the last Run().
+  struct Counts {
+    std::uint64_t answers = 0;
+    std::uint64_t takeovers = 0;
+    std::uint64_t runs = 0;
+  };
+  const Counts& counts() const { return counts_; }
+
+ private:
+  struct Message {
+    std::size_t from = 0;
+    std::size_t to = 0;
+    schema::PeerMessage message;
+  };
+  struct Node {
+    std::optional<ProgramStore> store;
+    std::uint64_t incarnation = 0;
+    std::size_t cursor = 0;
+    std::deque<AppendRecord> flights;
+    std::deque<FetchRecords> fetches;
+    std::deque<RunTurn> queued;
+    std::deque<RunTurn> at_engine;
+    bool paused = false;
+    bool partitioned = false;
+    /// Time since which nobody heard of the node, and since when its log reads fail.
+    std::optional<base::TimePoint> absent_since;
+    bool authority = true;
+  };
+  struct Caller {
+    base::ProgramId program;
+    base::WorkspaceId workspace;
+    base::ProgramId parent;
+    std::int64_t budget = 0;
+    bool open = false;
+    bool done = false;
+    bool ending = false;
+    /// Turn that the caller waits for; 0 if none.
+    std::uint32_t waiting = 0;
+    std::vector<std::string> bodies;
+  };
+  struct Ask {
+    std::size_t caller = 0;
+    std::uint32_t turn = 0;
+    bool early = false;
+  };
+  /// Engine work for one turn number of a program.
+  struct Work {
+    std::int64_t tokens = 0;
+    /// Work whose acknowledged result was not in the log: it may be lost uncharged.
+    std::int64_t exposed_tokens = 0;
+  };
+
+  // world.cpp
+  void Apply(const Op& op);
+  void Boot(std::size_t node);
+  bool Up(std::size_t node) const { return nodes_[node].store && !nodes_[node].paused; }
+  bool LogUp(std::size_t node) const { return !log_down_ && !nodes_[node].partitioned; }
+  base::Now Time() const;
+  void Perform(std::size_t node, ProgramActions actions);
+  void PerformOne(std::size_t node, ProgramAction& action);
+  void Broken(const std::string& rule);
+  std::size_t OwnerOf(const base::ProgramId& program) const;
+
+  // world_steps.cpp
+  void Open(std::uint32_t a, std::uint32_t b);
+  void AskOpen(std::size_t caller, std::size_t node);
+  void AskTurn(std::size_t caller, std::uint32_t turn, std::size_t node, bool early);
+  void Turn(std::uint32_t a, std::uint32_t b);
+  void Duplicate(std::uint32_t a, std::uint32_t b);
+  void EarlyTurn(std::uint32_t a, std::uint32_t b);
+  void End(std::uint32_t a);
+  void EngineStep(std::size_t node, std::uint32_t b);
+  void Execute(std::size_t node, const RunTurn& run, std::uint32_t b);
+  void AppendStep(std::size_t node, std::uint32_t b);
+  void ReadStep(std::size_t node, std::size_t count);
+  void FetchStep(std::size_t node);
+  void Deliver(std::uint32_t a, std::uint32_t b);
+  void Advance(base::Duration duration);
+  void Membership();
+  void Land(const schema::Record& record);
+  void Kill(std::size_t node);
+  void Pause(std::size_t node);
+  void Partition(std::size_t node);
+  void HandOver(std::uint32_t a, std::uint32_t b);
+  void OnAnswer(std::size_t node, const TurnAnswer& answer);
+  void OnRefusal(const ProgramRefusal& refusal);
+
+  // world_end.cpp
+  void Heal();
+  void Settle(int rounds);
+  void FinishCallers();
+  void CheckEnd();
+  void CheckBudgets();
+
+  IndexChecks checks_;
+  base::Duration time_{0};
+  std::vector<Node> nodes_;
+  std::vector<schema::Record> log_;
+  std::vector<schema::Record> late_;
+  bool log_down_ = false;
+  std::vector<Message> messages_;
+  std::vector<Caller> callers_;
+  std::map<base::RequestId, Ask> asks_;
+  std::uint64_t next_request_ = 0;
+  /// Reads every record when it lands, with all checks on.
+  ProgramIndex truth_;
+  Naive naive_;
+  std::map<base::RecordId, std::pair<base::ProgramId, std::uint32_t>> copied_;
+  std::map<std::pair<base::ProgramId, std::uint32_t>, std::set<std::size_t>> holders_;
+  std::map<std::pair<base::ProgramId, std::uint32_t>, Work> work_;
+  std::map<std::pair<base::ProgramId, std::uint32_t>, std::int64_t> charged_;
+  std::map<base::TargetId, std::set<base::ProgramId>> engines_;
+  Counts counts_;
+  std::string broken_;
+};
+
+}  // namespace persimmonstair::programs::simulation
+
+#endif  // PERSIMMONSTAIR_PROGRAMS_SIMULATION_WORLD_HPP_
--- /dev/null
+++ b/src/persimmonstair/programs/store_calls.cpp
@@ -0,0 +1,200 @@
+#include <algorithm>
+
+#include "store_impl.hpp"
+
+namespace persimmonstair::programs {
+
+using base::Error;
+using base::ErrorCode;
+using base::Now;
+using base::ProgramId;
+using base::Verdict;
+using Impl = ProgramStore::Impl;
+
+namespace {
+
+Error NotRun(ErrorCode code, std::string message, base::Duration retry_after = {}) {
+  return Error{code, std::move(message), Verdict::kNotRun, retry_after};
+}
+
+}  // namespace
+
+void Impl::Open(const Now& now, const OpenCall& call, ProgramActions& out) {
+  const auto refuse = [&](ErrorCode code, const char* why) {
+    out.emplace_back(ProgramRefusal{call.request, NotRun(code, why, std::chrono::seconds{1})});
+  };
+  if (call.program.empty() || call.workspace.empty()) {
+    return refuse(ErrorCode::kInvalidRequest, "program and workspace must not be empty");
+  }
+  if (Program* known = Find(call.program); known != nullptr && known->workspace == call.workspace) {
+    if (known->life.phase() == ProgramPhase::kOpening) {
+      known->openers.push_back(call.request);
+      return;
+    }
+    out.emplace_back(ProgramReady{call.request, call.program});
+    return;
+  }
+  if (index.Find(call.program) != nullptr || Find(call.program) != nullptr) {
+    return refuse(ErrorCode::kConflict, "the program id is in use");
+  }
+  if (!log_up)
+    return refuse(ErrorCode::kLogUnavailable, "no program can be opened without the log");
+  if (!authority) return refuse(ErrorCode::kOwnerUnavailable, "the instance's lease has lapsed");
+  ProgramId root = call.program;
+  if (!call.parent.empty()) {
+    const auto parent = FindActive(call.parent, call.workspace);
+    if (!parent) {
+      out.emplace_back(ProgramRefusal{call.request, parent.error()});
+      return;
+    }
+    root = (*parent)->root;
+  } else if (call.budget_tokens <= 0) {
+    return refuse(ErrorCode::kInvalidRequest, "the token budget must be positive");
+  }
+  Program program(ProgramPhase::kOpening);
+  program.id = call.program;
+  program.workspace = call.workspace;
+  program.root = root;
+  program.model = call.model;
+  program.openers.push_back(call.request);
+  program.opening = outbox.NewId();
+  program.opened_at = program.active_at = program.snapshot_at = now.monotonic;
+  outbox.Send(now, program.opening,
+              schema::ProgramOpened{program.opening, call.program, call.workspace, call.parent,
+                                    options.instance, options.incarnation, call.budget_tokens,
+                                    call.model, base::UnixMillis(now.wall)},
+              out);
+  Add(std::move(program));
+}
+
+void Impl::OnOpenedRead(const Now& now, base::Offset offset, const schema::ProgramOpened& record,
+                        bool valid, ProgramActions& out) {
+  Program* program = Find(record.program);
+  const ProgramEntry* entry = index.Find(record.program);
+  const bool mine = record.owner == options.instance && record.incarnation == options.incarnation;
+  // A repeated call is answered by the record of an earlier one that was late.
+  if (program != nullptr && valid && mine && program->workspace == record.workspace &&
+      program->opening != record.id && program->life.phase() == ProgramPhase::kOpening) {
+    outbox.Drop(program->opening);
+    program->opening = record.id;
+    program->root = entry->root;
+  }
+  if (program == nullptr || program->opening != record.id) {
+    if (!valid || !mine || program != nullptr) return;
+    // The caller was refused before the record reached the log.
+    const base::RecordId id = outbox.NewId();
+    outbox.Send(now, id,
+                schema::ProgramEnded{id, record.program, record.workspace,
+                                     index.Family(*entry).epoch, "cancelled"},
+                out);
+    return;
+  }
+  if (program->life.phase() != ProgramPhase::kOpening) return;
+  if (!valid || entry == nullptr || entry->chain != offset) {
+    Refuse(program->openers, NotRun(ErrorCode::kConflict, "the program id is in use"), out);
+    Remove(record.program);
+    return;
+  }
+  program->life.Process(ProgramInput::kOpened);
+  program->active_at = now.monotonic;
+  for (const auto request : program->openers) out.emplace_back(ProgramReady{request, program->id});
+  program->openers.clear();
+}
+
+void Impl::ExpireOpening(const Now& now, ProgramActions& out) {
+  std::vector<ProgramId> late;
+  for (const auto& [id, program] : programs) {
+    if (program.life.phase() != ProgramPhase::kOpening) continue;
+    if (now.monotonic - program.opened_at >= options.open_limit) late.push_back(id);
+  }
+  for (const ProgramId& id : late) {
+    const Program& program = *Find(id);
+    outbox.Drop(program.opening);
+    Refuse(program.openers,
+           NotRun(ErrorCode::kLogUnavailable, "the program's record was not read back in time"),
+           out);
+    Remove(id);
+  }
+}
+
+bool Impl::Busy(const ProgramId& root) {
+  const auto family = FamilyOf(root);
+  return std::any_of(family.begin(), family.end(),
+                     [](const Program* one) { return one->running || !one->pending.empty(); });
+}
+
+void Impl::End(const Now& now, Program& program, const std::string& reason, ProgramActions& out) {
+  std::vector<Program*> ending{&program};
+  if (program.id == program.root) ending = FamilyOf(program.root);
+  for (Program* one : ending) one->life.Process(ProgramInput::kEnd);
+  const base::RecordId id = outbox.NewId();
+  outbox.Send(now, id,
+              schema::ProgramEnded{id, program.id, program.workspace, EpochOf(program), reason},
+              out);
+}
+
+void Impl::StartRelease(const ProgramId& program, const base::TargetId& resident) {
+  if (!resident.empty()) releases.try_emplace({program, resident});
+}
+
+// Removes what the index no longer has: the ended program, or its whole family.
+void Impl::OnEndedRead(const schema::ProgramEnded& record, ProgramActions& out) {
+  std::vector<ProgramId> affected{record.program};
+  for (const Program* member : FamilyOf(record.program)) affected.push_back(member->id);
+  for (const ProgramId& id : affected) {
+    if (index.Find(id) == nullptr) DropEnded(id, out);
+  }
+  if (index.Find(record.program) != nullptr) return;
+  handovers.erase(record.program);
+  received.erase(record.program);
+  given_away.erase(record.program);
+}
+
+void Impl::DropEnded(const ProgramId& id, ProgramActions& out) {
+  DropCopies(id, kMaxTurns);
+  Program* program = Find(id);
+  if (program == nullptr || program->life.phase() == ProgramPhase::kOpening) return;
+  if (program->life.phase() != ProgramPhase::kHandingOver) StartRelease(id, program->resident);
+  if (program->running) {
+    const bool sent = program->running->machine.phase() == TurnPhase::kRunning;
+    if (sent) out.emplace_back(CancelTurn{program->running->request});
+    running.erase(program->running->request);
+    Refuse(program->running->waiters,
+           {ErrorCode::kNotFound,
+            "the program has ended",
+            sent ? Verdict::kMayHaveRun : Verdict::kNotRun,
+            {}},
+           out);
+  }
+  Remove(id);
+}
+
+// The epoch changed by a planned handover while the record was on its way.
+void Impl::RepeatEnd(const Now& now, const schema::ProgramEnded& record, bool valid,
+                     ProgramActions& out) {
+  Program* program = Find(record.program);
+  if (valid || program == nullptr || program->life.phase() != ProgramPhase::kEnding) return;
+  if (OwnsFamily(program->root) && record.epoch < EpochOf(*program)) {
+    End(now, *program, record.reason, out);
+  }
+}
+
+void Impl::ExpireIdle(const Now& now, ProgramActions& out) {
+  std::vector<Program*> expired;
+  for (auto& [id, program] : programs) {
+    if (program.life.phase() != ProgramPhase::kActive) continue;
+    const auto limit = program.tool_pause ? options.tool_pause_limit : options.idle_limit;
+    if (now.monotonic - program.active_at < limit) continue;
+    if (program.running || !program.pending.empty()) continue;
+    const auto family = id == program.root ? FamilyOf(id) : std::vector<Program*>{};
+    // A root lives as long as its sub-programs do.
+    const bool alone = std::all_of(family.begin(), family.end(),
+                                   [&](const Program* one) { return one->id == id; });
+    if (alone && OwnsFamily(program.root)) expired.push_back(&program);
+  }
+  for (Program* program : expired) {
+    if (program->life.phase() == ProgramPhase::kActive) End(now, *program, "expired", out);
+  }
+}
+
+}  // namespace persimmonstair::programs
--- /dev/null
+++ b/src/persimmonstair/programs/store_impl.cpp
@@ -0,0 +1,129 @@
+#include "store_impl.hpp"
+
+namespace persimmonstair::programs {
+
+using base::ErrorCode;
+using base::Fail;
+using base::Now;
+using base::ProgramId;
+using base::RequestId;
+using Impl = ProgramStore::Impl;
+
+namespace {
+
+/// Reads to the end after a pause: the first may have begun before the pause.
+constexpr int kReadsAfterPause = 2;
+
+}  // namespace
+
+void Impl::Observe(const Now& now) {
+  if (last_call && now.monotonic - *last_call > kPauseGap) reads_needed = kReadsAfterPause;
+  last_call = now.monotonic;
+}
+
+Impl::Program* Impl::Find(const ProgramId& program) {
+  const auto it = programs.find(program);
+  return it == programs.end() ? nullptr : &it->second;
+}
+
+base::Result<Impl::Program*> Impl::FindActive(const ProgramId& id,
+                                              const base::WorkspaceId& workspace) {
+  const auto unavailable = [](const char* why) {
+    return Fail(ErrorCode::kOwnerUnavailable, why, base::Verdict::kNotRun,
+                std::chrono::milliseconds{500});
+  };
+  Program* program = Find(id);
+  const ProgramEntry* entry = index.Find(id);
+  // A program of another workspace is reported like one that doesn't exist.
+  const bool foreign = program != nullptr ? program->workspace != workspace
+                                          : entry == nullptr || entry->workspace != workspace;
+  if (foreign) return Fail(ErrorCode::kNotFound, "unknown program");
+  if (program == nullptr) return unavailable("the program is owned by another instance");
+  if (program->life.phase() == ProgramPhase::kEnding) {
+    return Fail(ErrorCode::kNotFound, "the program has ended");
+  }
+  if (program->life.phase() != ProgramPhase::kActive) return unavailable("the program is moving");
+  if (!authority) return unavailable("the instance's lease has lapsed");
+  if (reads_needed > 0) return unavailable("the instance was paused");
+  if (!OwnsFamily(program->root)) return unavailable("the program has another owner");
+  return program;
+}
+
+Impl::Program* Impl::FindRunning(RequestId request) {
+  const auto it = running.find(request);
+  return it == running.end() ? nullptr : Find(it->second);
+}
+
+bool Impl::OwnsFamily(const ProgramId& root) const {
+  const ProgramEntry* entry = index.Find(root);
+  if (entry == nullptr) return false;
+  const FamilyEntry& family = index.Family(*entry);
+  const auto away = given_away.find(root);
+  if (away != given_away.end() && away->second.epoch == family.epoch) return false;
+  const auto got = received.find(root);
+  if (got != received.end() && got->second == family.epoch) return true;
+  return family.owner == options.instance && family.incarnation == options.incarnation;
+}
+
+base::Epoch Impl::EpochOf(const Program& program) const {
+  const ProgramEntry* entry = index.Find(program.id);
+  return entry == nullptr ? base::Epoch{} : index.Family(*entry).epoch;
+}
+
+std::int64_t Impl::FreeBudget(const Program& program) const {
+  const ProgramEntry* entry = index.Find(program.id);
+  if (entry == nullptr) return 0;
+  const FamilyEntry& family = index.Family(*entry);
+  std::int64_t used = family.closed_tokens;
+  for (const ProgramId& member : family.members) {
+    used += index.Find(member)->charged_tokens;
+    const auto it = programs.find(member);
+    if (it == programs.end()) continue;
+    for (const PendingTurn& turn : it->second.pending) used += turn.record.charged_tokens;
+    if (const auto& turn = it->second.running) used += turn->reserved + turn->lost_tokens;
+  }
+  return family.budget_tokens - used;
+}
+
+ProgramState Impl::StateOf(const Program& program, bool with_pending) const {
+  ProgramState state;
+  state.entry = *index.Find(program.id);
+  state.family = index.Family(state.entry);
+  state.entry.target = program.resident;
+  state.entry.takeovers = program.lost_turns;
+  const auto logged = static_cast<std::ptrdiff_t>(program.turns.size() - program.pending.size());
+  state.turns.assign(program.turns.begin(), program.turns.begin() + logged);
+  if (!with_pending) return state;
+  for (const PendingTurn& turn : program.pending) state.pending.push_back(turn.record);
+  return state;
+}
+
+Impl::Program& Impl::Add(Program program) {
+  const ProgramId id = program.id;
+  by_root[program.root].insert(id);
+  return programs.insert_or_assign(id, std::move(program)).first->second;
+}
+
+void Impl::Remove(const ProgramId& id) {
+  const auto it = programs.find(id);
+  const auto family = by_root.find(it->second.root);
+  family->second.erase(id);
+  if (family->second.empty()) by_root.erase(family);
+  unlogged.erase(id);
+  loading.erase(id);
+  programs.erase(it);
+}
+
+void Impl::Refuse(const Waiters& waiters, const base::Error& error, ProgramActions& out) {
+  for (const RequestId request : waiters) out.emplace_back(ProgramRefusal{request, error});
+}
+
+std::vector<Impl::Program*> Impl::FamilyOf(const ProgramId& root) {
+  std::vector<Program*> out;
+  const auto it = by_root.find(root);
+  if (it == by_root.end()) return out;
+  for (const ProgramId& member : it->second) out.push_back(Find(member));
+  return out;
+}
+
+}  // namespace persimmonstair::programs
