--- a/src/persimmonstair/net/target_client_test.cpp
+++ b/src/persimmonstair/net/target_client_test.cpp
@@ -303,13 +303,13 @@
   full.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
   full.listen(0);
   const auto port = full.local_endpoint().port();
-  std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> fill;
+  const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address("127.0.0.1"), port);
+  std::vector<boost::asio::ip::tcp::socket> fill;
   for (int n = 0; n < 4; ++n) {
-    fill.push_back(std::make_unique<boost::asio::ip::tcp::socket>(context));
-    fill.back()->open(boost::asio::ip::tcp::v4());
-    fill.back()->non_blocking(true);
-    boost::system::error_code ec;
-    fill.back()->connect({boost::asio::ip::make_address("127.0.0.1"), port}, ec);
+    fill.emplace_back(context, boost::asio::ip::tcp::v4());
+    fill.back().native_non_blocking(true);
+    // In progress or done; both take a place in the queue.
+    ::connect(fill.back().native_handle(), endpoint.data(), endpoint.size());
   }
   auto dispatch = To(port);
   dispatch.connect_timeout = std::chrono::milliseconds(50);
--- a/src/persimmonstair/net/test_socket.hpp
+++ b/src/persimmonstair/net/test_socket.hpp
@@ -129,8 +129,9 @@
     while (!parser.is_done()) {
       if (buffer_.size() == 0 && !ReadSome()) {
         boost::system::error_code ec;
+        if (!parser.is_header_done()) return out;
         parser.put_eof(ec);
-        if (ec || !parser.is_done()) return out;
+        if (ec) return out;
         break;
       }
       boost::system::error_code ec;
@@ -166,6 +167,20 @@
   boost::beast::flat_buffer buffer_;
 };
 
+/// @brief A port that refuses connections and that no other process can take meanwhile.
+class ClosedPort {
+ public:
+  ClosedPort() : acceptor_(context_) {
+    acceptor_.open(boost::asio::ip::tcp::v4());
+    acceptor_.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+  }
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+ private:
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+};
+
 /// @brief A server on a free port that runs a function for each connection, on its own thread.
 class TestServer {
  public:
