--- a/daemon/admin_server.cpp
+++ b/daemon/admin_server.cpp
@@ -76,7 +76,7 @@
   ~Server() override { End(); }
 
   base::Result<void> Open(const std::string& address, std::uint32_t port);
-  std::uint16_t port() const override { return port_; }
+  std::uint16_t Port() const override { return port_; }
   void Stop() override { End(); }
 
  private:
--- a/daemon/admin_server.hpp
+++ b/daemon/admin_server.hpp
@@ -23,7 +23,7 @@
 class AdminServer {
  public:
   virtual ~AdminServer() = default;
-  virtual std::uint16_t port() const = 0;
+  virtual std::uint16_t Port() const = 0;
   /// Ends the thread; can be called twice.
   virtual void Stop() = 0;
 };
--- a/daemon/event_queue.hpp
+++ b/daemon/event_queue.hpp
@@ -35,7 +35,7 @@
   /// Waits for room. The scheduler thread empties the ring at once and never waits for a producer,
   /// so the wait is short; it must not be called on that thread.
   void Push(scheduler::Event event) {
-    while (!TryPush(std::move(event)) && !ring_.closed()) {
+    while (!TryPush(std::move(event)) && !ring_.IsClosed()) {
       std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
   }
--- a/daemon/instance_admin.cpp
+++ b/daemon/instance_admin.cpp
@@ -78,7 +78,7 @@
   set("requests", "Requests the scheduler knows", status.requests);
   set("queued", "Requests that wait for a target", status.queued);
   set("running", "Attempts the scheduler counts as running", status.running);
-  set("attempts_in_flight", "Attempts with a connection", targets_->in_flight());
+  set("attempts_in_flight", "Attempts with a connection", targets_->InFlight());
   set("programs", "Programs this instance knows", status.programs_known);
   set("program_bytes", "Memory of program histories", status.program_bytes);
   set("unsettled", "Records that are not in the log yet", status.unsettled);
@@ -89,8 +89,8 @@
   set("rate_refusals", "Requests refused by a workspace's rate", status.rate_refusals);
   set("ring_used", "Events that wait for the scheduler thread", events_.size());
   set("ring_capacity", "Room for events", events_.capacity());
-  set("caller_connections", "Open connections of callers", callers_->connections());
-  const auto peers = peers_->stats();
+  set("caller_connections", "Open connections of callers", callers_->Connections());
+  const auto peers = peers_->Stats();
   set("peer_frames_received", "Frames accepted from other instances", peers.received);
   set("peer_frames_forged", "Frames with a wrong authentication", peers.forged);
   set("peer_frames_replayed", "Frames seen before or too old", peers.replayed);
--- a/daemon/instance_core.cpp
+++ b/daemon/instance_core.cpp
@@ -40,10 +40,10 @@
     }
   }
   Log(Level::kInfo, "listening",
-      {{"caller_port", core->caller_port()},
-       {"admin_port", core->admin_port()},
-       {"udp_port", core->udp_port()},
-       {"tcp_port", core->tcp_port()}});
+      {{"caller_port", core->CallerPort()},
+       {"admin_port", core->AdminPort()},
+       {"udp_port", core->UdpPort()},
+       {"tcp_port", core->TcpPort()}});
   return core;
 }
 
@@ -195,7 +195,7 @@
 std::string InstanceCore::LeftText() const {
   const std::lock_guard lock(mutex_);
   return std::to_string(started_.size()) + " unanswered requests, " +
-         std::to_string(targets_ ? targets_->in_flight() : 0) + " running attempts, " +
+         std::to_string(targets_ ? targets_->InFlight() : 0) + " running attempts, " +
          std::to_string(status_.unsettled) + " unsettled records";
 }
 
--- a/daemon/instance_core.hpp
+++ b/daemon/instance_core.hpp
@@ -81,10 +81,10 @@
   /// Sends what has been answered, closes everything and reports what was left.
   void Shutdown();
 
-  std::uint16_t caller_port() const { return callers_->port(); }
-  std::uint16_t admin_port() const { return admin_->port(); }
-  std::uint16_t udp_port() const { return peers_->udp_port(); }
-  std::uint16_t tcp_port() const { return peers_->tcp_port(); }
+  std::uint16_t CallerPort() const { return callers_->Port(); }
+  std::uint16_t AdminPort() const { return admin_->Port(); }
+  std::uint16_t UdpPort() const { return peers_->UdpPort(); }
+  std::uint16_t TcpPort() const { return peers_->TcpPort(); }
   net::PeerTransport& peers() { return *peers_; }
 
  private:
--- a/daemon/instance_test.cpp
+++ b/daemon/instance_test.cpp
@@ -139,8 +139,8 @@
     socket.ReadAll();
   });
   auto instance =
-      StartInstance(Options("i1"), [&](const Event& event) { return Proxy(event, target.port()); });
-  TestSocket client(instance->core().caller_port());
+      StartInstance(Options("i1"), [&](const Event& event) { return Proxy(event, target.Port()); });
+  TestSocket client(instance->core().CallerPort());
   client.Send(kTurn);
   const auto response = client.ReadResponse();
   EXPECT_EQ(response.status, 200U);
@@ -157,11 +157,11 @@
   TestQueue<scheduler::TargetFailed> failed;
   auto instance = StartInstance(Options("i1"), [&](const Event& event) {
     if (const auto* failure = std::get_if<scheduler::TargetFailed>(&event)) failed.Push(*failure);
-    return Proxy(event, target.port());
+    return Proxy(event, target.Port());
   });
-  TestSocket client(instance->core().caller_port());
+  TestSocket client(instance->core().CallerPort());
   client.Send(kTurn);
-  while (target.connections() == 0) std::this_thread::yield();
+  while (target.Connections() == 0) std::this_thread::yield();
   client.Reset();
   const auto failure = failed.Pop();
   EXPECT_EQ(failure.kind, scheduler::FailureKind::kCancelled);
@@ -171,10 +171,10 @@
 
 TEST(InstanceTest, AdminPortReportsStateAndFigures) {
   auto instance = StartInstance(Options("i1"), [](const Event& event) { return Proxy(event, 1); });
-  TestSocket client(instance->core().caller_port());
+  TestSocket client(instance->core().CallerPort());
   client.Send(kGet);
   EXPECT_EQ(client.ReadResponse().body, "read");
-  const auto port = instance->core().admin_port();
+  const auto port = instance->core().AdminPort();
   while (Get(port, "/readyz") != "200 ready\n") std::this_thread::yield();
   EXPECT_EQ(Get(port, "/healthz"), "200 ok\n");
   const auto status = nlohmann::json::parse(Get(port, "/status").substr(4));
@@ -211,10 +211,10 @@
     }
     return {};
   });
-  TestSocket client(instance->core().caller_port());
+  TestSocket client(instance->core().CallerPort());
   client.Send(kGet);
   asked.Pop();
-  EXPECT_EQ(Get(instance->core().admin_port(), "/admin/drain", "POST").substr(0, 3), "202");
+  EXPECT_EQ(Get(instance->core().AdminPort(), "/admin/drain", "POST").substr(0, 3), "202");
   EXPECT_EQ(instance->Run(), kExitStopped);
   const auto response = client.ReadResponse();
   EXPECT_EQ(response.body, "whole");
@@ -232,7 +232,7 @@
 TEST(InstanceTest, ASecondStopRequestEndsAtOnce) {
   auto instance = StartInstance(Options("i1"), [](const Event&) { return Actions{}; });
   instance->RequestStop();
-  EXPECT_EQ(Get(instance->core().admin_port(), "/readyz"), "503 not ready\n");
+  EXPECT_EQ(Get(instance->core().AdminPort(), "/readyz"), "503 not ready\n");
   instance->RequestStop();
   EXPECT_EQ(instance->Run(), kExitForced);
 }
@@ -255,7 +255,7 @@
     return Proxy(event, 1);
   });
   while (!hanging) std::this_thread::yield();
-  const auto port = instance->core().caller_port();
+  const auto port = instance->core().CallerPort();
   std::vector<std::unique_ptr<TestSocket>> clients;
   for (int n = 0; n < 3; ++n) {
     clients.push_back(std::make_unique<TestSocket>(port));
@@ -284,13 +284,13 @@
     const auto* peer = std::get_if<scheduler::PeerReceived>(&event);
     if (peer != nullptr && std::holds_alternative<schema::ForwardedRequest>(peer->message)) {
       EXPECT_EQ(peer->from.value, "i1");
-      return {ToTarget(peer->request, target.port())};
+      return {ToTarget(peer->request, target.Port())};
     }
-    return Proxy(event, target.port());
+    return Proxy(event, target.Port());
   });
   auto options = Options("i1");
   options.settings.peers = {
-      {{"i2"}, {"dc1"}, "127.0.0.1", owner->core().udp_port(), owner->core().tcp_port()}};
+      {{"i2"}, {"dc1"}, "127.0.0.1", owner->core().UdpPort(), owner->core().TcpPort()}};
   auto entry = StartInstance(std::move(options), [&](const Event& event) -> Actions {
     if (const auto* request = std::get_if<scheduler::CallerRequest>(&event)) {
       schema::ForwardedRequest forwarded;
@@ -307,8 +307,8 @@
     return reply == nullptr ? Actions{} : Actions{MakeReply(reply->request, reply->body)};
   });
   owner->core().peers().SetPeer(
-      {{"i1"}, {"dc1"}, "127.0.0.1", entry->core().udp_port(), entry->core().tcp_port()});
-  TestSocket client(entry->core().caller_port());
+      {{"i1"}, {"dc1"}, "127.0.0.1", entry->core().UdpPort(), entry->core().TcpPort()});
+  TestSocket client(entry->core().CallerPort());
   client.Send(kTurn);
   EXPECT_EQ(client.ReadResponse().body, std::string(kChunk) + "data: [DONE]\n\n");
 }
--- a/include/persimmonstair/base/ring.hpp
+++ b/include/persimmonstair/base/ring.hpp
@@ -52,7 +52,7 @@
     ready_.notify_all();
   }
 
-  bool closed() const {
+  bool IsClosed() const {
     const std::lock_guard lock(mutex_);
     return closed_;
   }
--- a/include/persimmonstair/net/caller_server.hpp
+++ b/include/persimmonstair/net/caller_server.hpp
@@ -17,7 +17,7 @@
 
 /// @brief Address and bounds of the listener for callers.
 struct CallerServerOptions {
-  /// Port 0 takes a free port, see CallerServer::port().
+  /// Port 0 takes a free port, see CallerServer::Port().
   schema::CallerSettings caller;
   /// Plain HTTP when the certificate file is empty.
   schema::TlsSettings tls;
@@ -54,8 +54,8 @@
   /// Closes the listener and all connections.
   virtual void Stop() = 0;
 
-  virtual std::uint16_t port() const = 0;
-  virtual std::size_t connections() const = 0;
+  virtual std::uint16_t Port() const = 0;
+  virtual std::size_t Connections() const = 0;
 };
 
 /// @brief Opens the listener. Fails with kInvalidRequest for an unusable address or certificate.
--- a/include/persimmonstair/net/peer_transport.hpp
+++ b/include/persimmonstair/net/peer_transport.hpp
@@ -80,9 +80,9 @@
   virtual void SetFaults(const LinkFaults& faults) = 0;
   virtual void CutLink(const base::InstanceId& peer, bool cut) = 0;
 
-  virtual PeerTransportStats stats() const = 0;
-  virtual std::uint16_t udp_port() const = 0;
-  virtual std::uint16_t tcp_port() const = 0;
+  virtual PeerTransportStats Stats() const = 0;
+  virtual std::uint16_t UdpPort() const = 0;
+  virtual std::uint16_t TcpPort() const = 0;
   virtual void Stop() = 0;
 };
 
--- a/include/persimmonstair/net/stream_assembler.hpp
+++ b/include/persimmonstair/net/stream_assembler.hpp
@@ -25,7 +25,7 @@
 ///
 ///     StreamAssembler assembler{16 << 20};
 ///     if (auto part = assembler.Add(bytes)) Relay(*part); else Fail(part.error());
-///     if (assembler.ended()) Done(assembler.Completion());
+///     if (assembler.Ended()) Done(assembler.Completion());
 class StreamAssembler {
  public:
   /// Larger streams are an error.
@@ -36,10 +36,10 @@
   base::Result<std::string> Add(std::string_view bytes);
 
   /// True once `data: [DONE]` was read.
-  bool ended() const { return ended_; }
+  bool Ended() const { return ended_; }
   /// True if bytes other than white space followed the end.
-  bool trailing() const { return trailing_; }
-  const Usage& usage() const { return usage_; }
+  bool Trailing() const { return trailing_; }
+  const Usage& TokenUsage() const { return usage_; }
   /// The chat completion object as JSON text.
   std::string Completion() const;
 
--- a/include/persimmonstair/net/target_client.hpp
+++ b/include/persimmonstair/net/target_client.hpp
@@ -69,7 +69,7 @@
   virtual void Stop() = 0;
 
   /// Attempts that have not ended.
-  virtual std::size_t in_flight() const = 0;
+  virtual std::size_t InFlight() const = 0;
 };
 
 std::unique_ptr<TargetClient> MakeTargetClient(IoPool& pool, TargetClientOptions options,
--- a/src/persimmonstair/net/caller_connection.cpp
+++ b/src/persimmonstair/net/caller_connection.cpp
@@ -39,7 +39,7 @@
   read_deadline_.Bind(self, [this] { OnReadExpired(); });
   write_deadline_.Bind(self, [this] { Close(); });
   boost::system::error_code ec;
-  stream_.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+  stream_.Socket().set_option(asio::ip::tcp::no_delay(true), ec);
   read_deadline_.Set(std::chrono::milliseconds(core_->options.caller.header_timeout_ms));
   stream_.Handshake([this, self, refuse](boost::system::error_code failure) {
     if (failure) return Close();
@@ -315,7 +315,7 @@
   read_deadline_.Stop();
   write_deadline_.Stop();
   boost::system::error_code ec;
-  stream_.socket().close(ec);
+  stream_.Socket().close(ec);
   if (counted_) core_->EndAnswer();
   counted_ = false;
   core_->RemoveSession(this);
--- a/src/persimmonstair/net/caller_core.cpp
+++ b/src/persimmonstair/net/caller_core.cpp
@@ -39,7 +39,7 @@
   for (const auto& session : open) session->PostClose();
 }
 
-std::size_t CallerCore::connections() const {
+std::size_t CallerCore::Connections() const {
   const std::lock_guard lock(mutex_);
   return sessions_.size();
 }
--- a/src/persimmonstair/net/caller_core.hpp
+++ b/src/persimmonstair/net/caller_core.hpp
@@ -38,7 +38,7 @@
   Admission AddSession(const std::shared_ptr<CallerSession>& session);
   void RemoveSession(const CallerSession* session);
   void CloseAll();
-  std::size_t connections() const;
+  std::size_t Connections() const;
 
   /// Makes a request known; it is answered by whoever takes it.
   void Open(base::RequestId request, const std::shared_ptr<CallerSession>& session);
--- a/src/persimmonstair/net/caller_server.cpp
+++ b/src/persimmonstair/net/caller_server.cpp
@@ -28,7 +28,7 @@
 
   base::Result<void> Open();
   void Close();
-  std::uint16_t port() const { return port_; }
+  std::uint16_t Port() const { return port_; }
 
  private:
   base::Result<void> OpenTls();
@@ -148,8 +148,8 @@
     return core_->WaitUntilAnswered(timeout);
   }
   void Stop() override { Close(); }
-  std::uint16_t port() const override { return listener_->port(); }
-  std::size_t connections() const override { return core_->connections(); }
+  std::uint16_t Port() const override { return listener_->Port(); }
+  std::size_t Connections() const override { return core_->Connections(); }
 
  private:
   void Close() {
--- a/src/persimmonstair/net/caller_server_test.cpp
+++ b/src/persimmonstair/net/caller_server_test.cpp
@@ -55,7 +55,7 @@
 
   // A whole exchange on a new connection, to show that the server still works.
   void ExpectServes() {
-    TestSocket client(server_->port());
+    TestSocket client(server_->Port());
     client.Send(kGet);
     Reply(requests_.Pop().request, "fine");
     EXPECT_EQ(client.ReadResponse().body, "fine");
@@ -80,7 +80,7 @@
 
 TEST_F(CallerServerTest, AnswersRequestsOnAKeptConnection) {
   Start();
-  TestSocket client(server_->port());
+  TestSocket client(server_->Port());
   for (int n = 0; n < 3; ++n) {
     client.Send(kTurn);
     const auto request = requests_.Pop();
@@ -98,7 +98,7 @@
 // Guards against answers in the wrong order or to the wrong request.
 TEST_F(CallerServerTest, PipelinedRequestsRunOneAfterTheOther) {
   Start();
-  TestSocket client(server_->port());
+  TestSocket client(server_->Port());
   client.Send(std::string(kGet) + kTurn + kGet);
   for (const char* body : {"one", "two", "three"}) {
     const auto request = requests_.Pop();
@@ -112,7 +112,7 @@
 
 TEST_F(CallerServerTest, RelaysAStreamAndHoldsItsEndUntilTheReply) {
   Start();
-  TestSocket client(server_->port());
+  TestSocket client(server_->Port());
   client.Send(kTurn);
   const auto id = requests_.Pop().request;
   server_->Relay(id, "data: {\"a\":1}\n\n");
@@ -135,7 +135,7 @@
 
 TEST_F(CallerServerTest, ACallerThatDisconnectsIsReportedOnce) {
   Start();
-  TestSocket client(server_->port());
+  TestSocket client(server_->Port());
   client.Send(kTurn);
   const auto id = requests_.Pop().request;
   client.Reset();
@@ -148,7 +148,7 @@
 // Guards against a malformed request that is half understood, or that harms other connections.
 TEST_F(CallerServerTest, MalformedFramingGetsA400AndHarmsNobodyElse) {
   Start();
-  TestSocket other(server_->port());
+  TestSocket other(server_->Port());
   other.Send(kGet);
   const auto pending = requests_.Pop().request;
   const std::vector<std::string> cases = {
@@ -161,7 +161,7 @@
       "POST /v1/services/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
   };
   for (const auto& bytes : cases) {
-    TestSocket client(server_->port());
+    TestSocket client(server_->Port());
     client.Send(bytes);
     ExpectError(client.ReadResponse(), 400, "invalid_request");
     EXPECT_EQ(client.ReadAll(), "");
@@ -175,13 +175,13 @@
   options_.caller.max_header_bytes = 1024;
   options_.caller.max_body_bytes = 2048;
   Start();
-  TestSocket header(server_->port());
+  TestSocket header(server_->Port());
   header.Send("GET /v1/catalogue HTTP/1.1\r\nx: " + std::string(4096, 'a'));
   ExpectError(header.ReadResponse(), 431, "invalid_request");
-  TestSocket body(server_->port());
+  TestSocket body(server_->Port());
   body.Send("POST /v1/services/a HTTP/1.1\r\nContent-Length: 4096\r\n\r\n");
   ExpectError(body.ReadResponse(), 413, "payload_too_large");
-  TestSocket chunked(server_->port());
+  TestSocket chunked(server_->Port());
   chunked.Send("POST /v1/services/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n" +
                std::string(4096, 'a') + "\r\n0\r\n\r\n");
   ExpectError(chunked.ReadResponse(), 413, "payload_too_large");
@@ -192,10 +192,10 @@
 TEST_F(CallerServerTest, ASlowRequestTimesOut) {
   options_.caller.header_timeout_ms = 50;
   Start();
-  TestSocket header(server_->port());
+  TestSocket header(server_->Port());
   header.Send("GET /v1/cata");
   ExpectError(header.ReadResponse(), 408, "timeout");
-  TestSocket body(server_->port());
+  TestSocket body(server_->Port());
   body.Send("POST /v1/services/a HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
   ExpectError(body.ReadResponse(), 408, "timeout");
   EXPECT_EQ(body.ReadAll(), "");
@@ -204,7 +204,7 @@
 TEST_F(CallerServerTest, AnIdleConnectionIsClosed) {
   options_.caller.idle_timeout_ms = 50;
   Start();
-  TestSocket client(server_->port());
+  TestSocket client(server_->Port());
   EXPECT_EQ(client.ReadAll(), "");
 }
 
@@ -213,7 +213,7 @@
   options_.max_unsent_bytes = 1U << 20U;
   options_.caller.write_timeout_ms = 100;
   Start();
-  TestSocket client(server_->port());
+  TestSocket client(server_->Port());
   client.Send(kTurn);
   const auto id = requests_.Pop().request;
   for (int n = 0; n < 64; ++n) {
@@ -226,7 +226,7 @@
 TEST_F(CallerServerTest, AFullRingRefusesWithNotRun) {
   Start();
   full_ = true;
-  TestSocket client(server_->port());
+  TestSocket client(server_->Port());
   client.Send(kGet);
   const auto response = client.ReadResponse();
   ExpectError(response, 503, "overloaded");
@@ -240,10 +240,10 @@
 TEST_F(CallerServerTest, TooManyConnectionsAreToldSo) {
   options_.caller.max_connections = 1;
   Start();
-  TestSocket first(server_->port());
+  TestSocket first(server_->Port());
   first.Send(kGet);
   const auto id = requests_.Pop().request;
-  TestSocket second(server_->port());
+  TestSocket second(server_->Port());
   ExpectError(second.ReadResponse(), 503, "overloaded");
   Reply(id, "served");
   EXPECT_EQ(first.ReadResponse().body, "served");
@@ -251,7 +251,7 @@
 
 TEST_F(CallerServerTest, DrainClosesConnectionsAfterTheirAnswers) {
   Start();
-  TestSocket client(server_->port());
+  TestSocket client(server_->Port());
   client.Send(kGet);
   const auto id = requests_.Pop().request;
   server_->BeginDrain();
@@ -266,12 +266,12 @@
 
 TEST_F(CallerServerTest, Http10AndExpectContinue) {
   Start();
-  TestSocket old(server_->port());
+  TestSocket old(server_->Port());
   old.Send("GET /v1/programs/p.1 HTTP/1.0\r\n\r\n");
   Reply(requests_.Pop().request, "old");
   EXPECT_EQ(old.ReadResponse().body, "old");
   EXPECT_EQ(old.ReadAll(), "");
-  TestSocket waits(server_->port());
+  TestSocket waits(server_->Port());
   waits.Send("POST /v1/services/a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
   EXPECT_NE(waits.ReadUntil("\r\n\r\n").find("100 Continue"), std::string::npos);
   waits.Send("ab");
@@ -284,7 +284,7 @@
 // Guards against a header of the scheduler's reply that could split the response.
 TEST_F(CallerServerTest, HeadersThatFrameTheMessageAreDropped) {
   Start();
-  TestSocket client(server_->port());
+  TestSocket client(server_->Port());
   client.Send(kGet);
   server_->Reply(MakeReply(requests_.Pop().request, 200,
                            {{"x-a", "1\r\nx-injected: 2"}, {"content-length", "1"}}, "body"));
--- a/src/persimmonstair/net/caller_stream.hpp
+++ b/src/persimmonstair/net/caller_stream.hpp
@@ -21,7 +21,7 @@
     stream.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
     handler(ec);
   }
-  boost::asio::ip::tcp::socket& socket() { return stream; }
+  boost::asio::ip::tcp::socket& Socket() { return stream; }
 
   boost::asio::ip::tcp::socket stream;
 };
@@ -39,7 +39,7 @@
   void Shutdown(Handler handler) {
     stream.async_shutdown(std::move(handler));
   }
-  boost::asio::ip::tcp::socket& socket() { return stream.next_layer(); }
+  boost::asio::ip::tcp::socket& Socket() { return stream.next_layer(); }
 
   boost::asio::ssl::stream<boost::asio::ip::tcp::socket> stream;
 };
--- a/src/persimmonstair/net/peer_receiver.hpp
+++ b/src/persimmonstair/net/peer_receiver.hpp
@@ -21,8 +21,7 @@
   void Start();
   void Close();
   /// Empty until the first authentic frame.
-  const base::InstanceId& from() const { return from_; }
-  bool open() const { return socket_.is_open(); }
+  const base::InstanceId& From() const { return from_; }
 
  private:
   void ReadLength();
--- a/src/persimmonstair/net/peer_sender.hpp
+++ b/src/persimmonstair/net/peer_sender.hpp
@@ -25,7 +25,7 @@
   /// Breaks the connection; messages that have not been sent fail.
   void Break();
   void Stop();
-  const schema::PeerSettings& peer() const { return peer_; }
+  const schema::PeerSettings& Peer() const { return peer_; }
 
  private:
   enum class State { kConnecting, kGreeting, kOpen, kBackoff, kStopped };
--- a/src/persimmonstair/net/peer_transport.cpp
+++ b/src/persimmonstair/net/peer_transport.cpp
@@ -71,12 +71,12 @@
   }
   void CutLink(const base::InstanceId& peer, bool cut) override;
 
-  PeerTransportStats stats() const override {
+  PeerTransportStats Stats() const override {
     return {core_->received,  core_->forged,    core_->replayed,
             core_->malformed, core_->oversized, core_->sent_bytes};
   }
-  std::uint16_t udp_port() const override { return udp_port_; }
-  std::uint16_t tcp_port() const override { return tcp_port_; }
+  std::uint16_t UdpPort() const override { return udp_port_; }
+  std::uint16_t TcpPort() const override { return tcp_port_; }
   void Stop() override { End(); }
 
  private:
@@ -172,7 +172,7 @@
 void Transport::AddPeer(const schema::PeerSettings& peer) {
   if (peer.instance == core_->options.instance) return;
   auto& sender = peers_[peer.instance];
-  if (sender && sender->peer() == peer) return;
+  if (sender && sender->Peer() == peer) return;
   if (sender) {
     sender->Break();
     sender->Stop();
@@ -191,13 +191,13 @@
     if (const auto it = peers_.find(peer); it != peers_.end()) it->second->Break();
     for (const auto& weak : receivers_) {
       const auto receiver = weak.lock();
-      if (receiver && receiver->from() == peer) receiver->Close();
+      if (receiver && receiver->From() == peer) receiver->Close();
     }
   });
 }
 
 void Transport::Datagram(const PeerSender& to, const std::string& payload) {
-  const auto& peer = to.peer();
+  const auto& peer = to.Peer();
   if (core_->cut.contains(peer.instance)) return;
   const auto header = core_->Header(peer.instance, ++sequences_[peer.instance]);
   std::string bytes = SealFrame(header, payload, core_->options.fleet_key);
--- a/src/persimmonstair/net/peer_transport_test.cpp
+++ b/src/persimmonstair/net/peer_transport_test.cpp
@@ -57,7 +57,7 @@
 
   void Knows(const std::string& id, const Node& other) {
     transport->SetPeer(
-        {{id}, {"dc1"}, "127.0.0.1", other.transport->udp_port(), other.transport->tcp_port()});
+        {{id}, {"dc1"}, "127.0.0.1", other.transport->UdpPort(), other.transport->TcpPort()});
   }
 };
 
@@ -80,7 +80,7 @@
   boost::asio::io_context context;
   boost::asio::ip::udp::socket socket(context, boost::asio::ip::udp::v4());
   socket.send_to(boost::asio::buffer(bytes),
-                 {boost::asio::ip::make_address("127.0.0.1"), to.transport->udp_port()});
+                 {boost::asio::ip::make_address("127.0.0.1"), to.transport->UdpPort()});
 }
 
 // Datagrams on loopback arrive in order, so a valid one shows that the others were handled.
@@ -165,7 +165,7 @@
   SendRaw(a, SealFrame(HeaderOf(4), "not a message", kKey));
   SendRaw(a, SealFrame(HeaderOf(5), std::string(kMaxDatagramBytes, 'x'), kKey));
   ExpectOnly(a, 6);
-  const auto stats = a.transport->stats();
+  const auto stats = a.transport->Stats();
   EXPECT_EQ(stats.forged, 2U);
   EXPECT_EQ(stats.replayed, 3U);
   EXPECT_EQ(stats.malformed, 1U);
@@ -183,7 +183,7 @@
   };
   const std::string payload = schema::EncodePeer(Numbered(1));
   const auto closes = [&](const std::function<std::string(const std::string&)>& make) {
-    TestSocket socket(a.transport->tcp_port());
+    TestSocket socket(a.transport->TcpPort());
     std::string binding(16, '\0');
     boost::asio::read(socket.socket(), boost::asio::buffer(binding));
     socket.Send(make(binding));
@@ -213,7 +213,7 @@
   EXPECT_FALSE(b.failed.Pop().sent);
   std::uint16_t port = 0;
   {
-    port = TestServer([](TestSocket&) {}).port();
+    port = TestServer([](TestSocket&) {}).Port();
   }
   b.transport->SetPeer({{"a"}, {"dc1"}, "127.0.0.1", port, port});
   b.transport->SendReliable({"a"}, Numbered(2));
@@ -226,7 +226,7 @@
 TEST(PeerTransportTest, ReconnectsAfterThePeerRestarted) {
   Node b("b");
   auto a = std::make_unique<Node>("a");
-  const auto port = a->transport->tcp_port();
+  const auto port = a->transport->TcpPort();
   b.Knows("a", *a);
   b.transport->SendReliable({"a"}, Numbered(1));
   EXPECT_EQ(NumberOf(a->received.Pop().message), 1U);
@@ -274,7 +274,7 @@
   EXPECT_EQ(distinct.size(), order.size());
   EXPECT_LT(order.size(), 200U);
   EXPECT_FALSE(std::is_sorted(order.begin(), order.end()));
-  EXPECT_GT(a.transport->stats().replayed, 0U);
+  EXPECT_GT(a.transport->Stats().replayed, 0U);
 }
 
 TEST(PeerTransportTest, ACutLinkCarriesNothingUntilItIsRestored) {
--- a/src/persimmonstair/net/stream_assembler_test.cpp
+++ b/src/persimmonstair/net/stream_assembler_test.cpp
@@ -28,15 +28,15 @@
     ASSERT_TRUE(first && second) << split;
     EXPECT_EQ(*first + *second, kStream) << split;
     EXPECT_TRUE(first->empty() || first->back() == '\n');
-    EXPECT_TRUE(assembler.ended());
-    EXPECT_FALSE(assembler.trailing());
+    EXPECT_TRUE(assembler.Ended());
+    EXPECT_FALSE(assembler.Trailing());
     const auto json = nlohmann::json::parse(assembler.Completion());
     EXPECT_EQ(json["id"], "c1");
     EXPECT_EQ(json["model"], "m1");
     EXPECT_EQ(json["choices"][0]["message"]["content"], "Hello");
     EXPECT_EQ(json["choices"][0]["finish_reason"], "stop");
     EXPECT_EQ(json["usage"]["prompt_tokens"], 9);
-    EXPECT_EQ(assembler.usage().cached_tokens, 4);
+    EXPECT_EQ(assembler.TokenUsage().cached_tokens, 4);
   }
 }
 
@@ -44,8 +44,8 @@
 TEST(StreamAssemblerTest, TheEndAndWhatFollowsAreHeldBack) {
   StreamAssembler assembler{1U << 20U};
   EXPECT_EQ(assembler.Add(std::string(kDone) + "data: {\"x\":1}\n\n").value_or("error"), "");
-  EXPECT_TRUE(assembler.ended());
-  EXPECT_TRUE(assembler.trailing());
+  EXPECT_TRUE(assembler.Ended());
+  EXPECT_TRUE(assembler.Trailing());
   EXPECT_EQ(assembler.Add("data: {}\n\n").value_or("error"), "");
 }
 
--- a/src/persimmonstair/net/target_answer.cpp
+++ b/src/persimmonstair/net/target_answer.cpp
@@ -98,14 +98,14 @@
 TargetAnswer::State TargetAnswer::End() {
   if (!parser_->is_header_done()) return State::kTruncated;
   // Everything up to the end marker of a stream has arrived; only the chunk framing is cut off.
-  if (assembler_) return assembler_->ended() ? State::kDone : State::kTruncated;
+  if (assembler_) return assembler_->Ended() ? State::kDone : State::kTruncated;
   // Without a length, a complete body cannot be told from a truncated one.
   return parser_->need_eof() ? State::kMalformed : State::kTruncated;
 }
 
 TargetAnswer::State TargetAnswer::Finish() {
-  if (assembler_ && !assembler_->ended()) return State::kMalformed;
-  reusable_ = parser_->keep_alive() && !(assembler_ && assembler_->trailing());
+  if (assembler_ && !assembler_->Ended()) return State::kMalformed;
+  reusable_ = parser_->keep_alive() && !(assembler_ && assembler_->Trailing());
   return State::kDone;
 }
 
@@ -114,7 +114,7 @@
   done.status = parser_->get().result_int();
   Usage usage;
   if (assembler_) {
-    usage = assembler_->usage();
+    usage = assembler_->TokenUsage();
     done.body = assembler_->Completion();
   } else {
     done.body = std::move(parser_->get().body());
--- a/src/persimmonstair/net/target_answer.hpp
+++ b/src/persimmonstair/net/target_answer.hpp
@@ -32,7 +32,7 @@
   /// Server-sent events that became complete since the last call; always empty for other answers.
   std::string TakeEvents() { return std::exchange(events_, {}); }
   /// The connection can carry another request.
-  bool reusable() const { return reusable_; }
+  bool Reusable() const { return reusable_; }
   /// All fields but `attempt`; to be called once, when done.
   scheduler::TargetDone TakeDone();
 
--- a/src/persimmonstair/net/target_attempt.cpp
+++ b/src/persimmonstair/net/target_attempt.cpp
@@ -40,7 +40,7 @@
       dispatch_(std::move(dispatch)),
       answer_(core_->options, CorrelationId(core_->options, dispatch_.attempt),
               dispatch_.method == "HEAD"),
-      deadline_(pool_->context()) {}
+      deadline_(pool_->Context()) {}
 
 void TargetAttempt::Start() {
   if (ended_) return;
@@ -56,7 +56,7 @@
 }
 
 void TargetAttempt::Connect() {
-  socket_ = std::make_unique<asio::ip::tcp::socket>(pool_->context());
+  socket_ = std::make_unique<asio::ip::tcp::socket>(pool_->Context());
   boost::system::error_code ec;
   socket_->open(endpoint_.protocol(), ec);
   if (ec) return Fail(FailureKind::kConnectRefused);
@@ -157,7 +157,7 @@
 
 void TargetAttempt::Succeed() {
   ended_ = true;
-  const bool reusable = answer_.reusable() && sent_whole_ && buffer_.size() == 0;
+  const bool reusable = answer_.Reusable() && sent_whole_ && buffer_.size() == 0;
   deadline_.Stop();
   if (reusable) {
     pool_->Put(endpoint_, std::move(socket_));
--- a/src/persimmonstair/net/target_attempt.hpp
+++ b/src/persimmonstair/net/target_attempt.hpp
@@ -24,7 +24,7 @@
   void Cancel();
   /// Closes the connection without an event.
   void Drop();
-  TargetPool& pool() { return *pool_; }
+  TargetPool& Pool() { return *pool_; }
 
  private:
   void Connect();
--- a/src/persimmonstair/net/target_client.cpp
+++ b/src/persimmonstair/net/target_client.cpp
@@ -31,32 +31,32 @@
     const auto id = dispatch.attempt;
     auto attempt = std::make_shared<TargetAttempt>(core_, pool, std::move(dispatch));
     core_->Add(id, attempt);
-    asio::post(pool->context(), [attempt] { attempt->Start(); });
+    asio::post(pool->Context(), [attempt] { attempt->Start(); });
   }
 
   void Cancel(base::AttemptId id) override {
     const auto attempt = core_->Find(id);
-    if (attempt) asio::post(attempt->pool().context(), [attempt] { attempt->Cancel(); });
+    if (attempt) asio::post(attempt->Pool().Context(), [attempt] { attempt->Cancel(); });
   }
 
   void CloseIdle(const std::string& address, std::uint32_t port) override {
     const auto endpoint = TargetEndpoint(address, port);
     if (!endpoint) return;
     for (const auto& pool : pools_) {
-      asio::post(pool->context(), [pool, endpoint = *endpoint] { pool->CloseIdle(endpoint); });
+      asio::post(pool->Context(), [pool, endpoint = *endpoint] { pool->CloseIdle(endpoint); });
     }
   }
 
   void Stop() override { Close(); }
-  std::size_t in_flight() const override { return core_->size(); }
+  std::size_t InFlight() const override { return core_->size(); }
 
  private:
   void Close() {
     for (auto& attempt : core_->RemoveAll()) {
-      asio::post(attempt->pool().context(), [attempt] { attempt->Drop(); });
+      asio::post(attempt->Pool().Context(), [attempt] { attempt->Drop(); });
     }
     for (const auto& pool : pools_) {
-      asio::post(pool->context(), [pool] { pool->CloseAll(); });
+      asio::post(pool->Context(), [pool] { pool->CloseAll(); });
     }
   }
 
--- a/src/persimmonstair/net/target_client_test.cpp
+++ b/src/persimmonstair/net/target_client_test.cpp
@@ -83,7 +83,7 @@
       socket.ReadRequest();
       socket.Send(answer);
     });
-    return Run(To(server.port()));
+    return Run(To(server.Port()));
   }
 
   void ExpectFailed(const Outcome& outcome, FailureKind kind, Verdict verdict) {
@@ -111,7 +111,7 @@
     requests.Push(socket.ReadRequest());
     socket.Send(kOk);
   });
-  auto dispatch = To(server.port());
+  auto dispatch = To(server.Port());
   dispatch.credential = "engine";
   dispatch.headers = {{"x-a", "1"},
                       {"Authorization", "Bearer callers-key"},
@@ -130,23 +130,23 @@
 TEST_F(TargetClientTest, ADispatchThatCannotBeSentHasNotRun) {
   Start();
   TestServer server([](TestSocket& socket) { socket.ReadAll(); });
-  auto unknown = To(server.port());
+  auto unknown = To(server.Port());
   unknown.credential = "missing";
   ExpectFailed(Run(unknown), FailureKind::kConnectRefused, Verdict::kNotRun);
-  auto path = To(server.port());
+  auto path = To(server.Port());
   path.path = "/a b";
   ExpectFailed(Run(path), FailureKind::kConnectRefused, Verdict::kNotRun);
-  auto address = To(server.port());
+  auto address = To(server.Port());
   address.address = "localhost";
   ExpectFailed(Run(address), FailureKind::kConnectRefused, Verdict::kNotRun);
-  EXPECT_EQ(server.connections(), 0);
+  EXPECT_EQ(server.Connections(), 0);
 }
 
 TEST_F(TargetClientTest, ARefusedConnectionHasNotRun) {
   Start();
   std::uint16_t port = 0;
   {
-    port = TestServer([](TestSocket&) {}).port();
+    port = TestServer([](TestSocket&) {}).Port();
   }
   ExpectFailed(Run(To(port)), FailureKind::kConnectRefused, Verdict::kNotRun);
 }
@@ -156,12 +156,12 @@
   TestServer server([](TestSocket& socket) {
     while (socket.ReadRequest().status != 0) socket.Send(kOk);
   });
-  for (int n = 0; n < 3; ++n) EXPECT_EQ(Run(To(server.port())).done.body, "ok");
-  EXPECT_EQ(server.connections(), 1);
-  auto fresh = To(server.port());
+  for (int n = 0; n < 3; ++n) EXPECT_EQ(Run(To(server.Port())).done.body, "ok");
+  EXPECT_EQ(server.Connections(), 1);
+  auto fresh = To(server.Port());
   fresh.fresh_connection = true;
   EXPECT_EQ(Run(fresh).done.body, "ok");
-  EXPECT_EQ(server.connections(), 2);
+  EXPECT_EQ(server.Connections(), 2);
 }
 
 // Guards against a late answer that is taken for the answer of the next request.
@@ -183,10 +183,10 @@
     socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
     ended.Push(socket.ReadAll());
   });
-  EXPECT_EQ(Run(To(server.port())).done.body, "ok");
+  EXPECT_EQ(Run(To(server.Port())).done.body, "ok");
   sent.Push(1);
   EXPECT_EQ(ended.Pop(), "");
-  EXPECT_EQ(Run(To(server.port())).done.body, "new");
+  EXPECT_EQ(Run(To(server.Port())).done.body, "new");
 }
 
 TEST_F(TargetClientTest, BytesAfterAnAnswerEndTheConnection) {
@@ -197,7 +197,7 @@
     socket.Send(std::string(kOk) + "x");
     ended.Push(socket.ReadAll());
   });
-  EXPECT_EQ(Run(To(server.port())).done.body, "ok");
+  EXPECT_EQ(Run(To(server.Port())).done.body, "ok");
   EXPECT_EQ(ended.Pop(), "");
 }
 
@@ -281,7 +281,7 @@
 TEST_F(TargetClientTest, SilenceEndsAtTheDeadlines) {
   Start();
   TestServer silent([](TestSocket& socket) { socket.ReadAll(); });
-  auto dispatch = To(silent.port());
+  auto dispatch = To(silent.Port());
   dispatch.first_byte_timeout = std::chrono::milliseconds(50);
   ExpectFailed(Run(dispatch), FailureKind::kFirstByteTimeout, Verdict::kMayHaveRun);
   TestServer stalls([](TestSocket& socket) {
@@ -289,7 +289,7 @@
     socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
     socket.ReadAll();
   });
-  dispatch = To(stalls.port());
+  dispatch = To(stalls.Port());
   dispatch.between_bytes_timeout = std::chrono::milliseconds(50);
   ExpectFailed(Run(dispatch), FailureKind::kBetweenBytesTimeout, Verdict::kMayHaveRun);
 }
@@ -324,13 +324,13 @@
     asked.Push(1);
     socket.ReadAll();
   });
-  const auto dispatch = To(server.port());
+  const auto dispatch = To(server.Port());
   client_->Dispatch(dispatch);
   asked.Pop();
   client_->Cancel(dispatch.attempt);
   client_->Cancel(dispatch.attempt);
   ExpectFailed(outcomes_.Pop(), FailureKind::kCancelled, Verdict::kMayHaveRun);
-  EXPECT_EQ(client_->in_flight(), 0U);
+  EXPECT_EQ(client_->InFlight(), 0U);
   EXPECT_EQ(outcomes_.size(), 1U);
 }
 
@@ -343,12 +343,12 @@
     socket.Send(kOk);
     ended.Push(socket.ReadAll());
   });
-  EXPECT_EQ(Run(To(server.port())).done.body, "ok");
+  EXPECT_EQ(Run(To(server.Port())).done.body, "ok");
   EXPECT_EQ(ended.Pop(), "");
   options_.idle_age = std::chrono::hours(1);
   Start();
-  EXPECT_EQ(Run(To(server.port())).done.body, "ok");
-  client_->CloseIdle("127.0.0.1", server.port());
+  EXPECT_EQ(Run(To(server.Port())).done.body, "ok");
+  client_->CloseIdle("127.0.0.1", server.Port());
   EXPECT_EQ(ended.Pop(), "");
 }
 
--- a/src/persimmonstair/net/target_pool.hpp
+++ b/src/persimmonstair/net/target_pool.hpp
@@ -22,7 +22,7 @@
              std::size_t max_idle)
       : context_(context), sweep_(context), idle_age_(idle_age), max_idle_(max_idle) {}
 
-  boost::asio::io_context& context() { return context_; }
+  boost::asio::io_context& Context() { return context_; }
 
   /// A connection without unread bytes, or null.
   std::unique_ptr<Socket> Take(const Endpoint& endpoint);
--- a/src/persimmonstair/net/test_socket.hpp
+++ b/src/persimmonstair/net/test_socket.hpp
@@ -174,7 +174,7 @@
     acceptor_.open(boost::asio::ip::tcp::v4());
     acceptor_.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
   }
-  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  std::uint16_t Port() const { return acceptor_.local_endpoint().port(); }
 
  private:
   boost::asio::io_context context_;
@@ -206,8 +206,8 @@
     for (auto& thread : threads_) thread.join();
   }
 
-  std::uint16_t port() const { return port_; }
-  int connections() const { return connections_; }
+  std::uint16_t Port() const { return port_; }
+  int Connections() const { return connections_; }
 
  private:
   void Run() {
