Add the operators' command line

Cause: operators need to check, change and read the catalogue, grant and withdraw keys, look at instances, begin planned stops and put load on an address.

--- /dev/null
+++ b/cli/catalogue_view.cpp
@@ -0,0 +1,192 @@
+#include "cli/catalogue_view.hpp"
+
+#include <set>
+#include <thread>
+
+#include "cli/cli.hpp"
+
+namespace persimmonstair::cli {
+namespace {
+
+constexpr std::chrono::milliseconds kStatusInterval{100};
+
+tl::unexpected<Failure> Malformed(const std::string& what) {
+  return tl::make_unexpected(Failure{kUnknown, "incomplete_answer", what, "", 0});
+}
+
+std::string DescribeMembers(const Edit& edit) {
+  std::string out;
+  if (!edit.old_value.is_object() || !edit.value.is_object()) return out;
+  const auto text = [](const Json& object, const std::string& name) {
+    return object.contains(name) ? object[name].dump() : std::string("(none)");
+  };
+  std::set<std::string> names;
+  for (const auto& [name, value] : edit.old_value.items()) names.insert(name);
+  for (const auto& [name, value] : edit.value.items()) names.insert(name);
+  for (const std::string& name : names) {
+    const std::string before = text(edit.old_value, name);
+    const std::string after = text(edit.value, name);
+    if (before == after) continue;
+    out.append("    ").append(name).append(": ").append(before);
+    out.append(" -> ").append(after).append("\n");
+  }
+  return out;
+}
+
+const char* Sign(const Edit& edit) {
+  if (edit.remove) return "- ";
+  return edit.old_value.is_null() ? "+ " : "~ ";
+}
+
+/// What the instances said in one round of /status.
+struct Round {
+  std::set<std::string> current;
+  std::set<std::string> seen;
+  std::set<std::string> live;
+  std::string failure;
+};
+
+Round AskAll(const Context& context, std::uint64_t version) {
+  Round out;
+  for (const std::string& admin : context.admin) {
+    const auto status = Call(context, admin, "", "GET", "/status");
+    if (!status) {
+      out.failure = status.error().message;
+      continue;
+    }
+    const std::string instance = TextMember(*status, "instance");
+    out.seen.insert(instance.empty() ? admin : instance);
+    if (NumberMember(*status, "catalogue_version") >= version) {
+      out.current.insert(instance.empty() ? admin : instance);
+    }
+    const auto live = status->find("live");
+    if (live == status->end() || !live->is_array()) continue;
+    for (const Json& id : *live) {
+      if (id.is_string()) out.live.insert(id);
+    }
+  }
+  return out;
+}
+
+std::string Join(const std::set<std::string>& names) {
+  std::string out;
+  for (const std::string& name : names) out.append(out.empty() ? "" : ", ").append(name);
+  return out;
+}
+
+std::set<std::string> Without(std::set<std::string> names, const std::set<std::string>& removed) {
+  for (const std::string& name : removed) names.erase(name);
+  return names;
+}
+
+}  // namespace
+
+Outcome<CatalogueView> ParseCatalogue(const Json& json) {
+  if (!json.is_object() || !json.contains("version") || !json["version"].is_number_unsigned() ||
+      !json.contains("entries") || !json["entries"].is_array()) {
+    return Malformed("the answer has no version and entries");
+  }
+  CatalogueView out;
+  out.version = json["version"];
+  for (const Json& item : json["entries"]) {
+    const bool valid = item.is_object() && item.contains("section") &&
+                       item["section"].is_string() && item.contains("name") &&
+                       item["name"].is_string() && item.contains("version") &&
+                       item["version"].is_number_unsigned() && item.contains("value");
+    if (!valid) return Malformed("an entry lacks section, name, version or value");
+    out.entries[{item["section"], item["name"]}] = {item["version"], item["value"]};
+  }
+  return out;
+}
+
+Outcome<CatalogueView> FetchCatalogue(const Context& context) {
+  const auto json = CallEntry(context, "GET", "/v1/catalogue");
+  if (!json) return tl::make_unexpected(json.error());
+  return ParseCatalogue(*json);
+}
+
+std::vector<Edit> Compare(const CatalogueView& current, const Json& document, bool prune) {
+  std::vector<Edit> out;
+  std::set<EntryName> wanted;
+  for (const auto& [section, entries] : document.items()) {
+    for (const auto& [name, value] : entries.items()) {
+      wanted.insert({section, name});
+      const auto it = current.entries.find({section, name});
+      if (it == current.entries.end()) {
+        out.push_back({{section, name}, 0, false, value, nullptr});
+      } else if (it->second.value != value) {
+        out.push_back({{section, name}, it->second.version, false, value, it->second.value});
+      }
+    }
+  }
+  if (!prune) return out;
+  for (const auto& [name, entry] : current.entries) {
+    if (!wanted.contains(name)) out.push_back({name, entry.version, true, nullptr, entry.value});
+  }
+  return out;
+}
+
+std::string DescribeEdits(const std::vector<Edit>& edits) {
+  std::string out;
+  for (const Edit& edit : edits) {
+    out.append(Sign(edit)).append(edit.name.first).append("/").append(edit.name.second);
+    if (edit.base_version > 0) {
+      out.append(" (version ").append(std::to_string(edit.base_version)).append(")");
+    }
+    out.append("\n").append(DescribeMembers(edit));
+  }
+  return out;
+}
+
+Json ToJson(const std::vector<Edit>& edits) {
+  Json out = Json::array();
+  for (const Edit& edit : edits) {
+    Json item;
+    item["section"] = edit.name.first;
+    item["name"] = edit.name.second;
+    item["base_version"] = edit.base_version;
+    item["remove"] = edit.remove;
+    if (!edit.remove) item["value"] = edit.value;
+    out.push_back(std::move(item));
+  }
+  return out;
+}
+
+Outcome<std::uint64_t> SendChange(const Context& context, const std::vector<Edit>& edits,
+                                  const std::string& reason) {
+  Json body;
+  body["reason"] = reason;
+  body["edits"] = ToJson(edits);
+  const auto answer = CallEntry(context, "POST", "/v1/catalogue/changes", body.dump());
+  if (!answer) return tl::make_unexpected(answer.error());
+  if (!answer->is_object() || !answer->contains("version") ||
+      !(*answer)["version"].is_number_unsigned()) {
+    return Malformed("the answer to the change states no version");
+  }
+  return (*answer)["version"].get<std::uint64_t>();
+}
+
+Outcome<void> WaitForVersion(const Context& context, std::uint64_t version,
+                             const WaitOptions& options) {
+  if (!options.wait) return {};
+  if (context.admin.empty()) return UsageError("--wait needs the instances' --admin addresses");
+  const auto deadline =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(options.timeout_ms);
+  for (;;) {
+    const Round round = AskAll(context, version);
+    const std::set<std::string> unknown = Without(round.live, round.seen);
+    const std::set<std::string> behind = Without(round.seen, round.current);
+    if (round.failure.empty() && unknown.empty() && behind.empty()) return {};
+    if (std::chrono::steady_clock::now() >= deadline) {
+      std::string what =
+          "version " + std::to_string(version) + " is accepted, but not seen everywhere";
+      if (!behind.empty()) what += "; behind: " + Join(behind);
+      if (!unknown.empty()) what += "; live without --admin address: " + Join(unknown);
+      if (!round.failure.empty()) what += "; unreachable: " + round.failure;
+      return tl::make_unexpected(Failure{kUnknown, "not_everywhere", what, "ran", 0});
+    }
+    std::this_thread::sleep_for(kStatusInterval);
+  }
+}
+
+}  // namespace persimmonstair::cli
--- /dev/null
+++ b/cli/cli.cpp
@@ -0,0 +1,156 @@
+#include "cli/cli.hpp"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+
+#include "cli/commands.hpp"
+#include "cli/load.hpp"
+
+namespace persimmonstair::cli {
+namespace {
+
+/// Options of all commands; each command reads its own.
+struct Options {
+  std::string file;
+  std::string what;
+  std::uint32_t last = 0;
+  ApplyOptions apply;
+  KeyOptions key;
+  LoadOptions load;
+};
+
+void AddShared(CLI::App& app, Context& context) {
+  app.add_flag("--json", context.json, "Print one JSON object instead of text");
+  app.add_option("--address", context.address, "Entry instance, http://<ip>:<port>")
+      ->envname("PERSIMMONSTAIR_ADDRESS");
+  app.add_option("--admin", context.admin, "Admin port of an instance; may be repeated")
+      ->envname("PERSIMMONSTAIR_ADMIN")
+      ->allow_extra_args(false)
+      ->delimiter(',');
+  app.add_option("--key-file", context.key_file,
+                 "File with the operator's key (for load: the caller's key)");
+  app.add_option("--timeout-ms", context.timeout_ms, "Deadline of one request")
+      ->check(CLI::Range(1, 3'600'000))
+      ->capture_default_str();
+}
+
+void AddWait(CLI::App& command, WaitOptions& wait) {
+  command.add_flag("--wait", wait.wait, "Wait until all live instances report the version");
+  command.add_option("--wait-timeout-ms", wait.timeout_ms, "Longest wait")->capture_default_str();
+}
+
+void AddCatalogue(CLI::App& app, Options& options) {
+  auto* validate = app.add_subcommand("validate", "Check a catalogue file");
+  validate->add_option("file", options.file, "Catalogue file")->required();
+  auto* show = app.add_subcommand("show", "Print the catalogue, a section or section/name");
+  show->add_option("what", options.what, "Section or section/name");
+  auto* history = app.add_subcommand("history", "Print who changed what, when and why");
+  history->add_option("--last", options.last, "Number of changes; 0 for all that are kept");
+  for (const char* name : {"apply", "diff"}) {
+    auto* command =
+        app.add_subcommand(name, name == std::string("apply")
+                                     ? "Send the entries of a file that differ from the catalogue"
+                                     : "Print what apply would send");
+    command->add_option("file", options.apply.file, "Catalogue file")->required();
+    command->add_flag("--prune", options.apply.prune, "Remove entries that are not in the file");
+    if (name != std::string("apply")) continue;
+    command->add_option("--reason", options.apply.reason, "Reason for the history")->required();
+    AddWait(*command, options.apply.wait);
+  }
+}
+
+void AddKeys(CLI::App& app, Options& options) {
+  auto* key = app.add_subcommand("key", "Grant or withdraw a key");
+  key->require_subcommand(1);
+  auto* grant = key->add_subcommand("grant", "Create a key and print it once");
+  grant->add_option("--workspace", options.key.workspace,
+                    "Workspace of a caller's key; none for an operator's key");
+  grant->add_option("--owner", options.key.owner, "Who is responsible")->required();
+  grant->add_option("--class", options.key.entry_class, "Label in reports")->required();
+  auto* withdraw = key->add_subcommand("withdraw", "End a key");
+  for (CLI::App* command : {grant, withdraw}) {
+    command->add_option("name", options.key.name, "Name of the key's entry")->required();
+    command->add_option("--reason", options.key.reason, "Reason for the history")->required();
+    AddWait(*command, options.key.wait);
+  }
+}
+
+void AddLoad(CLI::App& app, Options& options) {
+  auto& load = options.load;
+  auto* command = app.add_subcommand("load", "Send programs or service calls and measure them");
+  auto* route = command->add_option("--route", load.route, "Route of service calls");
+  command->add_option("--path", load.path, "Path instead of a route, to call a target itself")
+      ->excludes(route);
+  command->add_option("--method", load.method, "Method of service calls")->capture_default_str();
+  command->add_flag("--idempotency-key", load.idempotency_key, "Add a fresh key to each call");
+  command->add_option("--model", load.model, "Model of programs");
+  command->add_option("--turns", load.turns, "Turns of a program")
+      ->check(CLI::Range(1, 470))
+      ->capture_default_str();
+  command->add_flag("--stream", load.stream, "Ask for streamed turns");
+  command->add_option("--body-bytes", load.body_bytes, "Bytes of each body or message")
+      ->check(CLI::Range(0, 4 << 20))
+      ->capture_default_str();
+  command->add_option("--rate", load.rate_per_s, "Starts per second; 0: next when one ends")
+      ->check(CLI::Range(0.0, 100'000.0));
+  command->add_option("--connections", load.connections, "Requests in flight at once")
+      ->check(CLI::Range(1, 4096))
+      ->capture_default_str();
+  command->add_option("--count", load.count, "Calls or programs in all")
+      ->check(CLI::Range(1, 10'000'000))
+      ->capture_default_str();
+  command->add_option("--duration-s", load.duration_s, "No starts after this time")
+      ->check(CLI::Range(0.001, 86'400.0))
+      ->capture_default_str();
+}
+
+int RunLoadCommand(const Context& context, const Options& options) {
+  const bool service = !options.load.route.empty() || !options.load.path.empty();
+  if (context.address.empty()) {
+    return Report(context, UsageError("give --address or set PERSIMMONSTAIR_ADDRESS").value());
+  }
+  if (service != options.load.model.empty()) {
+    return Report(context, UsageError("give either --route or --path, or --model").value());
+  }
+  return Load(context, options.load);
+}
+
+int Dispatch(const CLI::App& app, const Context& context, const Options& options) {
+  if (app.got_subcommand("validate")) return Validate(context, options.file);
+  if (app.got_subcommand("show")) return Show(context, options.what);
+  if (app.got_subcommand("apply")) return Apply(context, options.apply);
+  if (app.got_subcommand("diff")) return Diff(context, options.apply);
+  if (app.got_subcommand("history")) return History(context, options.last);
+  if (app.got_subcommand("status")) return Status(context);
+  if (app.got_subcommand("drain")) return Drain(context);
+  if (app.got_subcommand("load")) return RunLoadCommand(context, options);
+  const CLI::App* key = app.get_subcommand("key");
+  if (key->got_subcommand("grant")) return GrantKey(context, options.key);
+  return WithdrawKey(context, options.key);
+}
+
+}  // namespace
+
+int RunCli(const std::vector<std::string>& arguments, std::ostream& out, std::ostream& err) {
+  CLI::App app{"Operators' program of persimmonstair", "persimmonstair"};
+  Context context{out, err};
+  Options options;
+  AddShared(app, context);
+  AddCatalogue(app, options);
+  AddKeys(app, options);
+  AddLoad(app, options);
+  app.add_subcommand("status", "Print the status of the instances given with --admin");
+  app.add_subcommand("drain", "Begin a planned stop of the instance given with --admin");
+  app.require_subcommand(1);
+  app.fallthrough();
+  app.footer("Exit codes: 0 done, 1 refused or conflict, 2 usage, 3 unreachable or unknown.");
+  std::vector<std::string> reversed(arguments.rbegin(), arguments.rend());
+  try {
+    app.parse(reversed);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error, out, err) == 0 ? kOk : kUsage;
+  }
+  return Dispatch(app, context, options);
+}
+
+}  // namespace persimmonstair::cli
--- /dev/null
+++ b/cli/cli_test.cpp
@@ -0,0 +1,321 @@
+#include "cli/cli.hpp"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+#include "cli/load.hpp"
+#include "persimmonstair/catalogue/catalogue.hpp"
+#include "standin/http_server.hpp"
+#include "standin/standin.hpp"
+
+namespace persimmonstair::cli {
+namespace {
+
+using standin::Exchange;
+using standin::Task;
+
+constexpr const char* kOperatorKey = "operator-secret";
+constexpr const char* kDocument =
+    R"({"workspaces": {"north": {"owner": "desk", "class": "interactive",
+  "rate_per_s": 5, "burst": 10}}})";
+
+/// Turns the body of POST /v1/catalogue/changes into a record.
+schema::CatalogueChange ToChange(const Json& body, std::uint64_t number) {
+  schema::CatalogueChange out;
+  out.id = {"change-" + std::to_string(number)};
+  out.author = "op";
+  out.reason = body.at("reason");
+  for (const Json& edit : body.at("edits")) {
+    out.edits.push_back({edit.at("section"), edit.at("name"), edit.at("base_version"),
+                         edit.at("remove"), edit.contains("value") ? edit["value"].dump() : ""});
+  }
+  return out;
+}
+
+/// Answers like an entry instance and its admin port, with the real catalogue behind it.
+class FakeEntry {
+ public:
+  FakeEntry() : server_(io_, [this](Exchange& exchange) { return Answer(exchange); }) {
+    EXPECT_TRUE(server_.Open({}));
+    thread_ = std::thread([this] {
+      const auto work = boost::asio::make_work_guard(io_);
+      io_.run();
+    });
+  }
+  ~FakeEntry() {
+    io_.stop();
+    thread_.join();
+  }
+
+  std::string Url() const { return "http://127.0.0.1:" + std::to_string(server_.port()); }
+
+  /// Runs on the server's thread, so that tests may change and read the state below.
+  template <class F>
+  auto Do(F task) {
+    std::packaged_task<decltype(task())()> packaged(std::move(task));
+    auto result = packaged.get_future();
+    boost::asio::post(io_, [&] { packaged(); });
+    return result.get();
+  }
+
+  catalogue::Catalogue catalogue;
+  std::uint64_t changes = 0;
+  std::uint64_t drains = 0;
+  /// Applied between the command's read and its change, as a racing operator does.
+  std::string racing_change;
+  bool lose_change_answer = false;
+  std::uint64_t reported_lag = 0;
+  std::vector<std::string> live = {"entry-1"};
+
+ private:
+  Task Answer(Exchange& exchange) {
+    if (exchange.path() == "/status") {
+      Json status;
+      status["instance"] = "entry-1";
+      status["live"] = live;
+      status["catalogue_version"] =
+          catalogue.version() - std::min(reported_lag, catalogue.version());
+      co_await exchange.RespondJson(200, status);
+    } else if (exchange.path() == "/admin/drain" && exchange.method() == "POST") {
+      ++drains;
+      co_await exchange.RespondJson(202, Json::object());
+    } else if (exchange.Header("Authorization") != std::string("Bearer ") + kOperatorKey) {
+      co_await exchange.RespondError(401, "unauthorized", "unknown key", "not_run");
+    } else if (exchange.path() == "/v1/catalogue/history") {
+      Json history;
+      history["history"] = Json::parse(catalogue.Snapshot())["audit"];
+      co_await exchange.RespondJson(200, history);
+    } else if (exchange.method() == "GET") {
+      co_await exchange.Respond(200, catalogue.ToJson());
+    } else {
+      co_await AnswerChange(exchange);
+    }
+  }
+
+  Task AnswerChange(Exchange& exchange) {
+    if (!racing_change.empty()) {
+      ++changes;
+      EXPECT_TRUE(catalogue.Apply({changes}, ToChange(Json::parse(racing_change), changes)));
+    }
+    const auto change = ToChange(Json::parse(exchange.request().body()), ++changes);
+    const auto applied = catalogue.Apply({changes}, change);
+    if (lose_change_answer) {
+      exchange.Abort();
+    } else if (!applied) {
+      const auto code = std::string(base::ToString(applied.error().code));
+      co_await exchange.RespondError(static_cast<unsigned>(base::HttpStatus(applied.error().code)),
+                                     code, applied.error().message, "not_run");
+    } else {
+      Json answer;
+      answer["version"] = catalogue.version();
+      co_await exchange.RespondJson(200, answer);
+    }
+  }
+
+  boost::asio::io_context io_{1};
+  standin::HttpServer server_;
+  std::thread thread_;
+};
+
+struct CliTest : testing::Test {
+  void SetUp() override {
+    const auto* info = testing::UnitTest::GetInstance()->current_test_info();
+    directory =
+        std::filesystem::temp_directory_path() /
+        ("persimmonstair-cli-" + std::string(info->name()) + "-" + std::to_string(getpid()));
+    std::filesystem::create_directories(directory);
+    key_file = Write("key", std::string(kOperatorKey) + "\n");
+    document = Write("catalogue.json", kDocument);
+  }
+  void TearDown() override { std::filesystem::remove_all(directory); }
+
+  std::string Write(const std::string& name, const std::string& text) {
+    const auto path = directory / name;
+    std::ofstream(path) << text;
+    return path.string();
+  }
+
+  int Run(std::vector<std::string> arguments) {
+    out.str("");
+    err.str("");
+    return RunCli(arguments, out, err);
+  }
+
+  /// With the address and key of the fake entry instance.
+  int RunAt(std::vector<std::string> arguments) {
+    const std::vector<std::string> shared = {"--json",  "--address",  entry.Url(),
+                                             "--admin", entry.Url(),  "--timeout-ms",
+                                             "20000",   "--key-file", key_file};
+    arguments.insert(arguments.begin(), shared.begin(), shared.end());
+    return Run(std::move(arguments));
+  }
+
+  Json Output() const { return Json::parse(out.str()); }
+
+  std::filesystem::path directory;
+  std::string key_file;
+  std::string document;
+  FakeEntry entry;
+  std::ostringstream out;
+  std::ostringstream err;
+};
+
+// Guards against a refusal that does not say where the file is wrong.
+TEST_F(CliTest, ValidateNamesPathValueAndRule) {
+  EXPECT_EQ(Run({"validate", document}), kOk);
+  const auto bad = Write("bad.json", R"({"workspaces":{"north":{"owner":"o","class":"c",
+    "rate_per_s":-5,"burst":10}}})");
+  EXPECT_EQ(Run({"--json", "validate", bad}), kRefused);
+  const Json violation = Output()["violations"].at(0);
+  EXPECT_EQ(violation["path"], "/workspaces/north/rate_per_s");
+  EXPECT_NE(violation["value"].get<std::string>().find("-5"), std::string::npos);
+  EXPECT_FALSE(violation["rule"].get<std::string>().empty());
+  EXPECT_EQ(Run({"validate", (directory / "none").string()}), kUsage);
+}
+
+// Guards against mistaken commands that do something, and against unexplained usage errors.
+TEST_F(CliTest, MistakenCommandsAreUsageErrors) {
+  for (const std::vector<std::string>& bad : std::vector<std::vector<std::string>>{
+           {},
+           {"aply"},
+           {"apply", document},
+           {"key"},
+           {"load"},
+           {"status"},
+           {"drain"},
+           {"show"},
+           {"--address", "localhost:1", "--key-file", key_file, "show"},
+           {"--address", "127.0.0.1:1", "load", "--route", "r", "--model", "m"}}) {
+    EXPECT_EQ(Run(bad), kUsage) << testing::PrintToString(bad);
+    EXPECT_FALSE(err.str().empty()) << testing::PrintToString(bad);
+  }
+  EXPECT_EQ(Run({"--help"}), kOk);
+}
+
+// Guards against sending entries that did not change, which would conflict with other operators.
+TEST_F(CliTest, ApplySendsOnlyWhatDiffers) {
+  EXPECT_EQ(RunAt({"apply", document, "--reason", "first", "--wait"}), kOk) << out.str();
+  EXPECT_EQ(Output()["edits"].size(), 1U);
+  EXPECT_EQ(RunAt({"diff", document}), kOk);
+  EXPECT_EQ(Output()["edits"].size(), 0U);
+  EXPECT_EQ(RunAt({"apply", document, "--reason", "again"}), kOk);
+  EXPECT_EQ(entry.Do([this] { return entry.changes; }), 1U);
+  const auto more = Write("more.json", R"({"workspaces":{"south":{"owner":"o","class":"c",
+    "rate_per_s":1,"burst":1}}})");
+  EXPECT_EQ(RunAt({"diff", more, "--prune"}), kOk);
+  EXPECT_EQ(Output()["edits"].size(), 2U);
+  EXPECT_EQ(RunAt({"apply", more, "--reason", "second"}), kOk);
+  EXPECT_EQ(RunAt({"show", "workspaces/north"}), kOk);
+  EXPECT_EQ(Output()["entries"].at(0)["value"]["rate_per_s"], 5);
+  EXPECT_EQ(RunAt({"show", "workspaces/east"}), kRefused);
+  EXPECT_EQ(RunAt({"history", "--last", "1"}), kOk);
+  EXPECT_EQ(Output()["history"].at(0)["reason"], "second");
+}
+
+// Guards against overwriting what another operator changed in the meantime.
+TEST_F(CliTest, ApplyReportsARacingChangeAndDoesNotRepeat) {
+  entry.Do([this] {
+    entry.racing_change = R"({"reason":"r","edits":[{"section":"workspaces","name":"north",
+      "base_version":0,"remove":false,"value":{"owner":"other","class":"c","rate_per_s":1,
+      "burst":1}}]})";
+  });
+  EXPECT_EQ(RunAt({"apply", document, "--reason", "x"}), kRefused);
+  EXPECT_EQ(Output()["error"]["code"], "conflict");
+  EXPECT_EQ(entry.Do([this] { return entry.changes; }), 2U);
+}
+
+// Guards against a lost answer that is taken for a refusal or sent again.
+TEST_F(CliTest, LostAnswerIsUnknownAndNotRepeated) {
+  entry.Do([this] { entry.lose_change_answer = true; });
+  EXPECT_EQ(RunAt({"apply", document, "--reason", "x"}), kUnknown);
+  EXPECT_EQ(Output()["error"]["verdict"], "may_have_run");
+  EXPECT_EQ(entry.Do([this] { return entry.changes; }), 1U);
+  EXPECT_EQ(RunAt({"key", "grant", "desk", "--owner", "o", "--class", "c", "--reason", "r"}),
+            kUnknown);
+  EXPECT_EQ(out.str().find("psk-"), std::string::npos);
+}
+
+// Guards against --wait that succeeds while an instance still runs the old version.
+TEST_F(CliTest, WaitFailsWhileAnInstanceIsBehindOrUnknown) {
+  entry.Do([this] { entry.reported_lag = 1; });
+  const std::vector<std::string> apply = {
+      "apply", document, "--reason", "x", "--wait", "--wait-timeout-ms", "1"};
+  EXPECT_EQ(RunAt(apply), kUnknown);
+  EXPECT_NE(out.str().find("behind: entry-1"), std::string::npos) << out.str();
+  entry.Do([this] {
+    entry.reported_lag = 0;
+    entry.live = {"entry-1", "entry-2"};
+  });
+  EXPECT_EQ(RunAt({"key", "grant", "desk", "--owner", "o", "--class", "c", "--reason", "r",
+                   "--wait", "--wait-timeout-ms", "1"}),
+            kUnknown);
+  EXPECT_NE(out.str().find("entry-2"), std::string::npos) << out.str();
+}
+
+// Guards against storing a key's text, and against granting one that does not work.
+TEST_F(CliTest, GrantedKeyIsStoredAsItsDigestAndCanBeWithdrawn) {
+  ASSERT_EQ(RunAt({"apply", document, "--reason", "x"}), kOk);
+  const std::vector<std::string> grant = {"key",         "grant",    "desk-1",  "--workspace",
+                                          "north",       "--owner",  "desk",    "--class",
+                                          "interactive", "--reason", "new desk"};
+  ASSERT_EQ(RunAt(grant), kOk) << out.str();
+  const std::string key = Output()["key"];
+  EXPECT_GE(key.size(), 64U);
+  EXPECT_EQ(entry.Do([this] { return entry.catalogue.ToJson(); }).find(key), std::string::npos);
+  EXPECT_EQ(RunAt(grant), kRefused);
+  EXPECT_EQ(RunAt({"key", "withdraw", "desk-1", "--reason", "lost"}), kOk);
+  EXPECT_EQ(RunAt({"key", "withdraw", "desk-1", "--reason", "lost"}), kRefused);
+  EXPECT_EQ(entry.Do([this] { return entry.catalogue.document().keys.size(); }), 0U);
+}
+
+// Guards against exit codes that hide a wrong key or an unreachable instance.
+TEST_F(CliTest, ExitCodesTellRefusedFromUnreachable) {
+  key_file = Write("wrong", "wrong");
+  EXPECT_EQ(RunAt({"show"}), kRefused);
+  EXPECT_EQ(Output()["error"]["code"], "unauthorized");
+  std::string dead;
+  {
+    const FakeEntry gone;
+    dead = gone.Url();
+  }
+  EXPECT_EQ(Run({"--admin", entry.Url(), "--admin", dead, "--json", "status"}), kUnknown);
+  EXPECT_EQ(Output()["instances"].size(), 2U);
+  EXPECT_EQ(Output()["instances"].at(0)["status"]["instance"], "entry-1");
+  EXPECT_EQ(Run({"--admin", entry.Url(), "drain"}), kOk);
+  EXPECT_EQ(entry.Do([this] { return entry.drains; }), 1U);
+}
+
+// Guards against a load tool that counts a lost or refused request as answered.
+TEST_F(CliTest, LoadCountsOutcomes) {
+  auto service = std::move(*standin::Standin::Start(standin::ServiceSettings{}));
+  ASSERT_TRUE(service->SetFaults(R"({"refuse":3,"lose_answers":0})"));
+  const std::vector<std::string> load = {"--json",  "--address", service->url(),  "--timeout-ms",
+                                         "20000",   "load",      "--path",        "/deposit",
+                                         "--count", "50",        "--connections", "4"};
+  EXPECT_EQ(Run(load), kOk);
+  EXPECT_EQ(Output()["ok"], 47);
+  EXPECT_EQ(Output()["refused"], 3);
+  EXPECT_EQ(Output()["requests"]["count"], 47);
+  ASSERT_TRUE(service->SetFaults(R"({"lose_answers":2})"));
+  EXPECT_EQ(Run(load), kUnknown);
+  EXPECT_EQ(Output()["failed"], 2);
+  EXPECT_EQ(Output()["verdicts"]["may_have_run"], 2);
+  LatencyList list;
+  for (int n = 100; n > 0; --n) list.Add(std::chrono::milliseconds(n));
+  EXPECT_EQ(list.PercentileMs(50), 50);
+  EXPECT_EQ(list.PercentileMs(99), 99);
+  EXPECT_EQ(list.PercentileMs(100), 100);
+}
+
+}  // namespace
+}  // namespace persimmonstair::cli
--- /dev/null
+++ b/cli/load_report.cpp
@@ -0,0 +1,103 @@
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+#include "cli/cli.hpp"
+#include "cli/load.hpp"
+
+namespace persimmonstair::cli {
+namespace {
+
+std::string Fixed(double value) {
+  char buf[40];
+  std::snprintf(buf, sizeof buf, "%.2f", value);
+  return buf;
+}
+
+Json LatencyJson(const LatencyList& list) {
+  Json out;
+  out["count"] = list.size();
+  out["p50_ms"] = list.PercentileMs(50);
+  out["p95_ms"] = list.PercentileMs(95);
+  out["p99_ms"] = list.PercentileMs(99);
+  out["max_ms"] = list.PercentileMs(100);
+  return out;
+}
+
+std::string LatencyText(const char* what, const LatencyList& list) {
+  if (list.size() == 0) return "";
+  std::string out(what);
+  for (const double percent : {50.0, 95.0, 99.0}) {
+    out.append("  p").append(std::to_string(static_cast<int>(percent))).append(" ");
+    out.append(Fixed(list.PercentileMs(percent))).append(" ms");
+  }
+  out.append("  max ").append(Fixed(list.PercentileMs(100))).append(" ms");
+  return out.append("  (").append(std::to_string(list.size())).append(")\n");
+}
+
+std::string CountText(const char* what, const std::map<std::string, std::uint64_t>& counts) {
+  if (counts.empty()) return "";
+  std::string out(what);
+  for (const auto& [name, count] : counts) {
+    out.append("  ").append(name).append(" ").append(std::to_string(count));
+  }
+  return out.append("\n");
+}
+
+}  // namespace
+
+double LatencyList::PercentileMs(double percent) const {
+  if (values_.empty()) return 0;
+  std::vector<std::int64_t> sorted = values_;
+  const auto rank =
+      static_cast<std::size_t>(std::ceil(percent / 100 * static_cast<double>(sorted.size())));
+  const auto nth = sorted.begin() + static_cast<std::ptrdiff_t>(std::max<std::size_t>(rank, 1) - 1);
+  std::nth_element(sorted.begin(), nth, sorted.end());
+  return static_cast<double>(*nth) / 1000;
+}
+
+Json ToJson(const LoadReport& report) {
+  Json out;
+  out["ok"] = report.ok;
+  out["refused"] = report.refused;
+  out["failed"] = report.failed;
+  out["elapsed_s"] = report.elapsed_s;
+  out["verdicts"] = report.verdicts;
+  out["codes"] = report.codes;
+  out["requests"] = LatencyJson(report.requests);
+  out["programs"] = LatencyJson(report.programs);
+  out["programs_failed"] = report.programs_failed;
+  return out;
+}
+
+std::string Describe(const LoadReport& report) {
+  const std::uint64_t total = report.ok + report.refused + report.failed;
+  const double per_s = report.elapsed_s > 0 ? static_cast<double>(total) / report.elapsed_s : 0;
+  std::string out = std::to_string(total) + " requests in " + Fixed(report.elapsed_s) + " s (" +
+                    Fixed(per_s) + "/s): ok " + std::to_string(report.ok) + ", refused " +
+                    std::to_string(report.refused) + ", failed " + std::to_string(report.failed) +
+                    "\n";
+  out += LatencyText("requests", report.requests);
+  out += LatencyText("programs", report.programs);
+  if (report.programs_failed > 0) {
+    out += "programs not completed  " + std::to_string(report.programs_failed) + "\n";
+  }
+  out += CountText("verdicts", report.verdicts);
+  out += CountText("codes", report.codes);
+  return out;
+}
+
+int Load(const Context& context, const LoadOptions& options) {
+  std::string key;
+  if (!context.key_file.empty() || std::getenv("PERSIMMONSTAIR_KEY") != nullptr) {  // NOLINT
+    auto read = ReadKey(context, "PERSIMMONSTAIR_KEY");
+    if (!read) return Report(context, read.error());
+    key = std::move(*read);
+  }
+  const auto report = RunLoad(context, options, key);
+  if (!report) return Report(context, report.error());
+  Print(context, ToJson(*report), Describe(*report));
+  return report->failed == 0 ? kOk : kUnknown;
+}
+
+}  // namespace persimmonstair::cli
--- /dev/null
+++ b/cli/load_run.cpp
@@ -0,0 +1,245 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <utility>
+
+#include "cli/cli.hpp"
+#include "cli/load.hpp"
+
+namespace persimmonstair::cli {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using Answer = base::Result<platform::HttpResponse>;
+
+std::chrono::microseconds Since(Clock::time_point start) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - start);
+}
+
+/// Starts calls or programs at their planned times, at most `connections` at once.
+class LoadRun {
+ public:
+  LoadRun(const Context& context, const LoadOptions& options, std::string key,
+          platform::Endpoint endpoint)
+      : options_(options),
+        key_(std::move(key)),
+        timeout_(std::chrono::milliseconds(context.timeout_ms)),
+        run_id_(std::random_device{}()),
+        arrivals_(io_),
+        http_(io_, std::move(endpoint), Limits(options)) {}
+
+  LoadReport Run() {
+    begin_ = Clock::now();
+    if (options_.rate_per_s > 0) {
+      ScheduleArrival();
+    } else {
+      for (std::uint32_t n = 0; n < options_.connections; ++n) StartNext();
+    }
+    io_.run();
+    report_.elapsed_s = base::ToSeconds(Since(begin_));
+    return std::move(report_);
+  }
+
+ private:
+  struct Program {
+    std::string id;
+    std::uint32_t turns_done = 0;
+    Clock::time_point planned;
+  };
+  using ProgramPtr = std::shared_ptr<Program>;
+
+  static platform::HttpLimits Limits(const LoadOptions& options) {
+    platform::HttpLimits out;
+    out.max_idle_connections = options.connections;
+    return out;
+  }
+
+  bool Finished() const {
+    return started_ >= options_.count || base::ToSeconds(Since(begin_)) >= options_.duration_s;
+  }
+
+  void ScheduleArrival() {
+    if (Finished()) return;
+    const auto planned = begin_ + std::chrono::microseconds(static_cast<std::int64_t>(
+                                      static_cast<double>(started_) / options_.rate_per_s * 1e6));
+    arrivals_.expires_at(planned);
+    arrivals_.async_wait([this, planned](boost::system::error_code) {
+      if (Finished()) return;
+      ++started_;
+      // Latency counts from the planned start, so that waiting for a connection shows in it.
+      waiting_.push_back(planned);
+      StartWaiting();
+      ScheduleArrival();
+    });
+  }
+
+  void StartWaiting() {
+    while (!waiting_.empty() && running_ < options_.connections) {
+      const auto planned = waiting_.front();
+      waiting_.pop_front();
+      Start(planned);
+    }
+  }
+
+  /// Without a rate: the next one begins when one ends.
+  void StartNext() {
+    if (Finished()) return;
+    ++started_;
+    Start(Clock::now());
+  }
+
+  void Start(Clock::time_point planned) {
+    ++running_;
+    if (options_.route.empty() && options_.path.empty()) {
+      OpenProgram(planned);
+    } else {
+      CallService(planned);
+    }
+  }
+
+  void End() {
+    --running_;
+    if (options_.rate_per_s > 0) {
+      StartWaiting();
+    } else {
+      StartNext();
+    }
+  }
+
+  void Send(platform::HttpRequest request, Clock::time_point planned,
+            std::function<void(const Answer&)> done) {
+    if (!key_.empty()) request.headers["Authorization"] = "Bearer " + key_;
+    http_.Send(std::move(request), timeout_,
+               [this, planned, done = std::move(done)](const Answer& answer) {
+                 Count(answer, planned);
+                 done(answer);
+               });
+  }
+
+  void Count(const Answer& answer, Clock::time_point planned) {
+    std::string verdict = "ran";
+    std::string code;
+    if (!answer) {
+      verdict = base::ToString(answer.error().verdict);
+      code = base::ToString(answer.error().code);
+    } else if (answer->status >= 300) {
+      const Json body = Json::parse(answer->body, nullptr, false);
+      const Json error = body.is_object() ? body.value("error", Json()) : Json();
+      verdict = TextMember(error, "verdict");
+      if (verdict.empty()) verdict = "not_stated";
+      code = TextMember(error, "code");
+      if (code.empty()) code = "status_" + std::to_string(answer->status);
+    }
+    ++report_.verdicts[verdict];
+    if (!code.empty()) ++report_.codes[code];
+    if (code.empty()) {
+      ++report_.ok;
+      report_.requests.Add(Since(planned));
+    } else if (verdict == "not_run" && answer) {
+      ++report_.refused;
+    } else {
+      ++report_.failed;
+    }
+  }
+
+  void CallService(Clock::time_point planned) {
+    platform::HttpRequest request;
+    request.method = options_.method;
+    request.target = options_.path.empty()
+                         ? "/v1/services/" + platform::PercentEncode(options_.route)
+                         : options_.path;
+    if (options_.method != "GET") request.body = std::string(options_.body_bytes, 'x');
+    if (options_.idempotency_key) {
+      const auto now_s = std::chrono::duration_cast<std::chrono::seconds>(
+                             std::chrono::system_clock::now().time_since_epoch())
+                             .count();
+      request.headers["Idempotency-Key"] = std::to_string(now_s) + ".load-" +
+                                           std::to_string(run_id_) + "-" + std::to_string(++calls_);
+    }
+    Send(std::move(request), planned, [this](const Answer&) { End(); });
+  }
+
+  void OpenProgram(Clock::time_point planned) {
+    Json body;
+    body["model"] = options_.model;
+    Send(Post("/v1/programs", body), planned, [this, planned](const Answer& answer) {
+      auto program = std::make_shared<Program>();
+      program->planned = planned;
+      if (answer && answer->status < 300) {
+        const Json json = Json::parse(answer->body, nullptr, false);
+        for (const char* name : {"program", "id"}) {
+          if (program->id.empty()) program->id = TextMember(json, name);
+        }
+      }
+      if (program->id.empty()) return EndFailed();
+      RunTurn(program);
+    });
+  }
+
+  void RunTurn(const ProgramPtr& program) {
+    const std::string prompt = "turn " + std::to_string(program->turns_done + 1) + " ";
+    Json body;
+    body["model"] = options_.model;
+    body["stream"] = options_.stream;
+    body["messages"][0]["role"] = "user";
+    body["messages"][0]["content"] = prompt + std::string(options_.body_bytes, 'x');
+    const auto planned = Clock::now();
+    Send(Post("/v1/programs/" + platform::PercentEncode(program->id) + "/chat/completions", body),
+         planned, [this, program](const Answer& answer) {
+           if (!answer || answer->status >= 300) return EndFailed();
+           if (++program->turns_done < options_.turns) return RunTurn(program);
+           report_.programs.Add(Since(program->planned));
+           CloseProgram(program);
+         });
+  }
+
+  void CloseProgram(const ProgramPtr& program) {
+    platform::HttpRequest request;
+    request.method = "DELETE";
+    request.target = "/v1/programs/" + platform::PercentEncode(program->id);
+    Send(std::move(request), Clock::now(), [this](const Answer&) { End(); });
+  }
+
+  void EndFailed() {
+    ++report_.programs_failed;
+    End();
+  }
+
+  static platform::HttpRequest Post(std::string target, const Json& body) {
+    platform::HttpRequest out;
+    out.method = "POST";
+    out.target = std::move(target);
+    out.headers["Content-Type"] = "application/json";
+    out.body = body.dump();
+    return out;
+  }
+
+  LoadOptions options_;
+  std::string key_;
+  base::Duration timeout_;
+  std::uint32_t run_id_;
+  boost::asio::io_context io_{1};
+  boost::asio::steady_timer arrivals_;
+  platform::HttpClient http_;
+  std::deque<Clock::time_point> waiting_;
+  Clock::time_point begin_;
+  std::uint64_t started_ = 0;
+  std::uint64_t calls_ = 0;
+  std::uint32_t running_ = 0;
+  LoadReport report_;
+};
+
+}  // namespace
+
+Outcome<LoadReport> RunLoad(const Context& context, const LoadOptions& options,
+                            const std::string& key) {
+  const auto endpoint = platform::ParseEndpoint(context.address);
+  if (!endpoint) return UsageError(endpoint.error().message);
+  LoadRun run(context, options, key, *endpoint);
+  return run.Run();
+}
+
+}  // namespace persimmonstair::cli
