Add traces of the scheduler's events and their replay

Change: library trace writes and reads options and events as JSON lines and replays them through anything that handles events like the façade; command replay prints counts and a digest of all actions. The command is part of the program only when the scheduler library is.

--- a/cli/cli.cpp
+++ b/cli/cli.cpp
@@ -17,6 +17,7 @@
   ApplyOptions apply;
   KeyOptions key;
   LoadOptions load;
+  ReplayOptions replay;
 };
 
 void AddShared(CLI::App& app, Context& context) {
@@ -104,6 +105,24 @@
       ->capture_default_str();
 }
 
+// The command needs the scheduler library, without which this program is built too.
+#ifdef PERSIMMONSTAIR_CLI_REPLAY
+constexpr bool kHasReplay = true;
+int RunReplay(const Context& context, const Options& options) {
+  return Replay(context, options.replay);
+}
+#else
+constexpr bool kHasReplay = false;
+int RunReplay(const Context& /*context*/, const Options& /*options*/) { return kUsage; }
+#endif
+
+void AddReplay(CLI::App& app, Options& options) {
+  if (!kHasReplay) return;
+  auto* command = app.add_subcommand("replay", "Run a recorded trace through the scheduler");
+  command->add_option("file", options.replay.file, "Trace, one JSON object a line")->required();
+  command->add_flag("--actions", options.replay.print_actions, "Print every action");
+}
+
 int RunLoadCommand(const Context& context, const Options& options) {
   const bool service = !options.load.route.empty() || !options.load.path.empty();
   if (context.address.empty()) {
@@ -124,6 +143,7 @@
   if (app.got_subcommand("status")) return Status(context);
   if (app.got_subcommand("drain")) return Drain(context);
   if (app.got_subcommand("load")) return RunLoadCommand(context, options);
+  if (kHasReplay && app.got_subcommand("replay")) return RunReplay(context, options);
   const CLI::App* key = app.get_subcommand("key");
   if (key->got_subcommand("grant")) return GrantKey(context, options.key);
   return WithdrawKey(context, options.key);
@@ -139,6 +159,7 @@
   AddCatalogue(app, options);
   AddKeys(app, options);
   AddLoad(app, options);
+  AddReplay(app, options);
   app.add_subcommand("status", "Print the status of the instances given with --admin");
   app.add_subcommand("drain", "Begin a planned stop of the instance given with --admin");
   app.require_subcommand(1);
--- a/cli/commands.hpp
+++ b/cli/commands.hpp
@@ -47,6 +47,15 @@
 /// @brief Begins a planned stop of the one instance given with --admin.
 int Drain(const Context& context);
 
+struct ReplayOptions {
+  std::string file;
+  bool print_actions = false;
+};
+
+/// @brief Replays a recorded trace through a new scheduler; prints counts and a digest of all
+/// actions. Equal digests mean equal decisions.
+int Replay(const Context& context, const ReplayOptions& options);
+
 }  // namespace persimmonstair::cli
 
 #endif  // PERSIMMONSTAIR_CLI_COMMANDS_HPP_
--- /dev/null
+++ b/include/persimmonstair/trace/trace.hpp
@@ -0,0 +1,43 @@
+#ifndef PERSIMMONSTAIR_TRACE_TRACE_HPP_
+#define PERSIMMONSTAIR_TRACE_TRACE_HPP_
+
+#include <string>
+#include <string_view>
+
+#include "persimmonstair/base/error.hpp"
+#include "persimmonstair/base/time.hpp"
+#include "persimmonstair/scheduler/actions.hpp"
+#include "persimmonstair/scheduler/events.hpp"
+#include "persimmonstair/scheduler/scheduler.hpp"
+
+namespace persimmonstair::trace {
+
+/// @brief One call of the façade.
+struct Step {
+  base::Now now;
+  scheduler::Event event;
+};
+
+/// @brief First line of a trace, without line end: the options of the scheduler that was recorded.
+std::string FormatOptions(const scheduler::Options& options);
+base::Result<scheduler::Options> ParseOptions(std::string_view line);
+
+/// @brief One line, without line end: {"at_us", "wall_us", "event": "Tick", "value": {...}}.
+///
+///     trace_file << FormatStep({now, event}) << '\n';
+std::string FormatStep(const Step& step);
+
+/// @brief Reads what FormatStep() wrote; kInvalidRequest says what is wrong.
+base::Result<Step> ParseStep(std::string_view line);
+
+/// @brief Type name of an event or action, for example "LogRead".
+std::string_view NameOf(const scheduler::Event& event);
+std::string_view NameOf(const scheduler::Action& action);
+
+/// @brief One line of JSON with everything in an action, without line end. Equal actions give equal
+/// lines.
+std::string FormatAction(const scheduler::Action& action);
+
+}  // namespace persimmonstair::trace
+
+#endif  // PERSIMMONSTAIR_TRACE_TRACE_HPP_
