Bound the size of a log record so that every reader can take it

Cause: a record near the append limit, escaped in JSON, exceeds a reader's answer limit; the followers of its stream would then fail for ever.

--- a/include/persimmonstair/platform/log_client.hpp
+++ b/include/persimmonstair/platform/log_client.hpp
@@ -29,6 +29,7 @@
   HttpLogClient(const HttpLogClient&) = delete;
   HttpLogClient& operator=(const HttpLogClient&) = delete;
 
+  /// A record of more than 7 MiB, or a batch that the log finds too large, ends as kNotAppended.
   void Append(scheduler::Append append, AppendCallback done);
   void Read(ReadRequest read, ReadCallback done);
   /// Asks again for records that did not fit into one answer, up to 64 times.
--- a/src/persimmonstair/platform/log_format.cpp
+++ b/src/persimmonstair/platform/log_format.cpp
@@ -84,6 +84,7 @@
   if (append.records.size() != append.ids.size() || append.records.empty()) return std::nullopt;
   Json records = Json::array();
   for (std::size_t n = 0; n < append.records.size(); ++n) {
+    if (append.records[n].size() > kMaxRecordBytes) return std::nullopt;
     Json record;
     record["id"] = append.ids[n].value;
     record["data"] = append.records[n];
--- a/src/persimmonstair/platform/log_format.hpp
+++ b/src/persimmonstair/platform/log_format.hpp
@@ -10,8 +10,12 @@
 
 namespace persimmonstair::platform {
 
-/// @brief Body of an append; empty if the records cannot be stated in JSON (not UTF-8, or ids that
-/// do not match).
+/// Largest record. Escaped in JSON it may double, and must still fit into HttpLimits' 16 MiB: a
+/// record that no answer can hold would stop every reader of its stream.
+inline constexpr std::size_t kMaxRecordBytes = 7U << 20U;
+
+/// @brief Body of an append; empty if the records cannot be stated in JSON (not UTF-8, too large,
+/// or ids that do not match).
 std::optional<std::string> FormatAppend(const scheduler::Append& append);
 
 /// @brief Outcome of an append whose answer or failure is `answer`.
--- a/src/persimmonstair/platform/platform_test.cpp
+++ b/src/persimmonstair/platform/platform_test.cpp
@@ -127,6 +127,17 @@
   EXPECT_EQ(Append({{1}, {"control"}, {"x"}, {}}).outcome, AppendOutcome::kNotAppended);
 }
 
+// Guards against a record that every reader's size limit refuses for ever.
+TEST_F(LogClientTest, LargestRecordCanBeReadAndALargerOneIsRefused) {
+  const std::string largest(kMaxRecordBytes, '"');
+  client.emplace(io, *ParseEndpoint(log->url()), ClientSettings{.timeout = 60s});
+  ASSERT_EQ(Append(MakeAppend({largest})).outcome, AppendOutcome::kAppended);
+  EXPECT_EQ(Append(MakeAppend({largest + "x"})).outcome, AppendOutcome::kNotAppended);
+  const auto read = Read(0);
+  ASSERT_TRUE(read) << read.error().message;
+  EXPECT_EQ(read->entries.at(0).body, largest);
+}
+
 // Guards against sending on a pooled connection that the log closed, which makes the outcome
 // unknown without need.
 TEST_F(LogClientTest, ClosedPooledConnectionIsNotUsedAgain) {
--- a/standin/http_server.cpp
+++ b/standin/http_server.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -68,7 +69,12 @@
     co_await acceptor->async_accept(*socket, asio::redirect_error(asio::use_awaitable, ec));
     // A connection that was accepted just before Close() must not outlive it.
     if (!acceptor->is_open()) co_return;
-    if (ec) continue;
+    if (ec) {
+      // For example no file descriptor is left; trying again at once would spin.
+      asio::steady_timer pause(io_, std::chrono::milliseconds(10));
+      co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+      continue;
+    }
     socket->set_option(tcp::no_delay(true), ec);
     sockets_.insert(socket);
     asio::co_spawn(io_, Serve(socket), asio::detached);
--- a/standin/log_role.cpp
+++ b/standin/log_role.cpp
@@ -24,6 +24,16 @@
       .count();
 }
 
+/// Largest record; larger ones might not fit into a reader's answer.
+constexpr std::size_t kMaxRecordBytes = 7U << 20U;
+
+bool HasLargeRecord(const Json& batch) {
+  const Json& records = batch["records"];
+  return std::any_of(records.begin(), records.end(), [](const Json& record) {
+    return record["data"].get_ref<const std::string&>().size() > kMaxRecordBytes;
+  });
+}
+
 bool ValidBatch(const Json& body) {
   const auto records = body.is_object() ? body.find("records") : body.end();
   if (!body.is_object() || records == body.end() || !records->is_array() || records->empty()) {
@@ -146,6 +156,10 @@
     co_await exchange.RespondError(400, "invalid_request", "records need id and data", "not_run");
     co_return;
   }
+  if (HasLargeRecord(batch)) {
+    co_await exchange.RespondError(413, "payload_too_large", "record too large", "not_run");
+    co_return;
+  }
   if (Take(faults.refuse_appends)) {
     ++refused_;
     co_await exchange.RespondError(503, "unavailable", "append refused", "not_run");
