--- /dev/null
+++ b/src/persimmonstair/limits/fleet_test.cpp
@@ -0,0 +1,88 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+
+#include "sim/search.hpp"
+#include "sim/switch_names.hpp"
+#include "sim/world.hpp"
+
+namespace persimmonstair::limits::sim {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t kSequences = 300;
+
+Plan QuietPlan() {
+  Plan plan;
+  plan.seed = 5;
+  plan.instances = 5;
+  plan.length = 60s;
+  plan.limits = {{20, 20}};
+  plan.load = 0.8;
+  plan.skew = 0.5;
+  plan.skew_period = 10s;
+  return plan;
+}
+
+// Guards invariant 8 under combined faults. A failure prints the seed and the shortest sequence.
+TEST(FleetTest, RandomFaultsNeverExceedTheLimits) {
+  const auto failure = TrySeeds(1, kSequences, {});
+  EXPECT_FALSE(failure.has_value()) << Describe(*failure);
+}
+
+// Guards against a search that is blind: without each of these mechanisms it finds a violation.
+// Mechanisms that need more sequences than a test may take are listed in docs/design/limits.md.
+TEST(FleetTest, TheSearchNoticesMissingMechanisms) {
+  for (const char* name :
+       {"reclaim_wait", "reclaim_promise", "consent_of_all", "lease_check", "record_ids",
+        "loan_once", "loan_expiry", "start_empty", "floor_versions"}) {
+    EXPECT_TRUE(TrySeeds(1, kSequences, *SwitchesFor(name)).has_value()) << name;
+  }
+}
+
+// Guards against an outage that costs shares: with consent of all peers everything stays in use.
+TEST(FleetTest, AnHourWithoutTheLogCostsNoShares) {
+  Plan plan = QuietPlan();
+  plan.length = 1h + 3min;
+  plan.limits = {{2, 10}};
+  plan.faults = {{60s, FaultKind::kLogOutage, 0, 1h, {}}};
+  World world(plan, {});
+  EXPECT_EQ(world.RunUntil(59s), std::nullopt);
+  const auto before = world.Shares(0);
+  EXPECT_EQ(before.leased_ppm, kLeasedPool);
+  EXPECT_EQ(world.RunUntil(1h), std::nullopt);
+  // At most the one move that was on its way when the log went down is set aside.
+  EXPECT_GE(world.Shares(0).leased_ppm, kLeasedPool / 2);
+  EXPECT_EQ(world.Shares(0).floor_ppm, before.floor_ppm);
+  EXPECT_EQ(world.Run(), std::nullopt);
+  EXPECT_EQ(world.Shares(0).leased_ppm, kLeasedPool);
+}
+
+// Guards the floor of a data centre that is cut off, and the return of shares afterwards.
+TEST(FleetTest, ACutOffDataCentreKeepsItsFloor) {
+  Plan plan = QuietPlan();
+  plan.length = 90s;
+  plan.faults = {{20s, FaultKind::kPartition, 0, 30s, {}}};
+  World world(plan, {});
+  EXPECT_EQ(world.RunUntil(45s), std::nullopt);
+  EXPECT_EQ(world.Shares(0).floor_ppm, 200'000U);
+  EXPECT_EQ(world.Shares(0).leased_ppm, kLeasedPool) << "reclaimed by the others";
+  EXPECT_EQ(world.Run(), std::nullopt);
+  EXPECT_EQ(world.Shares(0).floor_ppm, 200'000U);
+  EXPECT_EQ(world.Shares(0).leased_ppm, kLeasedPool);
+}
+
+// Guards against shares that stay with the dead.
+TEST(FleetTest, SharesOfDeadInstancesReturn) {
+  Plan plan = QuietPlan();
+  plan.faults = {{20s, FaultKind::kKill, 0, 0s, {}}, {20s, FaultKind::kKill, 1, 0s, {}}};
+  World world(plan, {});
+  EXPECT_EQ(world.Run(), std::nullopt);
+  EXPECT_EQ(world.Running(), 3U);
+  EXPECT_EQ(world.Shares(0).leased_ppm, kLeasedPool);
+}
+
+}  // namespace
+}  // namespace persimmonstair::limits::sim
--- /dev/null
+++ b/src/persimmonstair/membership/membership_test.cpp
@@ -0,0 +1,372 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "persimmonstair/membership/lease_keeper.hpp"
+#include "persimmonstair/membership/liveness.hpp"
+#include "persimmonstair/membership/named_lease.hpp"
+#include "persimmonstair/membership/registry.hpp"
+
+namespace persimmonstair::membership {
+namespace {
+
+using namespace std::chrono_literals;
+using Kind = Effect::Kind;
+
+const base::InstanceId kA{"a"};
+const base::InstanceId kB{"b"};
+const base::InstanceId kC{"c"};
+const base::DataCentreId kDc{"dc1"};
+
+schema::InstanceRegistered Registered(const base::InstanceId& id, std::uint64_t incarnation) {
+  return {{id.value + std::to_string(incarnation)}, id, kDc, {incarnation}};
+}
+schema::LeaseRecord Renewal(const base::InstanceId& id, std::uint64_t sequence,
+                            std::uint64_t previous = 0) {
+  return {{"l"}, "instance", id, {1}, sequence, {previous}, 6'000, 1};
+}
+schema::LeaseRecord Named(const base::InstanceId& id, std::uint64_t previous) {
+  return {{"n"}, "orders.dc1", id, {1}, 1, {previous}, 6'000, 0};
+}
+schema::ReclaimRecord Reclaim(const base::InstanceId& subject, std::uint64_t sequence,
+                              const base::InstanceId& by) {
+  return {{"r"}, subject, {1}, sequence, by, {1}};
+}
+
+// A log whose records every member reads at once.
+struct Log {
+  Kind Add(const schema::Record& record) { return registry.Apply({next++}, record).kind; }
+  Registry registry;
+  std::uint64_t next = 1;
+};
+
+// Guards against a reclaim that races with a renewal: the renewal that comes first must win.
+TEST(RegistryTest, ReclaimIsInvalidAfterALaterRenewal) {
+  Log log;
+  log.Add(Registered(kA, 1));
+  log.Add(Registered(kB, 1));
+  log.Add(Renewal(kA, 1));
+  log.Add(Renewal(kA, 2));
+  EXPECT_EQ(log.Add(Reclaim(kA, 1, kB)), Kind::kNone);
+  EXPECT_EQ(log.Add(Reclaim(kA, 2, kB)), Kind::kReclaimed);
+  EXPECT_EQ(log.Add(Renewal(kA, 3)), Kind::kNone) << "renewed after the reclaim";
+  EXPECT_EQ(log.Add(Reclaim(kA, 2, kB)), Kind::kNone) << "repeated";
+}
+
+// Guards against a record that takes effect twice because its append was repeated.
+TEST(RegistryTest, RepeatedAndReorderedRecordsHaveNoEffect) {
+  Log log;
+  EXPECT_EQ(log.Add(Registered(kA, 2)), Kind::kRegistered);
+  EXPECT_EQ(log.Add(Registered(kA, 2)), Kind::kNone);
+  EXPECT_EQ(log.Add(Registered(kA, 1)), Kind::kNone);
+  const schema::ShareClaim claim{{"x"}, {"w"}, kA, {2}, 0};
+  EXPECT_EQ(log.Add(claim), Kind::kShare);
+  EXPECT_EQ(log.Add(claim), Kind::kNone);
+  EXPECT_EQ(log.registry.Apply({1}, Registered(kB, 1)).kind, Kind::kNone) << "offset read twice";
+}
+
+// Guards against an append that takes effect after its writer renewed and gave it up for lost.
+TEST(RegistryTest, ShareRecordOfAnEarlierRenewalIsInvalid) {
+  Log log;
+  log.Add(Registered(kA, 1));
+  log.Add(Renewal(kA, 1));
+  EXPECT_EQ(log.Add(schema::ShareClaim{{"x"}, {"w"}, kA, {1}, 0}), Kind::kNone);
+  EXPECT_EQ(log.Add(schema::ShareClaim{{"y"}, {"w"}, kA, {1}, 1}), Kind::kShare);
+}
+
+// Guards against two holders of one lease, and against a fencing number that goes back.
+TEST(RegistryTest, NamedLeaseChangesHandsByItsPreviousRecordOnly) {
+  Log log;
+  log.Add(Registered(kA, 1));
+  log.Add(Registered(kB, 1));
+  EXPECT_EQ(log.Add(Named(kA, 0)), Kind::kNamedLease);  // offset 3
+  EXPECT_EQ(log.Add(Named(kB, 0)), Kind::kNone);        // offset 4
+  EXPECT_EQ(log.Add(Named(kA, 3)), Kind::kNamedLease);  // offset 5
+  EXPECT_EQ(log.registry.FindLease("orders.dc1")->fencing, base::Offset{3}) << "same holder";
+  EXPECT_EQ(log.Add(Named(kB, 5)), Kind::kNamedLease);  // offset 6
+  EXPECT_EQ(log.registry.FindLease("orders.dc1")->fencing, base::Offset{6});
+}
+
+// Guards against a snapshot that loses a rule: a restored reader must judge the same records alike.
+TEST(RegistryTest, SnapshotKeepsEveryRule) {
+  Log log;
+  log.Add(Registered(kA, 1));
+  log.Add(Registered(kB, 1));
+  log.Add(Renewal(kA, 4, 1));
+  log.Add(Named(kA, 0));
+  log.Add(schema::ShareClaim{{"x"}, {"w"}, kA, {1}, 4});
+  auto restored = Registry::Restore(log.registry.Snapshot());
+  ASSERT_TRUE(restored.has_value());
+  EXPECT_EQ(restored->Snapshot(), log.registry.Snapshot());
+  EXPECT_EQ(restored->Apply({6}, schema::ShareClaim{{"x"}, {"w"}, kA, {1}, 4}).kind, Kind::kNone);
+  EXPECT_EQ(restored->Apply({7}, Reclaim(kA, 3, kB)).kind, Kind::kNone);
+  EXPECT_FALSE(Registry::Restore("{\"next\":1}").has_value());
+  EXPECT_FALSE(Registry::Restore("not json").has_value());
+}
+
+// Guards against a list that lags: it must neither kill an instance that sends heartbeats nor keep
+// one alive that is silent.
+TEST(LivenessTest, HeartbeatsTakePrecedenceOverTheList) {
+  Liveness liveness(kA, kDc);
+  base::TimePoint now = base::TimePoint{} + 100s;
+  liveness.OnList(now, {{kB, kDc, false}, {kC, kDc, false}});
+  EXPECT_EQ(liveness.StateOf(kB, now), State::kSuspect);
+  liveness.OnHeartbeat(now, kB, {1}, kDc, false);
+  liveness.OnList(now, {});
+  EXPECT_EQ(liveness.StateOf(kB, now), State::kLive);
+  EXPECT_EQ(liveness.StateOf(kC, now), State::kDead);
+  EXPECT_EQ(liveness.StateOf(kB, now + 2s), State::kDead) << "silent and not listed";
+  liveness.OnList(now, {{kB, kDc, false}});
+  EXPECT_EQ(liveness.StateOf(kB, now + 2s), State::kSuspect);
+  EXPECT_EQ(liveness.StateOf(kB, now + 5s), State::kDead);
+  EXPECT_EQ(liveness.LiveIn(kDc, now), (std::vector{kA, kB}));
+}
+
+// Guards against a late heartbeat of an earlier process that undoes or announces a leave.
+TEST(LivenessTest, LeavingIsFinalForAnIncarnation) {
+  Liveness liveness(kA, kDc);
+  const base::TimePoint now = base::TimePoint{} + 100s;
+  liveness.OnHeartbeat(now, kB, {1}, kDc, true);
+  liveness.OnHeartbeat(now, kB, {1}, kDc, false);
+  EXPECT_EQ(liveness.StateOf(kB, now), State::kLeaving);
+  liveness.OnHeartbeat(now, kB, {2}, kDc, false);
+  liveness.OnHeartbeat(now, kB, {1}, kDc, true);
+  EXPECT_EQ(liveness.StateOf(kB, now), State::kLive);
+}
+
+// Several keepers over one log and one clock. Messages are handed over by hand.
+class KeeperTest : public testing::Test {
+ protected:
+  struct Node {
+    explicit Node(const base::InstanceId& id, const std::string& process = "p")
+        : keeper({id, kDc, process}) {}
+    LeaseKeeper keeper;
+    Registry registry;
+    bool log = true;
+    bool running = true;
+    std::vector<Outgoing> sent;
+    std::uint64_t reclaims = 0;
+  };
+
+  void Read(Node& node) {
+    while (node.log && node.registry.Next().value < log_.size()) {
+      const base::Offset at = node.registry.Next();
+      const Effect effect = node.registry.Apply(at, log_[at.value]);
+      node.keeper.OnRecord(now_, at, log_[at.value], effect, node.registry);
+    }
+  }
+
+  void Run(base::Duration length, std::vector<Node*> nodes) {
+    for (const base::TimePoint end = now_ + length; now_ < end; now_ += 100ms) {
+      for (Node* node : nodes) {
+        if (!node->running) continue;
+        Read(*node);
+        Output out = node->keeper.Tick(now_, node->registry, node->log);
+        for (auto& record : out.records) {
+          node->reclaims += std::holds_alternative<schema::ReclaimRecord>(record) ? 1 : 0;
+          log_.push_back(std::move(record));
+        }
+        for (auto& message : out.messages) node->sent.push_back(std::move(message));
+      }
+      if (exchange_) Exchange(nodes);
+    }
+  }
+
+  void Exchange(const std::vector<Node*>& nodes) {
+    for (Node* from : nodes) {
+      for (const Outgoing& ask : std::exchange(from->sent, {})) {
+        const auto* request = std::get_if<schema::LeaseConsentRequest>(&ask.message);
+        for (Node* to : nodes) {
+          if (!to->running || to->registry.Find(ask.to) == nullptr || NameOf(*to) != ask.to)
+            continue;
+          const Output out = to->keeper.OnConsentRequest(
+              now_, NameOf(*from), from->keeper.View().incarnation, *request, to->registry);
+          for (const Outgoing& answer : out.messages) {
+            from->keeper.OnConsent(now_, NameOf(*to), to->keeper.View().incarnation,
+                                   std::get<schema::LeaseConsent>(answer.message), from->registry);
+          }
+        }
+      }
+    }
+  }
+
+  const base::InstanceId& NameOf(const Node& node) const {
+    if (&node == &b_) return kB;
+    return &node == &c_ ? kC : kA;
+  }
+
+  base::TimePoint now_ = base::TimePoint{} + 1'000s;
+  // Offset 0 holds a record of no concern, so that 0 can mean "none".
+  std::vector<schema::Record> log_{schema::CatalogueChange{}};
+  bool exchange_ = true;
+  Node a_{kA};
+  Node b_{kB};
+  Node c_{kC};
+};
+
+// Guards against use after a pause: nothing may be used before the new incarnation is safe.
+TEST_F(KeeperTest, APauseEndsTheLeaseAndTheIncarnation) {
+  Run(10s, {&a_, &b_});
+  ASSERT_TRUE(a_.keeper.View().LeasedUsable(now_));
+  const base::Incarnation before = a_.keeper.View().incarnation;
+  now_ += 3s;
+  EXPECT_FALSE(a_.keeper.View().FloorUsable(now_)) << "before any tick";
+  b_.running = false;
+  Run(300ms, {&a_});
+  EXPECT_EQ(a_.keeper.Gaps(), 1U);
+  EXPECT_GT(a_.keeper.View().incarnation, before);
+  EXPECT_FALSE(a_.keeper.View().FloorUsable(now_)) << "an earlier process may still run";
+  Run(10s, {&a_});
+  EXPECT_TRUE(a_.keeper.View().LeasedUsable(now_));
+}
+
+// Guards against two processes under one id: the older one stops when it reads of the newer one.
+TEST_F(KeeperTest, ANewerProcessSupersedesTheOlderOne) {
+  Run(5s, {&a_});
+  Node second(kA, "q");
+  Run(1s, {&a_, &second});
+  EXPECT_TRUE(a_.keeper.Superseded());
+  EXPECT_FALSE(a_.keeper.View().FloorUsable(now_));
+  EXPECT_FALSE(second.keeper.View().FloorUsable(now_)) << "within lease and margin";
+  Run(10s, {&second});
+  EXPECT_TRUE(second.keeper.View().LeasedUsable(now_));
+}
+
+// Guards against an older process that is cut off from the log and would never read of the newer.
+TEST_F(KeeperTest, APeerTellsAProcessThatItIsSuperseded) {
+  Run(5s, {&a_, &b_});
+  a_.log = false;
+  Node second(kA, "q");
+  Run(1s, {&second, &b_});
+  Run(5s, {&a_, &b_});
+  EXPECT_TRUE(a_.keeper.Superseded());
+}
+
+// Guards against a lease counted from the read back: others count from their own read.
+TEST_F(KeeperTest, TheLeaseCountsFromBeforeTheRenewalWasSent) {
+  Run(5s, {&a_, &b_});
+  b_.running = false;  // Gives no consent.
+  const std::uint64_t before = a_.keeper.View().sequence;
+  while (!std::holds_alternative<schema::LeaseRecord>(log_.back()) ||
+         std::get<schema::LeaseRecord>(log_.back()).sequence == before) {
+    Run(100ms, {&a_});
+  }
+  const base::TimePoint sent = now_ - 100ms;
+  a_.log = false;
+  Run(5s, {&a_});
+  a_.log = true;
+  Read(a_);
+  EXPECT_EQ(a_.keeper.View().sequence, before + 1);
+  EXPECT_EQ(a_.keeper.View().leased_until, sent + 6s);
+}
+
+// Guards against loss of the leased shares in an outage of the log of an hour.
+TEST_F(KeeperTest, ConsentKeepsAllLeasesThroughAnOutageOfAnHour) {
+  Run(10s, {&a_, &b_, &c_});
+  for (Node* node : {&a_, &b_, &c_}) node->log = false;
+  for (int minute = 0; minute < 60; ++minute) {
+    Run(60s, {&a_, &b_, &c_});
+    for (const Node* node : {&a_, &b_, &c_}) ASSERT_TRUE(node->keeper.View().LeasedUsable(now_));
+  }
+  for (Node* node : {&a_, &b_, &c_}) node->log = true;
+  Run(30s, {&a_, &b_, &c_});
+  EXPECT_EQ(a_.reclaims + b_.reclaims + c_.reclaims, 0U) << "reclaimed before renewals arrived";
+}
+
+// Guards against consent from a part of the fleet: the others may reclaim.
+TEST_F(KeeperTest, WithoutTheConsentOfOneTheLeaseEndsAndTheFloorStays) {
+  Run(10s, {&a_, &b_, &c_});
+  a_.log = b_.log = false;
+  Run(8s, {&a_, &b_});
+  EXPECT_FALSE(a_.keeper.View().LeasedUsable(now_));
+  EXPECT_TRUE(a_.keeper.View().FloorUsable(now_));
+}
+
+// Guards against a reclaim by an instance that promised to wait, and against one that never comes.
+TEST_F(KeeperTest, ASilentInstanceIsReclaimedOnlyAfterThePromiseHasPassed) {
+  Run(10s, {&a_, &b_, &c_});
+  a_.running = false;
+  schema::LeaseConsentRequest request{1, 1, 20'000};
+  for (Node* node : {&b_, &c_}) {
+    node->keeper.OnConsentRequest(now_, kA, {1}, request, node->registry);
+  }
+  Run(20s, {&b_, &c_});
+  EXPECT_EQ(b_.reclaims + c_.reclaims, 0U);
+  Run(10s, {&b_, &c_});
+  EXPECT_EQ(b_.reclaims + c_.reclaims, 1U);
+  EXPECT_EQ(b_.registry.Find(kA)->end, End::kReclaimed);
+}
+
+// Guards against a promise given while a reclaim record is on its way.
+TEST_F(KeeperTest, NoConsentWhileAReclaimIsOnItsWay) {
+  Run(10s, {&a_, &b_});
+  a_.running = false;
+  while (b_.reclaims == 0) Run(100ms, {&b_});
+  log_.pop_back();  // The append is late: nobody has read it.
+  const Output out = b_.keeper.OnConsentRequest(
+      now_, kA, {1}, schema::LeaseConsentRequest{1, 1, 6'000}, b_.registry);
+  ASSERT_EQ(out.messages.size(), 1U);
+  EXPECT_EQ(std::get<schema::LeaseConsent>(out.messages[0].message).duration_ms, 0U);
+}
+
+// Guards against an instance that registered during another's consent and could not be asked.
+TEST_F(KeeperTest, ANewcomerDoesNotReclaimBeforeTheConsentLimit) {
+  Run(10s, {&a_, &b_});
+  a_.running = b_.running = false;
+  Run(60s, {&c_});
+  EXPECT_EQ(c_.reclaims, 0U);
+  Run(2h, {&c_});
+  EXPECT_EQ(c_.reclaims, 2U);
+}
+
+// Guards against shares that stay with an instance that left.
+TEST_F(KeeperTest, APlannedLeaveEndsInTheLog) {
+  Run(5s, {&a_, &b_});
+  a_.keeper.Leave(now_);
+  EXPECT_FALSE(a_.keeper.View().FloorUsable(now_));
+  Run(1s, {&a_, &b_});
+  EXPECT_TRUE(a_.keeper.Left());
+  EXPECT_EQ(b_.registry.Find(kA)->end, End::kLeft);
+}
+
+// Guards against renewal traffic that grows with the fleet.
+TEST(LeaseTimesTest, RenewalsOfTheFleetStayAtALimit) {
+  EXPECT_EQ(ScaledTo({}, 11).renew, 2s);
+  const LeaseTimes large = ScaledTo({}, 390);
+  EXPECT_GE(large.renew, 35s);
+  EXPECT_EQ(large.lease.count() / large.renew.count(), 3);
+}
+
+// Guards against two issuers of orders: the second waits for lease and margin, with a new number.
+TEST(NamedLeaseTest, ANewHolderWaitsAndGetsAHigherFencingNumber) {
+  Log log;
+  log.Add(Registered(kA, 1));
+  log.Add(Registered(kB, 1));
+  LeaseView view{{1}, 1, true, base::TimePoint::max(), {}, base::TimePoint::max(), true};
+  NamedLease a("orders.dc1", kA, "p");
+  NamedLease b("orders.dc1", kB, "q");
+  base::TimePoint now = base::TimePoint{} + 100s;
+  const auto step = [&](NamedLease& lease) {
+    const auto record = lease.Tick(now, log.registry, view, true);
+    if (!record) return;
+    const base::Offset at{log.next};
+    const Effect effect{log.Add(*record), record->holder, {}};
+    for (NamedLease* reader : {&a, &b}) reader->OnRecord(now, at, *record, effect, log.registry);
+  };
+  step(a);
+  const auto first = a.Held(now, view);
+  ASSERT_TRUE(first.has_value());
+  for (int n = 0; n < 69; ++n, now += 100ms) step(b);
+  EXPECT_FALSE(b.Held(now, view).has_value());
+  now += 200ms;
+  step(b);
+  EXPECT_FALSE(a.Held(now, view).has_value());
+  ASSERT_TRUE(b.Held(now, view).has_value());
+  EXPECT_GT(*b.Held(now, view), *first);
+}
+
+}  // namespace
+}  // namespace persimmonstair::membership
