--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,11 @@
 
 clean:
 	rm -rf build
+
+demo: packages check-packages build
+	tools/demo
+
+# Measures the slopes that docs/CAPACITY.md uses.
+capacity: build
+	@set -e; for it in limits_bench state_bench routing_bench capacity_bench; do \
+	  echo "== $$it"; build/bin/$$it; done
--- /dev/null
+++ b/bench/capacity.cmake
@@ -0,0 +1,2 @@
+add_executable(capacity_bench capacity_bench.cpp)
+target_link_libraries(capacity_bench PRIVATE persimmonstair_scheduler)
