--- a/src/persimmonstair/programs/store_impl.hpp
+++ b/src/persimmonstair/programs/store_impl.hpp
@@ -220,6 +220,8 @@
   /// Reads to the end of the stream that are still needed after a pause.
   int reads_needed = 0;
   bool log_up = false;
+  /// A FetchRecords action was not answered yet.
+  bool fetch_open = false;
   base::TimePoint log_up_since;
   bool authority = true;
 };
