--- a/src/persimmonstair/programs/simulation/world_end.cpp
+++ b/src/persimmonstair/programs/simulation/world_end.cpp
@@ -69,8 +69,9 @@
   for (const auto& [target, held] : engines_) {
     if (!held.empty()) Broken("engine " + target.value + " still holds " + held.begin()->value);
   }
-  if (truth_.size() != 0)
+  if (truth_.size() != 0) {
     Broken("program " + truth_.Programs().begin()->first.value + " did not end");
+  }
   for (const Node& node : nodes_) {
     if (node.store->Index().Snapshot() != truth_.Snapshot()) Broken("readers of the log disagree");
     if (node.store->Unsettled() != 0) Broken("an instance has unsettled programs or records");
--- a/src/persimmonstair/programs/simulation/world_steps.cpp
+++ b/src/persimmonstair/programs/simulation/world_steps.cpp
@@ -288,8 +288,9 @@
   const std::size_t n = a % messages_.size();
   const Message message = messages_[n];
   if (!Up(message.to)) {
-    if (!nodes_[message.to].store)
+    if (!nodes_[message.to].store) {
       messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(n));
+    }
     return;
   }
   if (b % 8 != 0) messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(n));
--- a/src/persimmonstair/programs/store_calls.cpp
+++ b/src/persimmonstair/programs/store_calls.cpp
@@ -37,8 +37,9 @@
   if (index.Find(call.program) != nullptr || Find(call.program) != nullptr) {
     return refuse(ErrorCode::kConflict, "the program id is in use");
   }
-  if (!log_up)
+  if (!log_up) {
     return refuse(ErrorCode::kLogUnavailable, "no program can be opened without the log");
+  }
   if (!authority) return refuse(ErrorCode::kOwnerUnavailable, "the instance's lease has lapsed");
   ProgramId root = call.program;
   if (!call.parent.empty()) {
@@ -186,10 +187,11 @@
     const auto limit = program.tool_pause ? options.tool_pause_limit : options.idle_limit;
     if (now.monotonic - program.active_at < limit) continue;
     if (program.running || !program.pending.empty()) continue;
-    const auto family = id == program.root ? FamilyOf(id) : std::vector<Program*>{};
+    const ProgramId& self = program.id;
+    const auto family = self == program.root ? FamilyOf(self) : std::vector<Program*>{};
     // A root lives as long as its sub-programs do.
     const bool alone = std::all_of(family.begin(), family.end(),
-                                   [&](const Program* one) { return one->id == id; });
+                                   [&](const Program* one) { return one->id == self; });
     if (alone && OwnsFamily(program.root)) expired.push_back(&program);
   }
   for (Program* program : expired) {
--- a/src/persimmonstair/programs/store_impl.hpp
+++ b/src/persimmonstair/programs/store_impl.hpp
@@ -17,35 +17,35 @@
 
 namespace persimmonstair::programs {
 
+/// The turn that an engine works on.
+struct RunningTurn {
+  base::RequestId request;
+  std::uint32_t turn = 0;
+  std::uint64_t fingerprint = 0;
+  std::string new_messages;
+  std::int64_t reserved = 0;
+  /// Reservations of earlier attempts that a former owner may have run.
+  std::int64_t lost_tokens = 0;
+  TurnMachine machine;
+  std::vector<base::RequestId> waiters;
+};
+
+/// A turn with a result that is not in the log yet.
+struct PendingTurn {
+  schema::TurnRecord record;
+  base::TimePoint since;
+  std::optional<base::TimePoint> copied_at;
+  std::set<base::InstanceId> copies;
+  bool acknowledged = false;
+  std::string durability;
+  TurnMachine machine;
+  std::vector<base::RequestId> waiters;
+};
+
 /// @brief State of a store. The functions are in store_*.cpp, grouped by duty.
 struct ProgramStore::Impl {
   using Waiters = std::vector<base::RequestId>;
 
-  /// The turn that an engine works on.
-  struct RunningTurn {
-    base::RequestId request;
-    std::uint32_t turn = 0;
-    std::uint64_t fingerprint = 0;
-    std::string new_messages;
-    std::int64_t reserved = 0;
-    /// Reservations of earlier attempts that a former owner may have run.
-    std::int64_t lost_tokens = 0;
-    TurnMachine machine;
-    Waiters waiters;
-  };
-
-  /// A turn with a result that is not in the log yet.
-  struct PendingTurn {
-    schema::TurnRecord record;
-    base::TimePoint since;
-    std::optional<base::TimePoint> copied_at;
-    std::set<base::InstanceId> copies;
-    bool acknowledged = false;
-    std::string durability;
-    TurnMachine machine;
-    Waiters waiters;
-  };
-
   struct Program {
     explicit Program(ProgramPhase start) : life(start) {}
 
--- a/src/persimmonstair/programs/store_memory.cpp
+++ b/src/persimmonstair/programs/store_memory.cpp
@@ -59,8 +59,9 @@
     if (program.life.Phase() != ProgramPhase::kActive || !OwnsFamily(program.root)) continue;
     const bool long_chain = program.turns.size() - program.snapshot_turns >= options.snapshot_turns;
     if (!long_chain && now.monotonic - program.snapshot_at < due) continue;
-    if (program.running || !program.pending.empty() || outbox.Contains(program.snapshot_id))
+    if (program.running || !program.pending.empty() || outbox.Contains(program.snapshot_id)) {
       continue;
+    }
     // The tokens of an ending sub-program are counted at its root only once the end is read.
     const auto family = FamilyOf(program.root);
     const bool ending = std::any_of(family.begin(), family.end(), [](const Program* one) {
--- a/src/persimmonstair/programs/store_pending.cpp
+++ b/src/persimmonstair/programs/store_pending.cpp
@@ -6,7 +6,6 @@
 
 namespace persimmonstair::programs {
 
-using base::ErrorCode;
 using base::Now;
 using base::ProgramId;
 using base::RecordId;
@@ -66,8 +65,9 @@
   // Another process wrote a turn under this instance's epoch: its history is the valid one.
   if (record.turn <= program->turns.size() - program->pending.size()) return;
   const ProgramPhase phase = program->life.Phase();
-  if (valid && (phase == ProgramPhase::kActive || phase == ProgramPhase::kEnding))
+  if (valid && (phase == ProgramPhase::kActive || phase == ProgramPhase::kEnding)) {
     Lose(*program, out);
+  }
 }
 
 void Impl::Acknowledge(Program& program, PendingTurn& turn, const std::string& durability,
