--- a/src/persimmonstair/programs/simulation/world_steps.cpp
+++ b/src/persimmonstair/programs/simulation/world_steps.cpp
@@ -77,11 +77,13 @@
   }
   if (caller.waiting == 0) {
     caller.waiting = static_cast<std::uint32_t>(naive_.TurnsOf(caller.program)) + 1;
-    caller.bodies.resize(caller.waiting - 1);
-    const std::string text = caller.program.value + ": question " + std::to_string(b);
-    caller.bodies.push_back(nlohmann::json{
-        {"messages", {{{"role", "user"}, {"content", text}}}},
-        {"max_tokens", 8}}.dump());
+    // A lost turn is asked again with the same body: another one may still be on its way.
+    if (caller.bodies.size() < caller.waiting) {
+      const std::string text = caller.program.value + ": question " + std::to_string(b);
+      caller.bodies.push_back(nlohmann::json{
+          {"messages", {{{"role", "user"}, {"content", text}}}},
+          {"max_tokens", 8}}.dump());
+    }
   }
   AskTurn(index, caller.waiting, node, false);
 }
@@ -286,8 +288,9 @@
   const std::size_t n = a % messages_.size();
   const Message message = messages_[n];
   if (!Up(message.to)) {
-    if (!nodes_[message.to].store)
+    if (!nodes_[message.to].store) {
       messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(n));
+    }
     return;
   }
   if (b % 8 != 0) messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(n));
@@ -334,7 +337,7 @@
     if (!Up(node) || !LogUp(node) || !nodes_[node].authority) continue;
     for (std::size_t other = 0; other < nodes_.size(); ++other) {
       const Node& from = nodes_[other];
-      const ProgramIndex& index = nodes_[node].store->index();
+      const ProgramIndex& index = nodes_[node].store->Index();
       for (const ProgramId& root : index.RootsOf({"i" + std::to_string(other)})) {
         const FamilyEntry& family = index.Family(*index.Find(root));
         const bool replaced = family.incarnation.value < from.incarnation;
--- a/src/persimmonstair/programs/store_takeover.cpp
+++ b/src/persimmonstair/programs/store_takeover.cpp
@@ -85,7 +85,7 @@
   }
   if (program.running) {
     RunningTurn& turn = *program.running;
-    const bool sent = turn.machine.phase() == TurnPhase::kRunning;
+    const bool sent = turn.machine.Phase() == TurnPhase::kRunning;
     if (sent) out.emplace_back(CancelTurn{turn.request});
     running.erase(turn.request);
     base::Error lost = error;
@@ -96,16 +96,20 @@
   Remove(ProgramId(program.id));
 }
 
+// One FetchRecords action is open at a time, so that its answer belongs to all that wait.
 void Impl::FetchChains(ProgramActions& out) {
+  if (fetch_open) return;
   FetchRecords fetch;
   for (const ProgramId& id : loading) {
     Program& program = *Find(id);
-    if (program.life.phase() != ProgramPhase::kLoading || program.fetching) continue;
+    if (program.life.Phase() != ProgramPhase::kLoading || program.fetching) continue;
     if (fetch.offsets.size() == kFetchBatch) break;
     program.fetching = true;
     fetch.offsets.push_back(program.fetch);
   }
-  if (!fetch.offsets.empty()) out.emplace_back(std::move(fetch));
+  if (fetch.offsets.empty()) return;
+  fetch_open = true;
+  out.emplace_back(std::move(fetch));
 }
 
 void Impl::OnFetched(const Now& now, bool failed,
@@ -114,6 +118,7 @@
   std::map<Offset, const schema::Record*> by_offset;
   for (const auto& [offset, record] : records) by_offset[offset] = &record;
   bool advanced = false;
+  fetch_open = false;
   for (const ProgramId& id : loading) {
     Program& program = *Find(id);
     if (!program.fetching) continue;
@@ -169,7 +174,7 @@
   for (auto it = loading.begin(); it != loading.end();) {
     Program& program = *Find(*it);
     const bool waited = now.monotonic - program.loaded_at >= options.copy_grace;
-    if (program.life.phase() != ProgramPhase::kCollecting || !waited) {
+    if (program.life.Phase() != ProgramPhase::kCollecting || !waited) {
       ++it;
       continue;
     }
