Bound the share moves of the whole fleet

Cause: limits_bench traffic showed 49.9 records/s (8.6 KB/s read by each instance) at 110 instances and 80 workspaces against 9.9 records/s at 11 and 8: moves grew with the workspaces. Change: each instance's part of 10 moves/s shrinks with the fleet; loans carry the rest. Lint findings fixed.

--- a/bench/limits_bench.cpp
+++ b/bench/limits_bench.cpp
@@ -104,7 +104,9 @@
     if (in_rate.contains(request)) ++out.escrow;
   };
   World world(plan, {}, observer);
-  if (auto violation = world.Run()) std::printf("VIOLATION: %s\n", violation->c_str());
+  if (auto violation = world.Run()) {
+    std::printf("VIOLATION: %s\n", violation->c_str());
+  }
   const auto counters = world.Counters();
   std::printf("  loans per admitted request %.3f, loan requests %.3f, share moves %llu\n",
               static_cast<double>(counters.loans_given) / static_cast<double>(counters.admitted),
@@ -169,18 +171,18 @@
       limiter.SetLimit(now, names[n], {1e9, 1e9});
       apply(schema::ShareClaim{{"c" + std::to_string(n)}, names[n], self, {1}, 0});
     }
-    constexpr std::uint64_t kRequests = 3'000'000;
+    constexpr std::uint64_t k_requests = 3'000'000;
     std::uint64_t admitted = 0;
     const auto start = std::chrono::steady_clock::now();
-    for (std::uint64_t n = 0; n < kRequests; ++n) {
+    for (std::uint64_t n = 0; n < k_requests; ++n) {
       now += 1us;
       const auto result = limiter.Admit(now, names[n * 7919 % workspaces], RequestId{n});
       admitted += result.admission.decision == Decision::kAdmitted ? 1 : 0;
     }
     const std::chrono::duration<double, std::nano> took = std::chrono::steady_clock::now() - start;
     std::printf("admit with %4zu workspaces: %6.1f ns (%llu of %llu admitted)\n", workspaces,
-                took.count() / kRequests, static_cast<unsigned long long>(admitted),
-                static_cast<unsigned long long>(kRequests));
+                took.count() / k_requests, static_cast<unsigned long long>(admitted),
+                static_cast<unsigned long long>(k_requests));
   }
 }
 
@@ -198,14 +200,17 @@
     plan.skew = 0.5;
     plan.peer_latency_us = 500;
     World world(plan, {});
-    constexpr Duration kWarmUp = 40s;
-    if (auto violation = world.RunUntil(kWarmUp))
+    constexpr Duration k_warm_up = 40s;
+    if (auto violation = world.RunUntil(k_warm_up)) {
       std::printf("VIOLATION: %s\n", violation->c_str());
+    }
     world.ResetTotals();
     world.CountBytes();
-    if (auto violation = world.Run()) std::printf("VIOLATION: %s\n", violation->c_str());
-    const auto& t = world.totals();
-    const double seconds = persimmonstair::base::ToSeconds(plan.length - kWarmUp);
+    if (auto violation = world.Run()) {
+      std::printf("VIOLATION: %s\n", violation->c_str());
+    }
+    const auto& t = world.Counts();
+    const double seconds = persimmonstair::base::ToSeconds(plan.length - k_warm_up);
     const double n = static_cast<double>(plan.instances);
     const auto rate = [&](std::uint64_t v) { return static_cast<double>(v) / seconds; };
     std::printf("%10zu %10zu %10.2f %10.2f %12.0f %14.0f %14.0f %12.0f\n", plan.instances,
--- a/include/persimmonstair/limits/limiter.hpp
+++ b/include/persimmonstair/limits/limiter.hpp
@@ -45,8 +45,11 @@
   base::Duration balance_period = std::chrono::seconds{1};
   /// Smaller moves are not worth a record.
   std::uint32_t smallest_move_ppm = 20'000;
-  /// Share records of one instance in one balance period.
-  std::size_t moves_per_period = 4;
+  /// Share records of one instance in one balance period, at most.
+  double moves_per_period = 4;
+  /// Share records of the whole fleet in one balance period. Every instance reads them all, so
+  /// each instance's part shrinks as the fleet grows; loans carry the rest.
+  double fleet_moves_per_period = 10;
 };
 
 /// @brief Test switches that turn off one mechanism each, to show that the tests notice its
--- a/src/persimmonstair/limits/limiter.cpp
+++ b/src/persimmonstair/limits/limiter.cpp
@@ -33,6 +33,8 @@
   /// Workspaces with waiting requests, so that a tick does not look at all.
   std::set<base::WorkspaceId> active;
   base::TimePoint next_balance;
+  /// Moves that this instance may still make.
+  double move_budget = 1;
 
   WorkspaceLimiter* Find(const base::WorkspaceId& id) {
     const auto it = workspaces.find(id);
@@ -66,12 +68,13 @@
   // Only this instance's own registration makes its floor usable, see Floors.
   if (context.lease.registered) context.floors.Raise(registry);
   std::erase_if(context.silent_until, [&](const auto& entry) { return now >= entry.second; });
-  std::size_t moves = 0;
+  const double fleet = static_cast<double>(context.peers.size()) + 1;
+  move_budget = std::min(context.options.moves_per_period,
+                         move_budget + context.options.fleet_moves_per_period / fleet);
   for (auto& [id, workspace] : workspaces) {
-    const bool may_move =
-        log_reachable && context.lease.settled && moves < context.options.moves_per_period;
+    const bool may_move = log_reachable && context.lease.settled && move_budget >= 1;
     LimiterOutput part = workspace.Balance(now, registry, may_move);
-    moves += part.records.size();
+    move_budget -= static_cast<double>(part.records.size());
     out.Add(std::move(part));
   }
   return out;
--- a/src/persimmonstair/limits/sim/plan.cpp
+++ b/src/persimmonstair/limits/sim/plan.cpp
@@ -48,7 +48,8 @@
 Fault RandomFault(Dice& dice, base::Duration length) {
   Fault fault;
   fault.at = milliseconds{dice.Between(500, base::ToMillis(length))};
-  fault.kind = static_cast<FaultKind>(dice.Between(0, kNames.size() - 1));
+  fault.kind =
+      static_cast<FaultKind>(dice.Between(0, static_cast<std::int64_t>(kNames.size()) - 1));
   fault.subject = static_cast<std::uint32_t>(dice.Between(0, 1'000));
   fault.length = RandomLength(dice, fault.kind);
   fault.limit = RandomLimit(dice);
--- a/src/persimmonstair/limits/sim/switch_names.cpp
+++ b/src/persimmonstair/limits/sim/switch_names.cpp
@@ -32,6 +32,7 @@
 
 std::vector<std::string_view> SwitchNames() {
   std::vector<std::string_view> names;
+  names.reserve(kSwitches.size());
   for (const auto& [name, set] : kSwitches) names.push_back(name);
   return names;
 }
--- a/src/persimmonstair/limits/sim/world.cpp
+++ b/src/persimmonstair/limits/sim/world.cpp
@@ -167,7 +167,7 @@
             plan_.peer_latency_us > 0 ? plan_.peer_latency_us : Between(200, 2'000);
         const std::int64_t late = Chance(plan_.chances.late_message) ? Between(0, 400'000) : 0;
         After(microseconds{latency + late}, receiver,
-              [this, receiver, from = process->id, message,
+              [this, receiver, from = process->id, message = message,
                incarnation = process->keeper.View().incarnation] {
                 Deliver(receiver, from, incarnation, message);
               });
@@ -224,7 +224,8 @@
 }
 
 void World::Arrive(std::size_t workspace) {
-  std::size_t instance = static_cast<std::size_t>(Between(0, instances_ - 1));
+  std::size_t instance =
+      static_cast<std::size_t>(Between(0, static_cast<std::int64_t>(instances_) - 1));
   if (Unit() < plan_.skew) {
     const std::int64_t turn =
         plan_.skew_period.count() == 0 ? 0 : now_.time_since_epoch() / plan_.skew_period;
--- a/src/persimmonstair/limits/sim/world.hpp
+++ b/src/persimmonstair/limits/sim/world.hpp
@@ -59,7 +59,7 @@
   /// When the violation happened.
   base::Duration ViolationAt() const { return now_.time_since_epoch() - std::chrono::seconds{1}; }
 
-  const Totals& totals() const { return totals_; }
+  const Totals& Counts() const { return totals_; }
   /// Encoding each message and record costs more than the run itself.
   void CountBytes() { count_bytes_ = true; }
   void ResetTotals() { totals_ = {}; }
--- a/src/persimmonstair/limits/sim/world_faults.cpp
+++ b/src/persimmonstair/limits/sim/world_faults.cpp
@@ -56,7 +56,8 @@
   }
   if (running.empty()) return nullptr;
   return running[running.size() == 1 ? 0
-                                     : static_cast<std::size_t>(Between(0, running.size() - 1))];
+                                     : static_cast<std::size_t>(Between(
+                                           0, static_cast<std::int64_t>(running.size()) - 1))];
 }
 
 void World::Pause(std::size_t instance, base::Duration length) {
@@ -104,7 +105,8 @@
   next.floors.clear();
   std::int64_t left = 200'000;
   for (std::size_t n = 0; n < instances_; ++n) {
-    const std::int64_t floor = Between(0, std::min<std::int64_t>(left, 400'000 / instances_));
+    const std::int64_t floor =
+        Between(0, std::min<std::int64_t>(left, 400'000 / static_cast<std::int64_t>(instances_)));
     left -= floor;
     next.floors[InstanceName(n)] = static_cast<std::uint32_t>(floor);
   }
