Make the worker's settings from an instance's settings

Cause: each daemon would repeat how addresses, deadline and User-Agent are read. Change: MakeWorkerSettings reads schema::PlatformSettings and names the member that is no address. Conclusion: a daemon needs one call and its event ring.

--- a/include/persimmonstair/platform/platform_worker.hpp
+++ b/include/persimmonstair/platform/platform_worker.hpp
@@ -8,6 +8,7 @@
 
 #include "persimmonstair/platform/log_client.hpp"
 #include "persimmonstair/platform/log_follower.hpp"
+#include "persimmonstair/schema/settings.hpp"
 
 namespace persimmonstair::platform {
 
@@ -21,6 +22,11 @@
   base::Duration list_interval = std::chrono::seconds(1);
 };
 
+/// @brief Reads the addresses and the deadline from an instance's settings; kInvalidRequest names
+/// the member that is not an address. The instance's id becomes part of the User-Agent.
+base::Result<WorkerSettings> MakeWorkerSettings(const schema::PlatformSettings& settings,
+                                                const base::InstanceId& instance);
+
 /// @brief The platform thread of an instance: executes Append and FetchRecords actions, follows
 /// streams and reads the instance list.
 ///
--- a/src/persimmonstair/platform/platform_test.cpp
+++ b/src/persimmonstair/platform/platform_test.cpp
@@ -386,6 +386,21 @@
   EXPECT_GE(results[1].error().retry_after, 1s);
 }
 
+// Guards against an instance that starts without a log because of a mistyped address.
+TEST(MakeWorkerSettings, NamesTheMemberThatIsNoAddress) {
+  const schema::PlatformSettings good{"http://127.0.0.1:7001", "", "", 1500};
+  const auto made = MakeWorkerSettings(good, {"entry-1"});
+  ASSERT_TRUE(made);
+  EXPECT_FALSE(made->list);
+  EXPECT_EQ(made->client.timeout, 1500ms);
+  EXPECT_EQ(made->client.user_agent, "persimmonstair/entry-1");
+  schema::PlatformSettings bad = good;
+  bad.list_url = "list:7002";
+  EXPECT_NE(MakeWorkerSettings(bad, {"entry-1"}).error().message.find("list_url"),
+            std::string::npos);
+  EXPECT_FALSE(MakeWorkerSettings({}, {"entry-1"}));
+}
+
 // Guards against host names, which would need a resolver, and against half-read addresses.
 TEST(ParseEndpoint, TakesOnlyAddressesWithPorts) {
   EXPECT_EQ(*ParseEndpoint("http://127.0.0.1:7001/"), (Endpoint{"127.0.0.1", 7001}));
--- a/src/persimmonstair/platform/platform_worker.cpp
+++ b/src/persimmonstair/platform/platform_worker.cpp
@@ -128,6 +128,22 @@
   std::thread thread_;
 };
 
+base::Result<WorkerSettings> MakeWorkerSettings(const schema::PlatformSettings& settings,
+                                                const base::InstanceId& instance) {
+  WorkerSettings out;
+  const auto log = ParseEndpoint(settings.log_url);
+  if (!log) return base::Fail(log.error().code, "platform.log_url: " + log.error().message);
+  out.log = *log;
+  if (!settings.list_url.empty()) {
+    const auto list = ParseEndpoint(settings.list_url);
+    if (!list) return base::Fail(list.error().code, "platform.list_url: " + list.error().message);
+    out.list = *list;
+  }
+  out.client.timeout = std::chrono::milliseconds(settings.timeout_ms);
+  out.client.user_agent = "persimmonstair/" + instance.value;
+  return out;
+}
+
 PlatformWorker::PlatformWorker(WorkerSettings settings, EventSink sink)
     : impl_(std::make_unique<Impl>(std::move(settings), std::move(sink))) {}
 
