--- a/bench/policy/workload.cpp
+++ b/bench/policy/workload.cpp
@@ -29,8 +29,10 @@
   double Exponential(double mean) { return std::exponential_distribution<>(1 / mean)(random_); }
   bool Chance(double p) { return std::bernoulli_distribution(p)(random_); }
   int Skewed(int n) {
-    std::vector<double> weights;
-    for (int i = 0; i < n; ++i) weights.push_back(1 / std::sqrt(1.0 + i));
+    std::vector<double> weights(static_cast<std::size_t>(n));
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+      weights[i] = 1 / std::sqrt(1.0 + static_cast<double>(i));
+    }
     return std::discrete_distribution<>(weights.begin(), weights.end())(random_);
   }
 
@@ -64,9 +66,10 @@
   Turn MakeTurn(std::vector<ProgramPlan>& programs, const ProgramPlan& plan, int index, int i) {
     Turn turn;
     turn.new_tokens = Count(deployment_.turn_tokens);
-    if (i == 0)
+    if (i == 0) {
       turn.new_tokens +=
           deployment_.first_prompt_tokens / 2 + Count(deployment_.first_prompt_tokens / 2.0);
+    }
     turn.completion_tokens = Count(deployment_.completion_tokens);
     turn.pause_s = Exponential(deployment_.pause_s);
     if (Chance(deployment_.service_chance)) turn.service_s = Exponential(deployment_.service_s);
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -67,6 +67,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(options.jobs));
   for (int i = 0; i < options.jobs; ++i) threads.emplace_back(work);
   for (auto& it : threads) it.join();
   return rows;
--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -71,8 +71,7 @@
   }
 
   void TickOnce() { Handle(routing::Tick{}); }
-  std::uint64_t decisions() const { return decisions_; }
-  std::size_t queued() const { return router_.Queued(); }
+  std::size_t Queued() const { return router_.Queued(); }
 
  private:
   static routing::Settings MakeSettings() {
@@ -90,7 +89,6 @@
   void Handle(const routing::Event& event) {
     now_ += Duration{100};
     for (const auto& it : router_.Handle(now_, event)) {
-      ++decisions_;
       if (const auto* dispatch = std::get_if<routing::Dispatch>(&it)) {
         running_.push_back(dispatch->attempt);
       }
@@ -103,7 +101,6 @@
   base::TimePoint now_;
   std::vector<base::AttemptId> running_;
   std::uint64_t requests_ = 0;
-  std::uint64_t decisions_ = 0;
 };
 
 template <class Action>
@@ -132,6 +129,6 @@
       load.Queue();
     });
     const double tick = persimmonstair::bench::Nanoseconds(200, [&load] { load.TickOnce(); });
-    std::printf("| %dx | %zu | %.0f | %.0f |\n", scale, load.queued(), request, tick);
+    std::printf("| %dx | %zu | %.0f | %.0f |\n", scale, load.Queued(), request, tick);
   }
 }
--- a/src/persimmonstair/routing/differential_model_test.cpp
+++ b/src/persimmonstair/routing/differential_model_test.cpp
@@ -275,9 +275,9 @@
     for (const auto& [target, place] : places_) {
       if (!Unsuitable(call, target).empty()) continue;
       const bool apart = HasCrashed(call) && Own(target) > 0;
-      if (!apart)
-        return "request " + std::to_string(id.value) + " waits although " + target.value +
-               " has a free slot";
+      if (apart) continue;
+      return "request " + std::to_string(id.value) + " waits although " + target.value +
+             " has a free slot";
     }
   }
   return "";
--- a/src/persimmonstair/routing/router_schedule.cpp
+++ b/src/persimmonstair/routing/router_schedule.cpp
@@ -114,8 +114,8 @@
   const auto it = targets.All().find(request.spec.last_target);
   if (it == targets.All().end() || !it->second->ranked) return best;
   const auto& classes = it->second->classes;
-  if (std::ranges::find(classes, request.request_class) != classes.end())
-    consider(it->second.get());
+  const bool serves = std::ranges::find(classes, request.request_class) != classes.end();
+  if (serves) consider(it->second.get());
   return best;
 }
 
