Look again at a class when one of its targets is lost

Cause: a request that waits for the full engine that holds its prefix was only looked at again when a target became free, so it waited until the next tick when that engine became suspect. Change: any change of a target marks its classes.

--- a/src/persimmonstair/routing/router_test.cpp
+++ b/src/persimmonstair/routing/router_test.cpp
@@ -181,6 +181,22 @@
   EXPECT_NE(last_.target, next.last_target);
 }
 
+// Guards against waiting on for a holder that is lost (routing_fuzz, seed 212991).
+TEST_F(RouterTest, PlanAheadStopsWaitingWhenTheHolderIsLost) {
+  Begin({Engine("a"), Engine("b")});
+  Send(Request());
+  RequestQueued next = Request();
+  next.last_target = last_.target;
+  next.prompt_tokens = 8000;
+  next.held_tokens = 7900;
+  // Another instance keeps the holder full when its own attempt there fails.
+  Send(PeerLoad{{"i2"}, {{next.last_target, 1}}, {}});
+  Send(next);
+  EXPECT_EQ(router_.Queued(), 1U);
+  Send(AttemptFailed{last_.attempt, FailureKind::kConnectionClosed, Verdict::kMayHaveRun, true});
+  EXPECT_EQ(router_.Queued(), 0U);
+}
+
 // Guards against requests that queue inside an engine, where their order cannot change any more.
 TEST_F(RouterTest, CountsOtherInstancesAndLaggedReports) {
   Begin({Engine("a", 2)});
--- a/src/persimmonstair/routing/target_table.cpp
+++ b/src/persimmonstair/routing/target_table.cpp
@@ -75,13 +75,12 @@
 
 void TargetTable::Refresh(Target& target) {
   Unrank(target);
+  // Also when the target is lost: requests may be waiting for it instead of a free one.
+  for (RequestClass* it : target.classes) it->changed = true;
   if (!Usable(target) || Occupied(target) >= target.entry.slots) return;
   target.rank = Rank(target);
   target.ranked = true;
-  for (RequestClass* it : target.classes) {
-    it->available.emplace(target.rank, &target);
-    it->changed = true;
-  }
+  for (RequestClass* it : target.classes) it->available.emplace(target.rank, &target);
 }
 
 void TargetTable::UpdateEntry(Target& target, const catalogue::Target& entry) {
--- a/src/persimmonstair/routing/target_table.hpp
+++ b/src/persimmonstair/routing/target_table.hpp
@@ -34,7 +34,7 @@
   std::uint32_t slots = 0;
   /// Mean time of a request at a slot in seconds.
   double mean_service_s = 0.1;
-  /// A request or a free slot may have been added since no request could be dispatched.
+  /// A request or the state of a target changed since no request could be dispatched.
   bool changed = true;
   /// Value of the dispatch counter when this class was last served.
   std::uint64_t served_at = 0;
