--- a/src/persimmonstair/net/peer_transport.cpp
+++ b/src/persimmonstair/net/peer_transport.cpp
@@ -22,7 +22,9 @@
 using asio::ip::udp;
 
 // Incoming connections that have not proved their identity yet; more are closed at once.
-constexpr long kMaxUnproved = 64;
+constexpr std::int64_t kMaxUnproved = 64;
+// Room for header, authentication and binding of a frame.
+constexpr std::size_t kFrameOverhead = 1U << 10U;
 constexpr std::chrono::milliseconds kAcceptRetry{50};
 
 class Transport : public PeerTransport {
@@ -51,9 +53,7 @@
       const auto it = peers_.find(to);
       if (it == peers_.end()) return core_->handlers.on_send_failed(to, message, false);
       std::string payload = schema::EncodePeer(message);
-      // Room for header, authentication and binding.
-      constexpr std::size_t kOverhead = 1U << 10U;
-      if (payload.size() + kOverhead > kMaxFrameBytes) {
+      if (payload.size() + kFrameOverhead > kMaxFrameBytes) {
         ++core_->oversized;
         return core_->handlers.on_send_failed(to, message, false);
       }
--- a/src/persimmonstair/net/stream_assembler.cpp
+++ b/src/persimmonstair/net/stream_assembler.cpp
@@ -88,7 +88,7 @@
   std::size_t done = 0;
   for (auto end = EventEnd(pending_, from); end != std::string::npos && !ended_;
        end = EventEnd(pending_, done)) {
-    const auto event = std::string_view(pending_).substr(done, end - done);
+    const std::string_view event{pending_.data() + done, end - done};
     if (auto added = AddEvent(event); !added) return tl::make_unexpected(added.error());
     if (ended_) break;
     done = end;
