Add net_bench and keep attempt counters at hand

Cause: looking up a counter by its labels for each attempt is slow. Change: counters by result are kept in a map; bench/net_bench compares one instance with direct calls.

--- /dev/null
+++ b/bench/net.cmake
@@ -0,0 +1,2 @@
+add_executable(net_bench net_bench.cpp)
+target_link_libraries(net_bench PRIVATE persimmonstair_daemon)
--- /dev/null
+++ b/bench/net_bench.cpp
@@ -0,0 +1,233 @@
+// Requests per second and median latency through one instance against direct calls to the engine
+// stand-in, alternating in one run. The scheduler is a pass-through, so that the figures show the
+// cost of the net layer, the rings and the threads; the real scheduler's decisions come on top.
+//
+//     net_bench [seconds per phase] [rounds]
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "instance.hpp"
+#include "log.hpp"
+
+namespace persimmonstair::daemon {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using scheduler::Action;
+using scheduler::Event;
+
+constexpr std::uint64_t kConnections = 64;
+constexpr const char* kAnswer = R"({"choices":[{"message":{"content":"short answer"}}]})";
+
+// Sends each service call to the engine and its answer back.
+class PassThrough {
+ public:
+  explicit PassThrough(std::uint16_t engine) : engine_(engine) {}
+
+  std::vector<Action> Handle(const base::Now& /*now*/, Event event) {
+    std::vector<Action> out;
+    if (auto* request = std::get_if<scheduler::CallerRequest>(&event)) {
+      scheduler::Dispatch dispatch;
+      dispatch.attempt = {request->request.value};
+      dispatch.request = request->request;
+      dispatch.address = "127.0.0.1";
+      dispatch.port = engine_;
+      dispatch.path = "/v1/services/engine";
+      dispatch.body = std::move(request->body);
+      out.emplace_back(std::move(dispatch));
+    } else if (auto* done = std::get_if<scheduler::TargetDone>(&event)) {
+      scheduler::Reply reply;
+      reply.request = {done->attempt.value};
+      reply.body = std::move(done->body);
+      out.emplace_back(std::move(reply));
+    }
+    return out;
+  }
+  scheduler::Status status(const base::Now& /*now*/) const { return {}; }
+
+ private:
+  std::uint16_t engine_;
+};
+
+// Answers every request at once.
+class Engine {
+ public:
+  Engine() {
+    net::CallerServerOptions options;
+    options.caller.port = 0;
+    net::CallerServerHandlers handlers;
+    handlers.next_request = [this] { return base::RequestId{++ids_}; };
+    handlers.on_request = [this](scheduler::CallerRequest request) {
+      scheduler::Reply reply;
+      reply.request = request.request;
+      reply.body = kAnswer;
+      server_->Reply(std::move(reply));
+      return true;
+    };
+    handlers.on_gone = [](base::RequestId) {};
+    auto server = net::StartCallerServer(pool_, options, handlers);
+    if (!server) std::abort();
+    server_ = std::move(*server);
+  }
+  ~Engine() {
+    server_->Stop();
+    pool_.Stop();
+  }
+  std::uint16_t Port() const { return server_->Port(); }
+
+ private:
+  net::IoPool pool_{2};
+  std::atomic<std::uint64_t> ids_{0};
+  std::unique_ptr<net::CallerServer> server_;
+};
+
+struct Figures {
+  std::size_t failed = 0;
+  double per_second = 0;
+  double median_us = 0;
+};
+
+// Keeps a fixed number of requests open, each on a connection of its own, for a time.
+class Load {
+ public:
+  explicit Load(std::uint16_t port) : port_(port), started_(kConnections) {
+    net::TargetClientHandlers handlers;
+    handlers.on_first_byte = [](scheduler::TargetFirstByte) {};
+    handlers.relay = [](base::RequestId, const std::string&) {};
+    handlers.on_done = [this](const scheduler::TargetDone& done) {
+      OnEnd(done.attempt, done.status == 200 && done.body == kAnswer);
+    };
+    handlers.on_failed = [this](const scheduler::TargetFailed& failed) {
+      OnEnd(failed.attempt, false);
+    };
+    client_ = net::MakeTargetClient(pool_, {}, handlers);
+  }
+
+  Figures Run(std::chrono::milliseconds time) {
+    const auto begin = Clock::now();
+    end_ = begin + time;
+    open_ = kConnections;
+    for (std::uint64_t slot = 0; slot < kConnections; ++slot) Send(slot);
+    std::unique_lock lock(mutex_);
+    idle_.wait(lock, [this] { return open_ == 0; });
+    const std::chrono::duration<double> took = Clock::now() - begin;
+    client_->Stop();
+    pool_.Stop();
+    const auto middle = latencies_.begin() + static_cast<std::ptrdiff_t>(latencies_.size() / 2);
+    std::nth_element(latencies_.begin(), middle, latencies_.end());
+    return {failed_, static_cast<double>(latencies_.size()) / took.count(),
+            latencies_.empty() ? 0 : *middle};
+  }
+
+ private:
+  // The attempt number of a slot is always the same modulo the number of slots.
+  void Send(std::uint64_t slot) {
+    scheduler::Dispatch dispatch;
+    dispatch.attempt = {slot};
+    dispatch.address = "127.0.0.1";
+    dispatch.port = port_;
+    dispatch.path = "/v1/services/engine";
+    dispatch.body = R"({"messages":[{"role":"user","content":"short"}]})";
+    started_[slot % kConnections] = Clock::now();
+    client_->Dispatch(std::move(dispatch));
+  }
+
+  void OnEnd(base::AttemptId attempt, bool good) {
+    const auto now = Clock::now();
+    const auto slot = attempt.value;
+    const std::chrono::duration<double, std::micro> took = now - started_[slot % kConnections];
+    bool again = now < end_;
+    {
+      const std::lock_guard lock(mutex_);
+      if (good) {
+        latencies_.push_back(took.count());
+      } else {
+        ++failed_;
+        again = false;
+      }
+      if (!again) --open_;
+    }
+    if (again) return Send(slot + kConnections);
+    idle_.notify_all();
+  }
+
+  net::IoPool pool_{2};
+  std::uint16_t port_;
+  std::unique_ptr<net::TargetClient> client_;
+  Clock::time_point end_;
+  std::vector<Clock::time_point> started_;
+  std::mutex mutex_;
+  std::condition_variable idle_;
+  std::vector<double> latencies_;
+  std::size_t failed_ = 0;
+  std::uint64_t open_ = 0;
+};
+
+InstanceOptions Options() {
+  InstanceOptions options;
+  options.settings.instance = {"bench"};
+  options.settings.caller.port = 0;
+  options.settings.udp_port = 0;
+  options.settings.tcp_port = 0;
+  options.settings.admin_port = 0;
+  options.fleet_key = "fleet-key-of-the-bench-0123456789";
+  options.process = "bench";
+  return options;
+}
+
+double Median(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values[values.size() / 2];
+}
+
+int Main(int argc, char** argv) {
+  const int seconds = argc > 1 ? std::atoi(argv[1]) : 2;
+  const int rounds = argc > 2 ? std::atoi(argv[2]) : 5;
+  if (seconds < 1 || rounds < 1) {
+    std::cerr << "usage: net_bench [seconds per phase] [rounds]\n";
+    return 2;
+  }
+  StartLog("warn", "bench", {});
+  Engine engine;
+  const auto no_platform = [](const EventSink& /*sink*/) -> base::Result<PlatformPort> {
+    return PlatformPort{[](scheduler::Append) {}, [](scheduler::FetchRecords) {}, [] {}};
+  };
+  auto instance = Instance<PassThrough>::Start(Options(), no_platform, PassThrough(engine.Port()));
+  if (!instance) {
+    std::cerr << instance.error().message << '\n';
+    return 1;
+  }
+  const std::uint16_t caller = (*instance)->core().CallerPort();
+  std::vector<double> rates;
+  std::vector<double> added;
+  std::size_t failed = 0;
+  for (int n = 0; n < rounds; ++n) {
+    const auto time = std::chrono::seconds(seconds);
+    const Figures direct = Load(engine.Port()).Run(time);
+    const Figures through = Load(caller).Run(time);
+    std::printf("direct %.0f/s median %.0f us; through %.0f/s median %.0f us\n", direct.per_second,
+                direct.median_us, through.per_second, through.median_us);
+    rates.push_back(through.per_second / direct.per_second);
+    added.push_back((through.median_us - direct.median_us) / direct.median_us);
+    failed += direct.failed + through.failed;
+  }
+  std::printf(
+      "median of %d rounds: %.2f of the direct requests/s (target 0.50), added median "
+      "latency %.2f of the direct round trip (target below 1.00), %zu failed\n",
+      rounds, Median(rates), Median(added), failed);
+  return failed == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace persimmonstair::daemon
+
+int main(int argc, char** argv) { return persimmonstair::daemon::Main(argc, argv); }
--- a/daemon/metrics.cpp
+++ b/daemon/metrics.cpp
@@ -62,7 +62,12 @@
 }
 
 void Metrics::CountAttempt(const std::string& result) {
-  attempts_.Add({{"result", result}}).Increment();
+  const std::lock_guard lock(mutex_);
+  // Looking a series up by its labels in the family costs more than the rest of an attempt's
+  // accounting, so the few results are kept here.
+  auto& counter = by_result_[result];
+  if (counter == nullptr) counter = &attempts_.Add({{"result", result}});
+  counter->Increment();
 }
 
 void Metrics::CountRingFull() { ring_full_.Increment(); }
--- a/daemon/metrics.hpp
+++ b/daemon/metrics.hpp
@@ -50,6 +50,7 @@
   prometheus::Family<prometheus::Counter>& attempts_;
   prometheus::Counter& ring_full_;
   std::map<std::pair<std::string, std::string>, Series> series_;
+  std::map<std::string, prometheus::Counter*> by_result_;
   std::map<std::string, prometheus::Gauge*> gauges_;
 };
 
--- a/src/persimmonstair/net/target_answer.cpp
+++ b/src/persimmonstair/net/target_answer.cpp
@@ -11,10 +11,10 @@
 using boost::beast::iequals;
 
 constexpr unsigned kUnavailable = 503;
+constexpr std::string_view kEventStream = "text/event-stream";
 
 bool IsEventStream(const boost::beast::string_view& type) {
-  constexpr std::string_view kName = "text/event-stream";
-  return iequals(type.substr(0, kName.size()), {kName.data(), kName.size()});
+  return iequals(type.substr(0, kEventStream.size()), {kEventStream.data(), kEventStream.size()});
 }
 
 // A target says that it is leaving by status 503 and "leaving": true, or "leaving" as its code.
