--- a/daemon/settings_check.cpp
+++ b/daemon/settings_check.cpp
@@ -27,21 +27,21 @@
              (value.empty() ? "" : " = " + value) + ": " + rule;
   }
   bool empty() const { return text_.empty(); }
-  const std::string& text() const { return text_; }
+  const std::string& Text() const { return text_; }
 
  private:
   std::string text_;
 };
 
 const valijson::Schema& ParsedSchema() {
-  static const valijson::Schema* const kSchema = [] {
-    auto* schema = new valijson::Schema;
+  static const valijson::Schema* const schema = [] {
+    auto* parsed = new valijson::Schema;
     const Json json = Json::parse(SettingsSchemaText());
     valijson::SchemaParser parser;
-    parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(json), *schema);
-    return schema;
+    parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(json), *parsed);
+    return parsed;
   }();
-  return *kSchema;
+  return *schema;
 }
 
 // valijson states a path as "<root>[a][b]"; users expect a JSON pointer.
@@ -112,12 +112,12 @@
   Violations violations;
   CheckSchema(json, violations);
   if (!violations.empty()) {
-    return base::Fail(base::ErrorCode::kInvalidRequest, violations.text());
+    return base::Fail(base::ErrorCode::kInvalidRequest, violations.Text());
   }
   auto settings = json.get<schema::Settings>();
   CheckRelations(settings, violations);
   if (!violations.empty()) {
-    return base::Fail(base::ErrorCode::kInvalidRequest, violations.text());
+    return base::Fail(base::ErrorCode::kInvalidRequest, violations.Text());
   }
   return settings;
 }
--- a/src/persimmonstair/net/caller_connection.cpp
+++ b/src/persimmonstair/net/caller_connection.cpp
@@ -22,6 +22,10 @@
 // The ring is emptied within milliseconds; the hint only spreads the retries.
 constexpr std::chrono::milliseconds kRetryAfterOverload{200};
 
+std::chrono::milliseconds Millis(std::uint64_t value) {
+  return std::chrono::milliseconds{static_cast<std::int64_t>(value)};
+}
+
 constexpr std::uint32_t kRequestTimeout = 408;
 constexpr std::uint32_t kHeadersTooLarge = 431;
 
@@ -40,7 +44,7 @@
   write_deadline_.Bind(self, [this] { Close(); });
   boost::system::error_code ec;
   stream_.Socket().set_option(asio::ip::tcp::no_delay(true), ec);
-  read_deadline_.Set(std::chrono::milliseconds(core_->options.caller.header_timeout_ms));
+  read_deadline_.Set(Millis(core_->options.caller.header_timeout_ms));
   stream_.Handshake([this, self, refuse](boost::system::error_code failure) {
     if (failure) return Close();
     if (refuse) {
@@ -48,7 +52,7 @@
                      kRetryAfterOverload},
                     0);
     }
-    read_deadline_.Set(std::chrono::milliseconds(core_->options.caller.idle_timeout_ms));
+    read_deadline_.Set(Millis(core_->options.caller.idle_timeout_ms));
     Read();
   });
 }
@@ -131,7 +135,7 @@
   parser_->body_limit(bounds.max_body_bytes);
   parser_->eager(true);
   continue_sent_ = false;
-  read_deadline_.Set(std::chrono::milliseconds(bounds.header_timeout_ms));
+  read_deadline_.Set(Millis(bounds.header_timeout_ms));
 }
 
 // Returns false when more bytes are needed or the request is malformed.
@@ -268,7 +272,7 @@
   std::vector<asio::const_buffer> buffers;
   buffers.reserve(writing_.size());
   for (const auto& part : writing_) buffers.emplace_back(asio::buffer(part));
-  write_deadline_.Set(std::chrono::milliseconds(core_->options.caller.write_timeout_ms));
+  write_deadline_.Set(Millis(core_->options.caller.write_timeout_ms));
   asio::async_write(stream_.stream, buffers,
                     [this, self = this->shared_from_this()](
                         boost::system::error_code ec, std::size_t /*size*/) { OnWritten(ec); });
@@ -292,7 +296,7 @@
   request_ = {};
   if (!form_.keep_alive) return Linger();
   phase_ = Phase::kIdle;
-  read_deadline_.Set(std::chrono::milliseconds(core_->options.caller.idle_timeout_ms));
+  read_deadline_.Set(Millis(core_->options.caller.idle_timeout_ms));
   Parse();
   Read();
 }
--- a/src/persimmonstair/net/caller_request.cpp
+++ b/src/persimmonstair/net/caller_request.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t kMaxKeyBytes = 512;
 constexpr std::size_t kMaxIdBytes = 128;
 constexpr std::size_t kMaxIdempotencyKeyBytes = 256;
+constexpr std::string_view kScheme = "Bearer ";
 constexpr std::int64_t kMaxDeadlineMs = 86'400'000;
 constexpr std::array<std::string_view, 7> kMethods = {"GET",    "POST", "PUT",    "PATCH",
                                                       "DELETE", "HEAD", "OPTIONS"};
@@ -55,7 +56,6 @@
 Result<std::string> PresentedKey(const RawRequest& raw) {
   auto header = Header(raw, "authorization");
   if (!header || header->empty()) return header;
-  constexpr std::string_view kScheme = "Bearer ";
   if (!SameName(std::string_view(*header).substr(0, kScheme.size()), kScheme)) {
     return Fail(ErrorCode::kUnauthorized, "the Authorization header has no bearer key");
   }
