--- a/src/persimmonstair/scheduler/core.cpp
+++ b/src/persimmonstair/scheduler/core.cpp
@@ -90,9 +90,9 @@
   out.requests = requests_.size();
   out.queued = router_.Queued();
   out.running = router_.Running();
-  out.programs_known = store_.index().size();
-  out.program_bytes = store_.bytes();
-  out.unsettled = store_.Unsettled() + effects_.live();
+  out.programs_known = store_.Index().size();
+  out.program_bytes = store_.Bytes();
+  out.unsettled = store_.Unsettled() + effects_.Live();
   for (const auto& [stream, reader] : readers_) out.records_skipped += reader.skipped();
   out.appends = appends_.calls();
   out.records_appended = appends_.records();
--- a/src/persimmonstair/scheduler/peers.cpp
+++ b/src/persimmonstair/scheduler/peers.cpp
@@ -197,8 +197,8 @@
   for (const auto& [stream, reader] : readers_) snapshot.offsets[stream] = reader.next().value;
   snapshot.parts["catalogue"] = catalogue_.Snapshot();
   snapshot.parts["control"] = StreamState(kControlStream);
-  snapshot.parts["claims"] = effects_.table().Snapshot();
-  snapshot.parts["programs"] = store_.index().Snapshot();
+  snapshot.parts["claims"] = effects_.Table().Snapshot();
+  snapshot.parts["programs"] = store_.Index().Snapshot();
   SendReliable(event.from, std::move(snapshot));
 }
 
--- a/src/persimmonstair/scheduler/stop.cpp
+++ b/src/persimmonstair/scheduler/stop.cpp
@@ -14,7 +14,7 @@
 }
 
 void Scheduler::Core::HandOverPrograms() {
-  for (const auto& root : store_.index().RootsOf(options_.instance)) {
+  for (const auto& root : store_.Index().RootsOf(options_.instance)) {
     if (!store_.Owns(root)) continue;
     const base::InstanceId heir = HeirOf(root);
     if (heir != options_.instance) Perform(store_.HandOver(now_, root, heir));
@@ -30,7 +30,7 @@
   };
   add(requests_.size(), "requests");
   add(store_.Unsettled(), "programs, releases and copies");
-  add(effects_.live(), "effects");
+  add(effects_.Live(), "effects");
   add(appends_.pending(), "records");
   return out;
 }
@@ -39,7 +39,7 @@
   if (!stopping_since_ || stopped_) return;
   const bool late = now_.monotonic - *stopping_since_ >= options_.stop_timeout;
   if (RefusesNew()) HandOverPrograms();
-  const bool idle = requests_.empty() && store_.Unsettled() == 0 && effects_.live() == 0;
+  const bool idle = requests_.empty() && store_.Unsettled() == 0 && effects_.Live() == 0;
   if (RefusesNew() && idle && !leaving_) {
     leaving_ = true;
     const auto live = liveness_.Live(now_.monotonic);
--- a/src/persimmonstair/scheduler/turns.cpp
+++ b/src/persimmonstair/scheduler/turns.cpp
@@ -41,14 +41,14 @@
 }  // namespace
 
 std::optional<base::InstanceId> Scheduler::Core::OwnerOf(const base::ProgramId& program) const {
-  const auto* entry = store_.index().Find(program);
+  const auto* entry = store_.Index().Find(program);
   if (entry == nullptr) {
     // The record of a new program may not be read yet; its id names where it was opened.
     const auto parts = IdParts(program);
     if (parts.size() != 4 || parts[0] != "p") return std::nullopt;
     return base::InstanceId{parts[2]};
   }
-  const auto& family = store_.index().Family(*entry);
+  const auto& family = store_.Index().Family(*entry);
   if (store_.Owns(program)) return options_.instance;
   return OwnerIsGone(family) ? HeirOf(program) : family.owner;
 }
@@ -96,8 +96,8 @@
   Request& request = *Find(id);
   const base::ProgramId program =
       request.call.kind == CallKind::kOpenProgram ? request.call.parent : request.call.program;
-  const auto* entry = store_.index().Find(program);
-  if (entry != nullptr && !store_.Owns(program) && OwnerIsGone(store_.index().Family(*entry))) {
+  const auto* entry = store_.Index().Find(program);
+  if (entry != nullptr && !store_.Owns(program) && OwnerIsGone(store_.Index().Family(*entry))) {
     Perform(store_.TakeOver(now_, program));
   }
   if (Find(id) == nullptr) return;
@@ -147,7 +147,7 @@
 
 void Scheduler::Core::StartTurn(base::RequestId id) {
   Request& request = *Find(id);
-  const auto* entry = store_.index().Find(request.call.program);
+  const auto* entry = store_.Index().Find(request.call.program);
   programs::TurnCall call;
   call.request = id;
   call.program = request.call.program;
@@ -172,10 +172,10 @@
 }
 
 void Scheduler::Core::TakeOverFrom(const base::InstanceId& gone) {
-  for (const auto& root : store_.index().RootsOf(gone)) {
-    const auto* entry = store_.index().Find(root);
+  for (const auto& root : store_.Index().RootsOf(gone)) {
+    const auto* entry = store_.Index().Find(root);
     if (entry == nullptr || store_.Owns(root)) continue;
-    if (!OwnerIsGone(store_.index().Family(*entry)) || HeirOf(root) != options_.instance) continue;
+    if (!OwnerIsGone(store_.Index().Family(*entry)) || HeirOf(root) != options_.instance) continue;
     Perform(store_.TakeOver(now_, root));
   }
 }
@@ -202,7 +202,7 @@
   }
   request->turn = action;
   request->stage = Stage::kRouting;
-  const auto* entry = store_.index().Find(action.program);
+  const auto* entry = store_.Index().Find(action.program);
   routing::RequestQueued queued;
   queued.request = action.request;
   queued.workspace = action.workspace;
