Use brace construction where the lint rules want it

Cause: google-readability-casting reads a functional conversion as a cast. Change: braces in caller_request.cpp.

--- a/src/persimmonstair/net/caller_request.cpp
+++ b/src/persimmonstair/net/caller_request.cpp
@@ -56,10 +56,10 @@
 Result<std::string> PresentedKey(const RawRequest& raw) {
   auto header = Header(raw, "authorization");
   if (!header || header->empty()) return header;
-  if (!SameName(std::string_view(*header).substr(0, kScheme.size()), kScheme)) {
+  if (!SameName(std::string_view{*header}.substr(0, kScheme.size()), kScheme)) {
     return Fail(ErrorCode::kUnauthorized, "the Authorization header has no bearer key");
   }
-  std::string key(Trim(std::string_view(*header).substr(kScheme.size())));
+  std::string key(Trim(std::string_view{*header}.substr(kScheme.size())));
   if (key.empty() || key.size() > kMaxKeyBytes) {
     return Fail(ErrorCode::kUnauthorized, "the bearer key is empty or too long");
   }
@@ -73,7 +73,7 @@
   };
   if (key.empty()) return {};
   const auto query = raw.target.find('?');
-  if (ContainsKey(std::string_view(raw.target).substr(0, query), key)) return leak("path");
+  if (ContainsKey(std::string_view{raw.target}.substr(0, query), key)) return leak("path");
   if (ContainsKey(raw.target, key)) return leak("query");
   for (const auto& [name, value] : raw.headers) {
     if (SameName(name, "authorization")) continue;
@@ -248,7 +248,7 @@
   if (std::find(kMethods.begin(), kMethods.end(), raw.method) == kMethods.end()) {
     return Invalid("the method is not supported");
   }
-  const std::string_view path = std::string_view(raw.target).substr(0, raw.target.find('?'));
+  const std::string_view path = std::string_view{raw.target}.substr(0, raw.target.find('?'));
   const auto match = MatchPath(raw.method, path);
   if (!match) return tl::make_unexpected(match.error());
   CallerRequest request;
