--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -101,9 +101,9 @@
   base::Now now{base::TimePoint{std::chrono::seconds{1}}, {}};
   const auto heartbeat = MakeHeartbeat();
   std::size_t bytes = 0;
-  constexpr int kSeconds = 20;
+  const int seconds = 20;
   const double begin = ProcessorMicros();
-  for (int tick = 0; tick < kSeconds * 20; ++tick) {
+  for (int tick = 0; tick < seconds * 20; ++tick) {
     now.monotonic += std::chrono::milliseconds{50};
     scheduler.Handle(now, scheduler::Tick{});
     if (tick % 10 != 0) continue;
@@ -116,8 +116,8 @@
     }
   }
   const double micros = ProcessorMicros() - begin;
-  std::printf("| %5d | %10.4f | %13.1f |\n", peers, micros / (kSeconds * 1e4),
-              static_cast<double>(bytes) / kSeconds / 1000);
+  std::printf("| %5d | %10.4f | %13.1f |\n", peers, micros / (seconds * 1e4),
+              static_cast<double>(bytes) / seconds / 1000);
 }
 
 }  // namespace
