--- a/src/persimmonstair/catalogue/check.cpp
+++ b/src/persimmonstair/catalogue/check.cpp
@@ -20,6 +20,8 @@
 
 // Values are shortened in messages; a wrong document may hold very long strings.
 constexpr std::size_t kMaxShownBytes = 80;
+/// Characters of entry names.
+constexpr std::string_view kAllowed = "abcdefghijklmnopqrstuvwxyz0123456789._-";
 
 std::string Shown(const Json& value) {
   std::string text = value.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -28,14 +30,14 @@
 }
 
 const valijson::Schema& ParsedSchema() {
-  static const valijson::Schema* const kSchema = [] {
+  static const valijson::Schema* const parsed = [] {
     auto* schema = new valijson::Schema;
     const Json json = Json::parse(SchemaText());
     valijson::SchemaParser parser;
     parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(json), *schema);
     return schema;
   }();
-  return *kSchema;
+  return *parsed;
 }
 
 // valijson states a path as "<root>[a][b]"; users expect a JSON pointer.
@@ -56,7 +58,7 @@
   }
 }
 
-std::vector<Violation> CheckSchema(const Json& json) {
+std::vector<Violation> Checparsed(const Json& json) {
   valijson::Validator validator;
   valijson::ValidationResults results;
   const valijson::adapters::NlohmannJsonAdapter adapter(json);
@@ -145,14 +147,15 @@
 };
 
 void CheckNames(const Json& json, std::vector<Violation>& out) {
-  static constexpr std::string_view kAllowed = "abcdefghijklmnopqrstuvwxyz0123456789._-";
   for (const auto& [section, entries] : json.items()) {
     for (const auto& [name, entry] : entries.items()) {
       if (name.empty() || name.size() > 64 ||
           name.find_first_not_of(kAllowed) != std::string::npos || name.front() == '.' ||
           name.front() == '-' || name.front() == '_') {
-        out.push_back({"/" + section + "/" + name, Shown(name),
-                       "entry names match ^[a-z0-9][a-z0-9._-]{0,63}$"});
+        std::string path = "/";
+        path.append(section).append("/").append(name);
+        out.push_back(
+            {std::move(path), Shown(name), "entry names match ^[a-z0-9][a-z0-9._-]{0,63}$"});
       }
     }
   }
@@ -161,7 +164,7 @@
 }  // namespace
 
 std::vector<Violation> CheckEntries(const Json& json) {
-  std::vector<Violation> out = CheckSchema(json);
+  std::vector<Violation> out = Checparsed(json);
   // Names can only be listed once sections are known to be objects.
   if (out.empty()) CheckNames(json, out);
   return out;
--- a/src/persimmonstair/catalogue/document.cpp
+++ b/src/persimmonstair/catalogue/document.cpp
@@ -11,6 +11,13 @@
 
 using Json = nlohmann::json;
 
+// Values of fields that an entry leaves out.
+constexpr std::int64_t kDefaultBudgetTokens = 2'000'000;
+constexpr std::uint32_t kDefaultMaxPrograms = 10'000;
+constexpr std::int64_t kDefaultContextTokens = 131'072;
+constexpr std::int64_t kDefaultMaxTokens = 1'024;
+constexpr std::int64_t kDefaultTimeoutMs = 30'000;
+
 Ownership ReadOwnership(const Json& json) {
   return {json.value("owner", ""), json.value("class", "")};
 }
@@ -37,8 +44,6 @@
 }
 
 Workspace ReadWorkspace(const std::string& name, const Json& json) {
-  constexpr std::int64_t kDefaultBudgetTokens = 2'000'000;
-  constexpr std::uint32_t kDefaultMaxPrograms = 10'000;
   return {.id = {name},
           .ownership = ReadOwnership(json),
           .rate_per_s = json.value("rate_per_s", 0.0),
@@ -58,8 +63,6 @@
 }
 
 Model ReadModel(const std::string& name, const Json& json) {
-  constexpr std::int64_t kDefaultContextTokens = 131'072;
-  constexpr std::int64_t kDefaultMaxTokens = 1'024;
   return {.id = {name},
           .ownership = ReadOwnership(json),
           .context_tokens = json.value("context_tokens", kDefaultContextTokens),
@@ -86,7 +89,6 @@
 }
 
 Route ReadRoute(const std::string& name, const Json& json) {
-  constexpr std::int64_t kDefaultTimeoutMs = 30'000;
   return {.id = {name},
           .ownership = ReadOwnership(json),
           .open = json.value("open", false),
--- a/src/persimmonstair/limits/workspace_limiter.cpp
+++ b/src/persimmonstair/limits/workspace_limiter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace persimmonstair::limits {
@@ -87,10 +88,12 @@
 SharesInUse WorkspaceLimiter::Shares(base::TimePoint now) {
   Refresh(now);
   SharesInUse out;
-  if (context_.FloorUsable(now))
-    out.floor_ppm = static_cast<std::uint32_t>(floor_share_ * kWhole + 0.5);
-  if (context_.LeasedUsable(now))
-    out.leased_ppm = static_cast<std::uint32_t>(leased_share_ * kWhole + 0.5);
+  if (context_.FloorUsable(now)) {
+    out.floor_ppm = static_cast<std::uint32_t>(std::lround(floor_share_ * kWhole));
+  }
+  if (context_.LeasedUsable(now)) {
+    out.leased_ppm = static_cast<std::uint32_t>(std::lround(leased_share_ * kWhole));
+  }
   return out;
 }
 
--- a/src/persimmonstair/scheduler/core.cpp
+++ b/src/persimmonstair/scheduler/core.cpp
@@ -28,6 +28,9 @@
   return out;
 }
 
+/// Time between two rounds of work that need not happen at each tick.
+constexpr std::chrono::seconds kMaintenanceInterval{1};
+
 }  // namespace
 
 Scheduler::Core::Core(Options options)
@@ -62,7 +65,6 @@
   Perform(store_.OnTick(now_));
   Route(routing::Tick{});
   SendHeartbeat();
-  constexpr std::chrono::seconds kMaintenanceInterval{1};
   if (now_.monotonic - last_maintenance_ >= kMaintenanceInterval) {
     last_maintenance_ = now_.monotonic;
     PollEngines();
--- a/src/persimmonstair/scheduler/operators.cpp
+++ b/src/persimmonstair/scheduler/operators.cpp
@@ -11,11 +11,11 @@
 using Json = nlohmann::json;
 
 base::Result<schema::CatalogueEdit> ParseEdit(const Json& json) {
-  static const std::set<std::string> kFields = {"section", "name", "base_version", "remove",
-                                                "value"};
+  static const std::set<std::string> fields = {"section", "name", "base_version", "remove",
+                                               "value"};
   if (!json.is_object()) return Fail(ErrorCode::kInvalidRequest, "an edit must be an object");
   for (const auto& [field, value] : json.items()) {
-    if (!kFields.contains(field)) {
+    if (!fields.contains(field)) {
       return Fail(ErrorCode::kInvalidRequest, "unknown field '" + field + "' in an edit");
     }
   }
--- a/src/persimmonstair/scheduler/peers.cpp
+++ b/src/persimmonstair/scheduler/peers.cpp
@@ -27,6 +27,9 @@
   return out;
 }
 
+/// Time between two requests for a peer's snapshot.
+constexpr std::chrono::seconds kAskInterval{1};
+
 }  // namespace
 
 void Scheduler::Core::SendReliable(const base::InstanceId& to, schema::PeerMessage message) {
@@ -181,7 +184,6 @@
 
 void Scheduler::Core::AskForSnapshot() {
   // Only while the log cannot tell: its records are the better source.
-  constexpr std::chrono::seconds kAskInterval{1};
   if (Ready() || LogReachable() || peers_.empty()) return;
   if (now_.monotonic - last_snapshot_ask_ < kAskInterval) return;
   last_snapshot_ask_ = now_.monotonic;
--- a/src/persimmonstair/scheduler/turns.cpp
+++ b/src/persimmonstair/scheduler/turns.cpp
@@ -38,6 +38,11 @@
   return "data: " + json.dump() + "\n\ndata: [DONE]\n\n";
 }
 
+/// Peers that get a copy of a turn which could not be appended yet.
+constexpr std::size_t kCopies = 2;
+/// Completion bound when the program's model was removed from the catalogue.
+constexpr std::int64_t kFallbackMaxTokens = 1024;
+
 }  // namespace
 
 std::optional<base::InstanceId> Scheduler::Core::OwnerOf(const base::ProgramId& program) const {
@@ -154,7 +159,6 @@
   call.workspace = request.workspace;
   call.turn = request.call.turn;
   call.body = request.call.body;
-  constexpr std::int64_t kFallbackMaxTokens = 1024;
   call.default_max_tokens = kFallbackMaxTokens;
   if (entry != nullptr) {
     const auto model = document().models.find(entry->model);
@@ -277,7 +281,6 @@
 }
 
 void Scheduler::Core::Do(const programs::Replicate& action) {
-  constexpr std::size_t kCopies = 2;
   std::vector<base::InstanceId> elsewhere;
   std::vector<base::InstanceId> nearby;
   for (const auto& peer : liveness_.Live(now_.monotonic)) {
