Record effects whose caller was answered early; enforce max_programs

Cause: a read of the façade found that a running effect whose key was withdrawn lost its request state, so the target's answer was not recorded; max_programs of the catalogue had no effect; the catalogue was put into force twice for each read; the heir of a sub-program was chosen by its own id and not by its root's. Change: the request stays, marked as answered, until the target's answer is recorded; programs are counted when one is opened; the heir follows the root.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -42,9 +42,10 @@
     const std::string name = "w" + std::to_string(n);
     change.edits.push_back(
         {"workspaces", name, 0, false, "{" + own + R"(,"rate_per_s":5,"burst":10})"});
-    change.edits.push_back(
-        {"keys", name, 0, false,
-         "{" + own + R"(,"workspace":")" + name + R"(","sha256":")" + Digest(n) + R"("})"});
+    std::string key = "{" + own;
+    key.append(R"(,"workspace":")").append(name);
+    key.append(R"(","sha256":")").append(Digest(n)).append(R"("})");
+    change.edits.push_back({"keys", name, 0, false, std::move(key)});
     for (int t = 0; t < 10; ++t) {
       change.edits.push_back(
           {"targets", name + "-" + std::to_string(t), 0, false,
--- a/src/persimmonstair/scheduler/append_queue.cpp
+++ b/src/persimmonstair/scheduler/append_queue.cpp
@@ -64,7 +64,7 @@
   return out;
 }
 
-std::size_t AppendQueue::pending() const {
+std::size_t AppendQueue::Pending() const {
   std::size_t n = 0;
   for (const auto& [stream, lane] : lanes_) n += lane.waiting.size();
   for (const auto& [id, call] : in_flight_) n += call.ids.size();
--- a/src/persimmonstair/scheduler/append_queue.hpp
+++ b/src/persimmonstair/scheduler/append_queue.hpp
@@ -42,9 +42,9 @@
   std::vector<Settled> OnDone(const AppendDone& done);
 
   /// Records waiting or in flight.
-  std::size_t pending() const;
-  std::uint64_t calls() const { return calls_; }
-  std::uint64_t records() const { return records_; }
+  std::size_t Pending() const;
+  std::uint64_t Calls() const { return calls_; }
+  std::uint64_t Records() const { return records_; }
 
  private:
   struct Item {
--- a/src/persimmonstair/scheduler/callers.cpp
+++ b/src/persimmonstair/scheduler/callers.cpp
@@ -177,6 +177,17 @@
              request.entry_class});
 }
 
+// The effect may happen: its outcome is still recorded, and only this caller is told now.
+void Scheduler::Core::AnswerEarly(base::RequestId id, const base::Error& error) {
+  Request& request = *Find(id);
+  if (request.abandoned) return;
+  Request kept = request;
+  FinishError(id, error);
+  kept.abandoned = true;
+  kept.origin = {};
+  requests_.emplace(id, std::move(kept));
+}
+
 void Scheduler::Core::FinishError(base::RequestId id, const base::Error& error) {
   const Request* request = Find(id);
   if (request == nullptr) return;
@@ -236,12 +247,8 @@
   if (request->stage == Stage::kForwarded) {
     SendReliable(request->handler, schema::ForwardedCancel{id});
   }
-  if (request->stage == Stage::kRouting && kind == CallKind::kServiceCall && !request->idempotent &&
-      running) {
-    // The effect may happen: its outcome is still recorded, only this caller is told now.
-    FinishError(id, shown);
-    return;
-  }
+  const bool effect = kind == CallKind::kServiceCall && !request->idempotent;
+  if (request->stage == Stage::kRouting && effect && running) return AnswerEarly(id, shown);
   if (request->stage == Stage::kRouting) {
     AbandonRouting(id);
     FailRequest(id, shown);
--- a/src/persimmonstair/scheduler/core.cpp
+++ b/src/persimmonstair/scheduler/core.cpp
@@ -95,9 +95,9 @@
   out.programs_known = store_.Index().size();
   out.program_bytes = store_.Bytes();
   out.unsettled = store_.Unsettled() + effects_.Live();
-  for (const auto& [stream, reader] : readers_) out.records_skipped += reader.skipped();
-  out.appends = appends_.calls();
-  out.records_appended = appends_.records();
+  for (const auto& [stream, reader] : readers_) out.records_skipped += reader.Skipped();
+  out.appends = appends_.Calls();
+  out.records_appended = appends_.Records();
   out.forwarded = forwarded_;
   out.rate_refusals = rate_refusals_;
   return out;
--- a/src/persimmonstair/scheduler/core.hpp
+++ b/src/persimmonstair/scheduler/core.hpp
@@ -55,6 +55,7 @@
               std::string body);
   void FinishError(base::RequestId id, const base::Error& error);
   void Abort(base::RequestId id, const base::Error& error);
+  void AnswerEarly(base::RequestId id, const base::Error& error);
   void AbandonRouting(base::RequestId id);
   void ExpireRequests();
   void EndRequestsOfInvalidKeys();
--- a/src/persimmonstair/scheduler/log.cpp
+++ b/src/persimmonstair/scheduler/log.cpp
@@ -31,7 +31,7 @@
 
 bool Scheduler::Core::Ready() const {
   for (const auto& [stream, reader] : readers_) {
-    if (!reader.started()) return false;
+    if (!reader.Started()) return false;
   }
   return true;
 }
@@ -92,8 +92,6 @@
     Perform(effects_.OnReadEnd(now_, event.oldest, oldest_at, event.at_end));
   } else if (event.stream == kProgramsStream) {
     Perform(store_.OnReadEnd(now_, event.oldest, event.at_end));
-  } else if (event.stream == kCatalogueStream && !records.empty()) {
-    UseCatalogue();
   }
 }
 
@@ -160,11 +158,11 @@
   const bool due = now_.monotonic - last_snapshot_write_ >= options_.retention / 2;
   for (const auto& stream : {kCatalogueStream, kControlStream}) {
     const StreamReader& reader = Reader(stream);
-    if (reader.since_snapshot() == 0) continue;
-    if (!due && reader.since_snapshot() < kSnapshotRecords) continue;
+    if (reader.SinceSnapshot() == 0) continue;
+    if (!due && reader.SinceSnapshot() < kSnapshotRecords) continue;
     last_snapshot_write_ = now_.monotonic;
     AppendRecord(
-        stream, schema::StreamSnapshot{NextRecordId(), stream, reader.next(), StreamState(stream)});
+        stream, schema::StreamSnapshot{NextRecordId(), stream, reader.Next(), StreamState(stream)});
   }
 }
 
--- a/src/persimmonstair/scheduler/members.cpp
+++ b/src/persimmonstair/scheduler/members.cpp
@@ -4,8 +4,9 @@
 
 void Scheduler::Core::On(const InstanceListRead& event) {
   std::vector<membership::Listed> listed;
-  for (const auto& it : event.instances)
+  for (const auto& it : event.instances) {
     listed.push_back({it.instance, it.data_centre, it.leaving});
+  }
   liveness_.OnList(now_.monotonic, listed);
   Route(routing::InstanceListApplied{{event.leaving_targets.begin(), event.leaving_targets.end()}});
 }
@@ -23,8 +24,8 @@
 void Scheduler::Core::TickMembership() {
   // Nothing is registered before the stream was read: a registration made blindly could repeat an
   // incarnation.
-  const bool reachable = LogReachable() && Reader(kControlStream).started();
-  if (Reader(kControlStream).started()) {
+  const bool reachable = LogReachable() && Reader(kControlStream).Started();
+  if (Reader(kControlStream).Started()) {
     Perform(keeper_.Tick(now_.monotonic, registry_, reachable));
   }
   UseLease();
--- a/src/persimmonstair/scheduler/operators.cpp
+++ b/src/persimmonstair/scheduler/operators.cpp
@@ -86,8 +86,9 @@
   change->id = NextRecordId();
   change->author = request.key.value;
   change->at_ms = base::UnixMillis(now_.wall);
-  if (const auto valid = catalogue_.Validate(*change); !valid)
+  if (const auto valid = catalogue_.Validate(*change); !valid) {
     return FinishError(id, valid.error());
+  }
   PendingChange pending;
   pending.request = id;
   for (const auto& edit : change->edits) {
--- a/src/persimmonstair/scheduler/peers.cpp
+++ b/src/persimmonstair/scheduler/peers.cpp
@@ -196,7 +196,7 @@
   if (!Ready()) return;
   schema::Snapshot snapshot;
   snapshot.nonce = message.nonce;
-  for (const auto& [stream, reader] : readers_) snapshot.offsets[stream] = reader.next().value;
+  for (const auto& [stream, reader] : readers_) snapshot.offsets[stream] = reader.Next().value;
   snapshot.parts["catalogue"] = catalogue_.Snapshot();
   snapshot.parts["control"] = StreamState(kControlStream);
   snapshot.parts["claims"] = effects_.Table().Snapshot();
--- a/src/persimmonstair/scheduler/promises_test.cpp
+++ b/src/persimmonstair/scheduler/promises_test.cpp
@@ -207,7 +207,7 @@
 
 // Guards against more than rate x time + burst over all instances, also during a partition.
 TEST_F(PromiseTest, RateHoldsOverAllInstances) {
-  const base::TimePoint begin = fleet.now();
+  const base::TimePoint begin = fleet.Time();
   int admitted = 0;
   std::vector<base::RequestId> sent;
   for (int round = 0; round < 200; ++round) {
@@ -218,7 +218,7 @@
   }
   fleet.Run(seconds{1});
   for (const auto& id : sent) admitted += Code(fleet.Answer(id)) == "ok" ? 1 : 0;
-  const double bound = 100 + 50 * base::ToSeconds(fleet.now() - begin);
+  const double bound = 100 + 50 * base::ToSeconds(fleet.Time() - begin);
   EXPECT_LE(admitted, bound);
   // The stated lower bound under a partition is the floor share.
   EXPECT_GE(admitted, 0.2 * bound);
@@ -286,6 +286,37 @@
   EXPECT_EQ(fleet.Runs(dead), 1);
 }
 
+// Guards against an outcome that is not recorded because the caller was answered before the target.
+TEST_F(PromiseTest, OutcomeIsRecordedAfterTheCallersKeyWasWithdrawn) {
+  const std::string key = fleet.IdempotencyKey("i");
+  fleet.targets["service-1"].delay = fleet.targets["service-2"].delay = seconds{5};
+  const auto running = fleet.Service(0, "deposit", key);
+  fleet.Run(seconds{1});
+  ASSERT_EQ(fleet.Runs(key), 1);
+  ASSERT_EQ(StatusCode(fleet.Wait(fleet.Change(1, "keys", "north-desk", 1, "", true))), 200U);
+  fleet.Run(seconds{2});
+  EXPECT_EQ(Code(fleet.Answer(running)), "unauthorized");
+  EXPECT_EQ(VerdictOf(fleet.Answer(running)), "may_have_run");
+  fleet.Run(seconds{5});
+  const std::string entry = fleet.CatalogueEntry("keys", "north-desk");
+  ASSERT_EQ(StatusCode(fleet.Wait(fleet.Change(1, "keys", "north-desk", 0, entry))), 200U);
+  const Reply* again = fleet.Wait(fleet.Service(2, "deposit", key));
+  EXPECT_EQ(StatusCode(again), 200U) << (again ? again->body : "");
+  EXPECT_EQ(VerdictOf(again), "ran");
+  EXPECT_EQ(fleet.Runs(key), 1);
+}
+
+// Guards against a workspace that opens programs without bound.
+TEST_F(PromiseTest, MaxProgramsHolds) {
+  auto json = nlohmann::json::parse(fleet.CatalogueEntry("workspaces", "north"));
+  json["max_programs"] = 2;
+  ASSERT_EQ(StatusCode(fleet.Wait(fleet.Change(0, "workspaces", "north", 1, json.dump()))), 200U);
+  fleet.MustOpen(0);
+  fleet.MustOpen(1);
+  fleet.Run(seconds{1});
+  EXPECT_EQ(Code(fleet.Wait(fleet.OpenProgram(2))), "rate_limited");
+}
+
 // Guards against an effect without a claim while the log is down.
 TEST_F(PromiseTest, NoEffectWithoutTheLog) {
   fleet.log.down = true;
--- a/src/persimmonstair/scheduler/stop.cpp
+++ b/src/persimmonstair/scheduler/stop.cpp
@@ -31,7 +31,7 @@
   add(requests_.size(), "requests");
   add(store_.Unsettled(), "programs, releases and copies");
   add(effects_.Live(), "effects");
-  add(appends_.pending(), "records");
+  add(appends_.Pending(), "records");
   return out;
 }
 
@@ -46,7 +46,7 @@
     if (!live.empty()) Perform(limiter_.Leave(now_.monotonic, registry_, live.front()));
     keeper_.Leave(now_.monotonic);
   }
-  const bool done = leaving_ && keeper_.Left() && appends_.pending() == 0;
+  const bool done = leaving_ && keeper_.Left() && appends_.Pending() == 0;
   if (!done && !late) return;
   stopped_ = true;
   Emit(Stopped{done ? std::string() : Unfinished()});
--- a/src/persimmonstair/scheduler/stream_reader.hpp
+++ b/src/persimmonstair/scheduler/stream_reader.hpp
@@ -33,13 +33,13 @@
   void SkipTo(base::Offset next);
 
   /// First offset that was not passed on.
-  base::Offset next() const { return next_; }
+  base::Offset Next() const { return next_; }
   /// All records up to the end of the stream were passed on at least once, or a snapshot was taken.
-  bool started() const { return started_; }
+  bool Started() const { return started_; }
   /// Records that could not be read as any known type.
-  std::uint64_t skipped() const { return skipped_; }
+  std::uint64_t Skipped() const { return skipped_; }
   /// Records since the newest snapshot in the stream.
-  std::uint64_t since_snapshot() const { return next_.value - snapshot_next_.value; }
+  std::uint64_t SinceSnapshot() const { return next_.value - snapshot_next_.value; }
 
  private:
   std::optional<schema::Record> Decode(const LogEntry& entry);
--- a/src/persimmonstair/scheduler/test/fleet.cpp
+++ b/src/persimmonstair/scheduler/test/fleet.cpp
@@ -17,11 +17,11 @@
 constexpr std::int64_t kStartUnixSeconds = 1'700'000'000;
 
 std::string Hex(const KeyDigest& digest) {
-  static constexpr char kDigits[] = "0123456789abcdef";
+  static const char* const digits = "0123456789abcdef";
   std::string out;
   for (const std::uint8_t byte : digest) {
-    out += kDigits[byte >> 4U];
-    out += kDigits[byte & 15U];
+    out += digits[byte >> 4U];
+    out += digits[byte & 15U];
   }
   return out;
 }
--- a/src/persimmonstair/scheduler/test/fleet.hpp
+++ b/src/persimmonstair/scheduler/test/fleet.hpp
@@ -85,7 +85,7 @@
   bool HasStopped(int instance) const { return nodes_[instance].stopped; }
   const std::string& Left(int instance) const { return nodes_[instance].left; }
   const Reply* Answer(base::RequestId request) const;
-  base::TimePoint now() const { return now_; }
+  base::TimePoint Time() const { return now_; }
   base::Now Clock() const;
   /// "<unix seconds>.<text>" at the current time.
   std::string IdempotencyKey(const std::string& text) const;
--- a/src/persimmonstair/scheduler/turns.cpp
+++ b/src/persimmonstair/scheduler/turns.cpp
@@ -51,11 +51,14 @@
     // The record of a new program may not be read yet; its id names where it was opened.
     const auto parts = IdParts(program);
     if (parts.size() != 4 || parts[0] != "p") return std::nullopt;
-    return base::InstanceId{parts[2]};
+    base::InstanceId opener{parts[2]};
+    const bool live = opener == options_.instance ||
+                      liveness_.StateOf(opener, now_.monotonic) == membership::State::kLive;
+    return live ? std::optional(std::move(opener)) : std::nullopt;
   }
   const auto& family = store_.Index().Family(*entry);
   if (store_.Owns(program)) return options_.instance;
-  return OwnerIsGone(family) ? HeirOf(program) : family.owner;
+  return OwnerIsGone(family) ? HeirOf(entry->root) : family.owner;
 }
 
 base::InstanceId Scheduler::Core::HeirOf(const base::ProgramId& program) const {
@@ -134,6 +137,14 @@
     return FinishError(id,
                        {ErrorCode::kForbidden, "the workspace was removed", Verdict::kNotRun, {}});
   }
+  const auto& known = store_.Index().Programs();
+  const auto open = std::count_if(known.begin(), known.end(), [&request](const auto& it) {
+    return it.second.workspace == request.workspace;
+  });
+  if (open >= static_cast<std::int64_t>(workspace->second.max_programs)) {
+    return FinishError(id, {ErrorCode::kRateLimited, "the workspace has max_programs open",
+                            Verdict::kNotRun, std::chrono::seconds{5}});
+  }
   const std::int64_t most = workspace->second.program_budget_tokens;
   const std::int64_t wanted = request.call.budget_tokens;
   if (request.call.program.empty()) {
@@ -162,8 +173,9 @@
   call.default_max_tokens = kFallbackMaxTokens;
   if (entry != nullptr) {
     const auto model = document().models.find(entry->model);
-    if (model != document().models.end())
+    if (model != document().models.end()) {
       call.default_max_tokens = model->second.default_max_tokens;
+    }
   }
   Perform(store_.Turn(now_, call));
 }
