--- a/daemon/program/main.cpp
+++ b/daemon/program/main.cpp
@@ -2,7 +2,9 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
+#include <fstream>
 #include <iostream>
 #include <memory>
 #include <random>
@@ -12,12 +14,34 @@
 #include "log.hpp"
 #include "persimmonstair/platform/platform_worker.hpp"
 #include "persimmonstair/scheduler/scheduler.hpp"
+#include "persimmonstair/trace/trace.hpp"
 #include "settings_load.hpp"
 
 namespace persimmonstair::daemon {
 namespace {
 
-using DaemonInstance = Instance<scheduler::Scheduler>;
+/// @brief The scheduler, with each event written to a file first if the environment variable
+/// PERSIMMONSTAIR_TRACE names one. A trace holds callers' texts, but no keys.
+class RecordedScheduler {
+ public:
+  RecordedScheduler(const scheduler::Options& options, const char* file) : scheduler_(options) {
+    if (file == nullptr || *file == '\0') return;
+    out_ = std::make_unique<std::ofstream>(file);
+    *out_ << trace::FormatOptions(options) << '\n';
+  }
+
+  std::vector<scheduler::Action> Handle(const base::Now& now, scheduler::Event event) {
+    if (out_) *out_ << trace::FormatStep({now, event}) << '\n';
+    return scheduler_.Handle(now, std::move(event));
+  }
+  scheduler::Status status(const base::Now& now) const { return scheduler_.status(now); }
+
+ private:
+  scheduler::Scheduler scheduler_;
+  std::unique_ptr<std::ofstream> out_;
+};
+
+using DaemonInstance = Instance<RecordedScheduler>;
 
 constexpr int kExitSettings = 2;
 
@@ -127,8 +151,9 @@
   const auto platform = [&](EventSink sink) {
     return StartPlatform(line->settings, std::move(sink));
   };
-  auto instance =
-      DaemonInstance::Start(*options, platform, scheduler::Scheduler(SchedulerOptions(*options)));
+  auto instance = DaemonInstance::Start(
+      *options, platform,
+      RecordedScheduler(SchedulerOptions(*options), std::getenv("PERSIMMONSTAIR_TRACE")));
   if (!instance) return Fail(instance.error());
   return RunUntilStopped(**instance);
 }
