Restore the name CheckSchema in the catalogue check

Cause: a replacement of a local constant's name also hit the function name, which became Checparsed. Change: the function is called CheckSchema again; no behaviour changes.

--- a/src/persimmonstair/catalogue/check.cpp
+++ b/src/persimmonstair/catalogue/check.cpp
@@ -58,7 +58,7 @@
   }
 }
 
-std::vector<Violation> Checparsed(const Json& json) {
+std::vector<Violation> CheckSchema(const Json& json) {
   valijson::Validator validator;
   valijson::ValidationResults results;
   const valijson::adapters::NlohmannJsonAdapter adapter(json);
@@ -164,7 +164,7 @@
 }  // namespace
 
 std::vector<Violation> CheckEntries(const Json& json) {
-  std::vector<Violation> out = Checparsed(json);
+  std::vector<Violation> out = CheckSchema(json);
   // Names can only be listed once sections are known to be objects.
   if (out.empty()) CheckNames(json, out);
   return out;
