--- a/bench/net_bench.cpp
+++ b/bench/net_bench.cpp
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "instance.hpp"
-#include "log.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
 
 namespace persimmonstair::daemon {
 namespace {
@@ -196,7 +196,7 @@
     std::cerr << "usage: net_bench [seconds per phase] [rounds]\n";
     return 2;
   }
-  StartLog("warn", "bench", {});
+  diagnostics::StartLog("warn", "bench", {});
   Engine engine;
   const auto no_platform = [](const EventSink& /*sink*/) -> base::Result<PlatformPort> {
     return PlatformPort{[](scheduler::Append) {}, [](scheduler::FetchRecords) {}, [] {}};
--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -14,7 +14,7 @@
     target_link_libraries(persimmonstair_${name} PUBLIC persimmonstair_${dep})
   endforeach()
   target_link_libraries(persimmonstair_${name} PUBLIC Threads::Threads ${ARG_LINK})
-  if(tests)
+  if(tests AND NOT PERSIMMONSTAIR_ENTRY_ONLY)
     add_executable(${name}_test ${tests})
     target_link_libraries(${name}_test PRIVATE persimmonstair_${name} GTest::gmock GTest::gtest
                                                GTest::gtest_main)
--- a/daemon/instance.hpp
+++ b/daemon/instance.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "instance_core.hpp"
-#include "log.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
 
 namespace persimmonstair::daemon {
 
--- a/daemon/instance_actions.cpp
+++ b/daemon/instance_actions.cpp
@@ -2,7 +2,7 @@
 #include <variant>
 
 #include "instance_core.hpp"
-#include "log.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
 
 namespace persimmonstair::daemon {
 
@@ -42,7 +42,7 @@
 void InstanceCore::Run(scheduler::CancelAttempt cancel) { targets_->Cancel(cancel.attempt); }
 
 void InstanceCore::Run(scheduler::CloseIdleConnections close) {
-  Log(Level::kWarning, "close_idle_connections",
+  diagnostics::Log(diagnostics::Level::kWarning, "close_idle_connections",
       {{"address", close.address}, {"port", close.port}});
   targets_->CloseIdle(close.address, close.port);
 }
@@ -67,12 +67,12 @@
 void InstanceCore::Run(scheduler::BroadcastPeer broadcast) { peers_->Broadcast(broadcast.message); }
 
 void InstanceCore::Run(scheduler::Stopped stopped) {
-  Log(stopped.left.empty() ? Level::kInfo : Level::kWarning, "stopped", {{"left", stopped.left}});
+  Log(stopped.left.empty() ? diagnostics::Level::kInfo : diagnostics::Level::kWarning, "stopped", {{"left", stopped.left}});
   End(Ending::kStopped);
 }
 
 void InstanceCore::Run(scheduler::Superseded /*superseded*/) {
-  Log(Level::kError, "superseded",
+  diagnostics::Log(diagnostics::Level::kError, "superseded",
       {{"reason", "another process registered under the same instance id"}});
   End(Ending::kSuperseded);
 }
--- a/daemon/instance_core.cpp
+++ b/daemon/instance_core.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 #include <variant>
 
-#include "log.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
 #include "persimmonstair/net/caller_request.hpp"
 
 namespace persimmonstair::daemon {
@@ -39,7 +39,7 @@
       return tl::make_unexpected(started.error());
     }
   }
-  Log(Level::kInfo, "listening",
+  diagnostics::Log(diagnostics::Level::kInfo, "listening",
       {{"caller_port", core->CallerPort()},
        {"admin_port", core->AdminPort()},
        {"udp_port", core->UdpPort()},
@@ -145,7 +145,7 @@
     }
   }
   if (!first) return End(Ending::kForced);
-  Log(Level::kInfo, "stop_requested");
+  diagnostics::Log(diagnostics::Level::kInfo, "stop_requested");
   callers_->BeginDrain();
   changed_.notify_all();
   events_.Push(scheduler::StopRequested{});
@@ -182,7 +182,7 @@
   const bool planned = ending_ == Ending::kStopped;
   const bool answered =
       callers_ && callers_->WaitUntilAnswered(planned ? kLastAnswers : std::chrono::seconds(0));
-  if (callers_ && (!planned || !answered)) Log(Level::kWarning, "left", {{"left", LeftText()}});
+  if (callers_ && (!planned || !answered)) diagnostics::Log(diagnostics::Level::kWarning, "left", {{"left", LeftText()}});
   events_.Close();
   if (callers_) callers_->Stop();
   if (targets_) targets_->Stop();
--- a/daemon/instance_core.hpp
+++ b/daemon/instance_core.hpp
@@ -15,7 +15,7 @@
 #include "admin_server.hpp"
 #include "event_queue.hpp"
 #include "forwards.hpp"
-#include "metrics.hpp"
+#include "persimmonstair/diagnostics/metrics.hpp"
 #include "persimmonstair/net/caller_server.hpp"
 #include "persimmonstair/net/io_pool.hpp"
 #include "persimmonstair/net/peer_transport.hpp"
@@ -128,7 +128,7 @@
 
   const InstanceOptions options_;
   EventQueue events_;
-  Metrics metrics_;
+  diagnostics::Metrics metrics_;
   Forwards forwards_;
   std::atomic<std::uint64_t> last_request_{0};
   PlatformPort platform_;
--- a/daemon/instance_events.cpp
+++ b/daemon/instance_events.cpp
@@ -2,7 +2,7 @@
 #include <variant>
 
 #include "instance_core.hpp"
-#include "log.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
 #include "persimmonstair/net/caller_request.hpp"
 
 namespace persimmonstair::daemon {
@@ -39,7 +39,7 @@
 
 void InstanceCore::OnTargetFailed(scheduler::TargetFailed failed) {
   metrics_.CountAttempt(FailureName(failed.kind));
-  Log(Level::kDebug, "attempt_failed",
+  diagnostics::Log(diagnostics::Level::kDebug, "attempt_failed",
       {{"attempt", failed.attempt.value},
        {"kind", FailureName(failed.kind)},
        {"verdict", base::ToString(failed.verdict)}});
--- a/daemon/program/main.cpp
+++ b/daemon/program/main.cpp
@@ -11,7 +11,7 @@
 #include <thread>
 
 #include "instance.hpp"
-#include "log.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
 #include "persimmonstair/platform/platform_worker.hpp"
 #include "persimmonstair/scheduler/scheduler.hpp"
 #include "persimmonstair/trace/trace.hpp"
@@ -147,7 +147,7 @@
   if (line->check || line->print_effective) return 0;
   std::vector<std::string> secrets = {options->fleet_key};
   for (const auto& [name, token] : options->credentials) secrets.push_back(token);
-  StartLog(line->settings.log_level, line->settings.instance.value, std::move(secrets));
+  diagnostics::StartLog(line->settings.log_level, line->settings.instance.value, std::move(secrets));
   const auto platform = [&](EventSink sink) {
     return StartPlatform(line->settings, std::move(sink));
   };
--- a/include/persimmonstair/base/ids.hpp
+++ b/include/persimmonstair/base/ids.hpp
@@ -39,6 +39,9 @@
 using KeyId = StringId<struct KeyTag>;
 using RouteId = StringId<struct RouteTag>;
 using ModelId = StringId<struct ModelTag>;
+using ServiceId = StringId<struct ServiceTag>;
+/// Names one turn of a program over the whole fleet; the caller chooses it.
+using TurnId = StringId<struct TurnTag>;
 /// Name of a log stream, for example "control".
 using StreamName = StringId<struct StreamTag>;
 /// Writer-chosen identifier of a log record, unique over the fleet.
--- a/daemon/metrics.hpp
+++ b/include/persimmonstair/diagnostics/metrics.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_DAEMON_METRICS_HPP_
-#define PERSIMMONSTAIR_DAEMON_METRICS_HPP_
+#ifndef PERSIMMONSTAIR_DIAGNOSTICS_METRICS_HPP_
+#define PERSIMMONSTAIR_DIAGNOSTICS_METRICS_HPP_
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -15,7 +15,7 @@
 
 #include "persimmonstair/base/time.hpp"
 
-namespace persimmonstair::daemon {
+namespace persimmonstair::diagnostics {
 
 /// @brief The figures of /metrics. Thread-safe. Names are listed in docs/operators/metrics.md.
 class Metrics {
@@ -54,6 +54,6 @@
   std::map<std::string, prometheus::Gauge*> gauges_;
 };
 
-}  // namespace persimmonstair::daemon
+}  // namespace persimmonstair::diagnostics
 
-#endif  // PERSIMMONSTAIR_DAEMON_METRICS_HPP_
+#endif  // PERSIMMONSTAIR_DIAGNOSTICS_METRICS_HPP_
--- a/include/persimmonstair/effects/effect_coordinator.hpp
+++ b/include/persimmonstair/effects/effect_coordinator.hpp
@@ -17,6 +17,9 @@
 
 /// Longest time from sending a claim to dispatch, on the claimant's clock.
 inline constexpr std::chrono::seconds kDispatchLimit{5};
+/// Longest time that a repeated key waits for the outcome of the request that holds its claim; an
+/// outcome that is in the log reaches every reader well within it.
+inline constexpr std::chrono::seconds kOutcomeWait{2};
 /// A gap between two calls above this counts as a pause of the process.
 inline constexpr std::chrono::seconds kPauseGap{2};
 /// Time between repetitions of an outcome or release record that is not in the log yet.
@@ -97,7 +100,8 @@
   EffectCoordinator& operator=(EffectCoordinator&&) noexcept;
   ~EffectCoordinator();
 
-  /// A caller's request. Bad keys, used keys and log outages are answered at once.
+  /// A caller's request. Bad keys, keys used with another body and log outages are answered at
+  /// once. A repeat waits up to kOutcomeWait for the recorded outcome.
   EffectActions Begin(const base::Now& now, const EffectRequest& request);
 
   /// One record of the `claims` stream; calls must follow offset order.
--- /dev/null
+++ b/include/persimmonstair/quota/share_use.hpp
@@ -0,0 +1,87 @@
+#ifndef PERSIMMONSTAIR_QUOTA_SHARE_USE_HPP_
+#define PERSIMMONSTAIR_QUOTA_SHARE_USE_HPP_
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "persimmonstair/base/ids.hpp"
+#include "persimmonstair/base/time.hpp"
+#include "persimmonstair/limits/bucket.hpp"
+#include "persimmonstair/schema/state.hpp"
+
+namespace persimmonstair::quota {
+
+/// Time after its last report during which an instance uses its shares. It exceeds the longest
+/// outage of the store that is to be served through.
+inline constexpr std::chrono::seconds kShareLease{13};
+
+/// @brief Rate and burst of a workspace over the whole fleet; a rate of 0 means no limit.
+struct WorkspaceQuota {
+  double rate_per_s = 0;
+  double burst = 0;
+};
+
+enum class Admission { kAdmitted, kOverQuota, kNoShare };
+
+struct AdmissionResult {
+  Admission admission = Admission::kNoShare;
+  /// When a token will be there, if over the quota.
+  base::Duration retry_after{0};
+};
+
+/// @brief What one instance uses of the workspaces' rates.
+///
+/// Times are those of a clock that counts suspended time, because another instance may use the
+/// shares after the lease.
+///
+///     ShareUse use({"i1"});
+///     use.Apply(now, table);
+///     use.OnReported(now);
+///     if (use.Admit(now, workspace, quota).admission == Admission::kAdmitted) Serve();
+class ShareUse {
+ public:
+  explicit ShareUse(base::InstanceId instance) : instance_(std::move(instance)) {}
+
+  /// Takes the shares of a newer round into use. Buckets of new shares start empty.
+  void Apply(base::TimePoint now, const schema::ShareTable& table);
+
+  /// A report that was sent at `sent_at` is in the store; it extends the lease from then on.
+  void OnReported(base::TimePoint sent_at);
+
+  /// True while this instance may use shares at all.
+  bool HasLease(base::TimePoint now) const;
+
+  /// Charges one request.
+  AdmissionResult Admit(base::TimePoint now, const base::WorkspaceId& workspace,
+                        const WorkspaceQuota& quota);
+
+  /// Returns the charge of a request that reached no target.
+  void Refund(base::TimePoint now, const base::WorkspaceId& workspace);
+
+  /// Offered requests a second by workspace since the last call.
+  std::vector<schema::WorkspaceDemand> TakeDemand(base::TimePoint now);
+
+  std::uint64_t Round() const { return round_; }
+
+ private:
+  struct Use {
+    limits::Bucket bucket;
+    std::uint64_t offered = 0;
+  };
+
+  double ShareOf(const base::WorkspaceId& workspace) const;
+
+  base::InstanceId instance_;
+  std::uint64_t round_ = 0;
+  bool reported_ = false;
+  base::TimePoint reported_at_;
+  base::TimePoint demand_since_;
+  double default_share_ = 0;
+  std::unordered_map<base::WorkspaceId, double> shares_;
+  std::unordered_map<base::WorkspaceId, Use> uses_;
+};
+
+}  // namespace persimmonstair::quota
+
+#endif  // PERSIMMONSTAIR_QUOTA_SHARE_USE_HPP_
--- a/include/persimmonstair/schema/codec.hpp
+++ b/include/persimmonstair/schema/codec.hpp
@@ -7,6 +7,7 @@
 #include "persimmonstair/base/error.hpp"
 #include "persimmonstair/schema/peer.hpp"
 #include "persimmonstair/schema/records.hpp"
+#include "persimmonstair/schema/state.hpp"
 
 namespace persimmonstair::schema {
 
@@ -23,6 +24,12 @@
 /// @brief Reads what EncodePeer() wrote. Hostile sizes and trailing bytes are kInvalidRequest.
 base::Result<PeerMessage> DecodePeer(std::string_view bytes);
 
+/// @brief Portable binary form of a record that instances keep in the platform's store.
+std::string EncodeState(const StateRecord& record);
+
+/// @brief Reads what EncodeState() wrote; anything else is kInvalidRequest.
+base::Result<StateRecord> DecodeState(std::string_view bytes);
+
 }  // namespace persimmonstair::schema
 
 #endif  // PERSIMMONSTAIR_SCHEMA_CODEC_HPP_
--- a/daemon/metrics.cpp
+++ b/src/persimmonstair/diagnostics/metrics.cpp
@@ -1,8 +1,8 @@
-#include "metrics.hpp"
+#include "persimmonstair/diagnostics/metrics.hpp"
 
 #include <prometheus/text_serializer.h>
 
-namespace persimmonstair::daemon {
+namespace persimmonstair::diagnostics {
 namespace {
 
 // Pairs of workspace and class beyond this number share one series, so that a mistake in the
@@ -85,4 +85,4 @@
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
-}  // namespace persimmonstair::daemon
+}  // namespace persimmonstair::diagnostics
--- a/src/persimmonstair/effects/coordinator_impl.hpp
+++ b/src/persimmonstair/effects/coordinator_impl.hpp
@@ -28,6 +28,12 @@
     base::TimePoint sent_at;
   };
 
+  /// A request whose key is claimed by another request that has no recorded outcome yet.
+  struct Repeat {
+    EffectRequest request;
+    base::TimePoint since;
+  };
+
   explicit Impl(EffectOptions given) : options(std::move(given)), table(options.limits) {}
 
   /// Notes the time; after a pause, nothing that was permitted before it may be dispatched.
@@ -49,8 +55,15 @@
   void Record(const base::Now& now, Entry& entry, const Outcome& outcome, EffectActions& out);
   std::string DebugState() const;
 
-  /// The answer to a request whose key is claimed by another request.
-  EffectAction AnswerRepeat(const EffectRequest& request, const Claim& claim) const;
+  /// Answers a request whose key is claimed by another request, or keeps it until the outcome is
+  /// recorded. `claim` is null while the other request's claim is not read back.
+  void BeginRepeat(const base::Now& now, const EffectRequest& request, const Claim* claim,
+                   std::uint64_t fingerprint, EffectActions& out);
+  /// Answers the kept repeats of a key once its claim has an outcome or is gone.
+  void AnswerRepeats(const EffectKey& key, EffectActions& out);
+  void ExpireRepeats(const base::Now& now, EffectActions& out);
+  /// Ends a kept repeat; false if the request is none.
+  bool WithdrawRepeat(base::RequestId request, EffectActions& out);
   std::optional<base::Error> CheckAdmission(const base::Now& now, const EffectRequest& request);
   base::RecordId NewId();
   void Send(const base::Now& now, Entry& entry, base::RecordId id, schema::Record record,
@@ -66,6 +79,7 @@
   /// Claims by the id of the record that is to be read back.
   std::map<base::RecordId, base::RecordId> by_awaited;
   std::map<EffectKey, base::RecordId> by_key;
+  std::multimap<EffectKey, Repeat> repeats;
   std::uint64_t next_record = 0;
   std::optional<base::TimePoint> last_call;
   bool log_up = false;
--- a/src/persimmonstair/effects/effect_coordinator.cpp
+++ b/src/persimmonstair/effects/effect_coordinator.cpp
@@ -41,6 +41,11 @@
     impl_->OnClaimRead(now, *claim, out);
   }
   std::visit([&](const auto& one) { impl_->OnLogged(one.id); }, record);
+  if (const auto* outcome = std::get_if<schema::OutcomeRecord>(&record)) {
+    impl_->AnswerRepeats({outcome->workspace, outcome->route, outcome->key}, out);
+  } else if (const auto* released = std::get_if<schema::ClaimReleased>(&record)) {
+    impl_->AnswerRepeats({released->workspace, released->route, released->key}, out);
+  }
   return out;
 }
 
@@ -80,6 +85,7 @@
 EffectActions EffectCoordinator::Withdraw(const Now& now, RequestId request, base::Error error) {
   EffectActions out;
   impl_->Observe(now, out);
+  if (impl_->WithdrawRepeat(request, out)) return out;
   if (Impl::Entry* entry = impl_->FindRequest(request)) {
     error.verdict = base::Verdict::kNotRun;
     impl_->RefuseUndispatched(now, *entry, std::move(error), out);
@@ -120,6 +126,7 @@
   EffectActions out;
   impl_->Observe(now, out);
   impl_->ExpireClaims(now, out);
+  impl_->ExpireRepeats(now, out);
   impl_->RepeatRecords(now, out);
   return out;
 }
--- /dev/null
+++ b/src/persimmonstair/gateway/budget_keeper.hpp
@@ -0,0 +1,99 @@
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_BUDGET_KEEPER_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_BUDGET_KEEPER_HPP_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "clock.hpp"
+#include "durable_store.hpp"
+#include "partitions.hpp"
+#include "persimmonstair/schema/state.hpp"
+#include "persimmonstair/turns/token_ledger.hpp"
+
+namespace persimmonstair::gateway {
+
+enum class Grant {
+  kGranted,
+  /// The budget is spent.
+  kSpent,
+  /// The store did not take the reservation in time.
+  kUnavailable,
+};
+
+/// @brief Reserves tokens of programs' budgets in the store before they are handed out.
+///
+/// All instances see the reservations of a program in the order of the store's log, and each grants
+/// only what fits beside those before it.
+class BudgetKeeper {
+ public:
+  /// Time for which a program's reservations are kept after its last one; a program that was
+  /// stopped may come back within the retention of its turns.
+  static constexpr std::int64_t kKeepMs = 180'000;
+
+  BudgetKeeper(const boost::asio::any_io_executor& executor, DurableStore& store,
+               Partitioning budgets)
+      : executor_(executor), store_(store), partitions_(std::move(budgets)) {}
+
+  /// Reserves `reservation.tokens`, the most that the turn may hand out.
+  boost::asio::awaitable<Grant> Reserve(schema::TokenReservation reservation, std::uint64_t budget,
+                                        base::TimePoint deadline);
+
+  /// True if what is known here leaves room for the reservation. It may still be refused, if other
+  /// instances reserved since.
+  bool LikelyFits(const schema::TokenReservation& reservation, std::uint64_t budget) const;
+
+  /// The turn ended and handed out `tokens`.
+  void Settle(schema::TokenReservation reservation, std::uint64_t tokens);
+
+  /// Writes what is settled but not yet written; for a planned stop.
+  boost::asio::awaitable<void> Flush(base::TimePoint deadline);
+
+  /// Drops expired records; never returns.
+  boost::asio::awaitable<void> DropExpired();
+
+ private:
+  struct Waiting {
+    explicit Waiting(const boost::asio::any_io_executor& executor) : done(executor) {}
+    schema::TokenReservation reservation;
+    std::uint64_t budget = 0;
+    base::TimePoint deadline;
+    Grant grant = Grant::kUnavailable;
+    Signal done;
+  };
+  using WaitingPtr = std::shared_ptr<Waiting>;
+  struct State {
+    turns::TokenLedger ledger;
+    /// Records before this offset are in the ledger.
+    base::Offset next;
+    bool loaded = false;
+    bool running = false;
+    std::deque<WaitingPtr> waiting;
+    /// Ended turns, to be written with the next reservation or after a while.
+    std::vector<schema::TokenReservation> settled;
+    base::TimePoint settled_since;
+  };
+
+  /// Appends what waits, until nothing does.
+  boost::asio::awaitable<void> Run(Partition partition);
+  boost::asio::awaitable<bool> Load(const Partition& partition, State& state,
+                                    base::TimePoint deadline);
+  /// Applies the records of others up to `end`.
+  boost::asio::awaitable<bool> CatchUp(const Partition& partition, State& state, base::Offset end,
+                                       base::TimePoint deadline);
+  boost::asio::awaitable<bool> AppendWaiting(const Partition& partition, State& state,
+                                             std::vector<WaitingPtr>& batch);
+  void Apply(State& state, const KeyedRecord& record);
+  void Start(const Partition& partition, State& state);
+
+  boost::asio::any_io_executor executor_;
+  DurableStore& store_;
+  Partitioning partitions_;
+  std::map<Partition, State> states_;
+  std::deque<std::pair<std::int64_t, std::pair<Partition, std::string>>> written_;
+};
+
+}  // namespace persimmonstair::gateway
+
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_BUDGET_KEEPER_HPP_
--- /dev/null
+++ b/src/persimmonstair/gateway/core.hpp
@@ -0,0 +1,58 @@
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_CORE_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_CORE_HPP_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <cstdint>
+#include <string>
+
+#include "budget_keeper.hpp"
+#include "durable_store.hpp"
+#include "fleet_keeper.hpp"
+#include "followers.hpp"
+#include "partitions.hpp"
+#include "persimmonstair/diagnostics/metrics.hpp"
+#include "persimmonstair/dispatch/target_board.hpp"
+#include "persimmonstair/gateway/dialect.hpp"
+#include "persimmonstair/gateway/settings.hpp"
+#include "target_pool.hpp"
+#include "turn_keeper.hpp"
+
+namespace persimmonstair::gateway {
+
+/// @brief The parts of an entry instance that its requests share.
+struct Core {
+  Core(const boost::asio::any_io_executor& executor_used, GatewaySettings settings_used,
+       const Dialect& dialect_used, RecordStore& records, std::string process)
+      : executor(executor_used),
+        settings(std::move(settings_used)),
+        dialect(dialect_used),
+        store(records),
+        configuration(store, dialect),
+        board(settings.data_centre),
+        pool(executor),
+        targets(store, dialect, board, pool),
+        turns(executor, store, {"turns", settings.parts_of_stream}, settings.turn_cache_bytes),
+        budgets(executor, store, {"budgets", settings.parts_of_stream}),
+        fleet(store, settings.instance, std::move(process)) {}
+
+  boost::asio::any_io_executor executor;
+  GatewaySettings settings;
+  const Dialect& dialect;
+  DurableStore store;
+  ConfigurationFollower configuration;
+  dispatch::TargetBoard board;
+  TargetPool pool;
+  TargetFollower targets;
+  TurnKeeper turns;
+  BudgetKeeper budgets;
+  FleetKeeper fleet;
+  diagnostics::Metrics metrics;
+  /// Set by a planned stop: answers ask callers to use other connections.
+  bool stopping = false;
+  /// Requests that were read and are not answered.
+  std::uint64_t open_requests = 0;
+};
+
+}  // namespace persimmonstair::gateway
+
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_CORE_HPP_
--- /dev/null
+++ b/src/persimmonstair/gateway/durable_store.cpp
@@ -0,0 +1,128 @@
+#include "durable_store.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "clock.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
+
+namespace persimmonstair::gateway {
+namespace {
+
+using base::ErrorCode;
+using base::Fail;
+using base::Result;
+using boost::asio::awaitable;
+using diagnostics::Level;
+using diagnostics::Log;
+using std::chrono::milliseconds;
+
+/// Shortest and longest time that a call's answer is waited for before the call is sent again.
+constexpr milliseconds kMinTimeout{150};
+constexpr milliseconds kMaxTimeout{1200};
+/// A call may take this many times the usual time.
+constexpr int kTimeoutFactor = 4;
+/// Pause after a refusal, which costs the store a call as well.
+constexpr milliseconds kRefusedPause{40};
+/// Time of failures after which the store counts as unreachable.
+constexpr milliseconds kLostAfter{400};
+
+}  // namespace
+
+bool DurableStore::Reachable() const { return !failing_ || Now() - failing_since_ < kLostAfter; }
+
+base::Duration DurableStore::Timeout(int attempt) const {
+  const base::Duration first = std::max<base::Duration>(kMinTimeout, kTimeoutFactor * answer_time_);
+  return std::min<base::Duration>(kMaxTimeout, first * (1 << std::min(attempt, 3)));
+}
+
+void DurableStore::OnSuccess(base::Duration took) {
+  answer_time_ = (answer_time_ * 7 + took) / 8;
+  if (!failing_) return;
+  failing_ = false;
+  const base::TimePoint now = Now();
+  if (reported_lost_) {
+    reported_lost_ = false;
+    regained_at_ = now;
+    Log(Level::kInfo, "store_regained", {{"lost_ms", base::ToMillis(now - failing_since_)}});
+  }
+}
+
+void DurableStore::OnFailure(const base::Error& error) {
+  const base::TimePoint now = Now();
+  if (!failing_) {
+    failing_ = true;
+    failing_since_ = now;
+  }
+  if (!reported_lost_ && now - failing_since_ >= kLostAfter) {
+    reported_lost_ = true;
+    Log(Level::kWarning, "store_lost", {{"error", error.message}});
+  }
+}
+
+template <class T>
+const Result<T>& DurableStore::Observe(const Result<T>& result, base::TimePoint sent_at,
+                                       base::Duration waited) {
+  const bool answered = result || result.error().code == ErrorCode::kConflict ||
+                        result.error().code == ErrorCode::kNotFound;
+  if (answered) {
+    OnSuccess(std::max(base::Duration{0}, Now() - sent_at - waited));
+  } else {
+    OnFailure(result.error());
+  }
+  return result;
+}
+
+template <class T, class Send>
+awaitable<Result<T>> DurableStore::Repeat(base::TimePoint deadline, Send send) {
+  for (int attempt = 0;; ++attempt) {
+    const base::TimePoint now = Now();
+    if (attempt > 0 && now >= deadline) break;
+    const base::Duration left = std::max<base::Duration>(milliseconds{1}, deadline - now);
+    Result<T> result = co_await send(std::min(left, Timeout(attempt)));
+    Observe(result, now, {});
+    if (result || result.error().code == ErrorCode::kNotFound) co_return result;
+    if (result.error().code == ErrorCode::kInvalidRequest) co_return result;
+    if (result.error().code != ErrorCode::kTimeout) co_await Sleep(kRefusedPause);
+  }
+  co_return Fail(ErrorCode::kLogUnavailable, "the store did not answer in time",
+                 base::Verdict::kMayHaveRun);
+}
+
+awaitable<Result<base::Offset>> DurableStore::Append(Partition partition,
+                                                     std::vector<KeyedRecord> records,
+                                                     base::TimePoint deadline) {
+  co_return co_await Repeat<base::Offset>(deadline, [&](base::Duration timeout) {
+    return store_.Append(partition, records, timeout, std::nullopt);
+  });
+}
+
+awaitable<Result<base::Offset>> DurableStore::AppendIf(Partition partition,
+                                                       std::vector<KeyedRecord> records,
+                                                       base::Offset expected) {
+  const base::TimePoint sent_at = Now();
+  const auto result = co_await store_.Append(partition, records, Timeout(1), expected);
+  co_return Observe(result, sent_at, {});
+}
+
+awaitable<Result<RecordSnapshot>> DurableStore::Newest(Partition partition,
+                                                       base::TimePoint deadline) {
+  co_return co_await Repeat<RecordSnapshot>(
+      deadline, [&](base::Duration timeout) { return store_.Newest(partition, timeout); });
+}
+
+awaitable<Result<RecordBatch>> DurableStore::Read(Partition partition, base::Offset from,
+                                                  base::TimePoint deadline) {
+  co_return co_await Repeat<RecordBatch>(deadline, [&](base::Duration timeout) {
+    return store_.Read(partition, from, {{}, timeout});
+  });
+}
+
+awaitable<Result<RecordBatch>> DurableStore::Poll(Partition partition, base::Offset from,
+                                                  base::Duration wait) {
+  const base::TimePoint sent_at = Now();
+  const auto result = co_await store_.Read(partition, from, {wait, wait + Timeout(1)});
+  co_return Observe(result, sent_at, wait);
+}
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/event_splitter.cpp
@@ -0,0 +1,55 @@
+#include "event_splitter.hpp"
+
+#include <utility>
+
+namespace persimmonstair::gateway {
+namespace {
+
+std::string_view ValueOf(std::string_view line, std::string_view name) {
+  line.remove_prefix(name.size());
+  if (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+  return line;
+}
+
+StreamEvent ParseEvent(std::string bytes) {
+  StreamEvent event;
+  std::string_view left = bytes;
+  while (!left.empty()) {
+    const auto end = left.find('\n');
+    std::string_view line = left.substr(0, end);
+    left.remove_prefix(end == std::string_view::npos ? left.size() : end + 1);
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    if (line.starts_with("id:")) event.id = ValueOf(line, "id:");
+    if (!line.starts_with("data:")) continue;
+    if (event.has_data) event.data += '\n';
+    event.has_data = true;
+    event.data += ValueOf(line, "data:");
+  }
+  event.bytes = std::move(bytes);
+  return event;
+}
+
+// Length of the first event with the empty line that ends it; npos if it isn't complete.
+std::size_t EventLength(std::string_view text) {
+  for (auto at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+    const std::string_view next = text.substr(at + 1);
+    if (next.starts_with("\n")) return at + 2;
+    if (next.starts_with("\r\n")) return at + 3;
+  }
+  return std::string_view::npos;
+}
+
+}  // namespace
+
+std::vector<StreamEvent> EventSplitter::Feed(std::string_view bytes) {
+  rest_ += bytes;
+  std::vector<StreamEvent> events;
+  for (;;) {
+    const auto length = EventLength(rest_);
+    if (length == std::string_view::npos) return events;
+    events.push_back(ParseEvent(rest_.substr(0, length)));
+    rest_.erase(0, length);
+  }
+}
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -0,0 +1,231 @@
+#include "exchange.hpp"
+
+#include <xxhash.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <utility>
+
+#include "caller_connection.hpp"
+#include "clock.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
+
+namespace persimmonstair::gateway {
+namespace {
+
+using base::Error;
+using base::ErrorCode;
+using base::Verdict;
+using boost::asio::awaitable;
+using diagnostics::Level;
+using diagnostics::Log;
+using std::chrono::milliseconds;
+
+/// Back at once: another instance, or this one a moment later, can serve the request.
+constexpr milliseconds kRetrySoon{60};
+/// Back after the usual time that the store takes to answer again.
+constexpr milliseconds kRetryStore{250};
+/// A configuration that was confirmed longer ago may lack newer routes and keys.
+constexpr milliseconds kCertainConfiguration{1500};
+/// Longest time that a reservation may take; it usually takes the time of one append.
+constexpr milliseconds kReservationTime{1000};
+
+Error Refusal(ErrorCode code, std::string message, base::Duration retry_after = {}) {
+  return Error{code, std::move(message), Verdict::kNotRun, retry_after};
+}
+
+}  // namespace
+
+Exchange::Exchange(Core& core, CallerConnection& caller, HttpRequest request,
+                   base::TimePoint arrived_at)
+    : core_(core), caller_(caller), request_(std::move(request)), arrived_at_(arrived_at) {
+  caller_.OnGone([this] {
+    if (active_ != nullptr) active_->Close();
+  });
+}
+
+Exchange::~Exchange() { caller_.OnGone(nullptr); }
+
+base::Duration Exchange::TimeLeft() const { return expires_at_ - Now(); }
+
+awaitable<void> Exchange::Run() {
+  call_ = core_.dialect.DecodeCall(request_);
+  auto error = Admit();
+  if (!error) error = co_await LoadHistory();
+  if (!error) error = co_await ReserveTokens();
+  if (error) {
+    co_await Fail(std::move(*error));
+  } else {
+    PrepareDemand();
+    co_await Dispatch();
+  }
+  if (reservation_ && !reservation_->done.IsSet()) reservation_->abandoned = true;
+  if (reservation_ && reservation_->grant == Grant::kGranted) {
+    core_.budgets.Settle(reservation_->record, tokens_);
+  }
+  LogEnd();
+}
+
+std::optional<Error> Exchange::Admit() {
+  configuration_ = core_.configuration.Current();
+  if (!configuration_) {
+    return Refusal(ErrorCode::kOverloaded, "no configuration yet", kRetryStore);
+  }
+  if (call_.host.empty() || call_.request_id.empty()) {
+    return Refusal(ErrorCode::kInvalidRequest, "the request names no host or has no id");
+  }
+  route_ = configuration_->FindRoute(call_.host, call_.path);
+  const bool certain = Now() - core_.configuration.ConfirmedAt() < kCertainConfiguration;
+  if (route_ == nullptr) {
+    if (!certain) return Refusal(ErrorCode::kLogUnavailable, "routes may be old", kRetryStore);
+    return Refusal(ErrorCode::kNotFound, "no route");
+  }
+  const base::Duration patience = call_.deadline.value_or(route_->timeout);
+  expires_at_ = arrived_at_ + std::min(patience, route_->timeout);
+  if (auto error = FindWorkspace()) return error;
+  fingerprint_ = XXH64(call_.path.data(), call_.path.size(), 0);
+  fingerprint_ = XXH64(workspace_.value.data(), workspace_.value.size(), fingerprint_);
+  fingerprint_ = XXH64(request_.body.data(), request_.body.size(), fingerprint_);
+  if (core_.fleet.IsPoison(fingerprint_)) {
+    return Refusal(ErrorCode::kOverloaded, "the request crashed the targets that ran it");
+  }
+  if (auto error = CheckStore()) return error;
+  return ChargeQuota();
+}
+
+std::optional<Error> Exchange::FindWorkspace() {
+  const Workspace* workspace = configuration_->FindWorkspace(call_.key);
+  if (workspace != nullptr) {
+    workspace_ = workspace->id;
+    return std::nullopt;
+  }
+  if (route_->open || !configuration_->HasWorkspaces()) return std::nullopt;
+  if (Now() - core_.configuration.ConfirmedAt() >= kCertainConfiguration) {
+    return Refusal(ErrorCode::kLogUnavailable, "keys may be old", kRetryStore);
+  }
+  return Refusal(ErrorCode::kUnauthorized, "unknown key");
+}
+
+std::optional<Error> Exchange::ChargeQuota() {
+  const Workspace* workspace = configuration_->FindWorkspace(call_.key);
+  if (workspace == nullptr) return std::nullopt;
+  const auto result = core_.fleet.Shares().Admit(Now(), workspace_, workspace->quota);
+  switch (result.admission) {
+    case quota::Admission::kAdmitted:
+      return std::nullopt;
+    case quota::Admission::kNoShare:
+      return Refusal(ErrorCode::kLogUnavailable, "no share of the rate", kRetryStore);
+    case quota::Admission::kOverQuota:
+      break;
+  }
+  return Refusal(ErrorCode::kRateLimited, "over the workspace's rate", result.retry_after);
+}
+
+std::optional<Error> Exchange::CheckStore() const {
+  const bool needed = route_->keeps_turns || call_.token_budget.has_value();
+  if (!needed || route_->repeat != Repeat::kStream || core_.store.Reachable()) return std::nullopt;
+  return Refusal(ErrorCode::kLogUnavailable, "the store can't be reached", kRetryStore);
+}
+
+awaitable<std::optional<Error>> Exchange::LoadHistory() {
+  if (!route_->keeps_turns || call_.previous_turn.empty()) co_return std::nullopt;
+  auto history = co_await core_.turns.Find(workspace_, call_.previous_turn, expires_at_);
+  if (!history) {
+    Error error = history.error();
+    if (error.code != ErrorCode::kNotFound) error.retry_after = kRetrySoon;
+    co_return error;
+  }
+  body_ = std::move(history->text);
+  *body_ += request_.body;
+  ancestors_ = std::move(history->ancestors);
+  co_return std::nullopt;
+}
+
+awaitable<std::optional<Error>> Exchange::ReserveTokens() {
+  if (!call_.token_budget || route_->repeat != Repeat::kStream) co_return std::nullopt;
+  reservation_ = std::make_shared<Reservation>(core_.executor);
+  reservation_->record = {call_.program,    workspace_, {call_.request_id},
+                          call_.max_tokens, false,      UnixMillis() + BudgetKeeper::kKeepMs};
+  const bool likely = core_.budgets.LikelyFits(reservation_->record, *call_.token_budget);
+  StartReservation(*call_.token_budget);
+  // Where the budget has room, the target starts while the store takes the reservation; no token
+  // is handed on before.
+  if (likely) co_return std::nullopt;
+  co_await reservation_->done.Wait();
+  if (reservation_->grant == Grant::kSpent) {
+    co_return Refusal(ErrorCode::kBudgetExhausted, "the program's budget is spent");
+  }
+  if (reservation_->grant == Grant::kUnavailable) {
+    co_return Refusal(ErrorCode::kLogUnavailable, "the budget can't be charged now", kRetrySoon);
+  }
+  co_return std::nullopt;
+}
+
+void Exchange::StartReservation(std::uint64_t budget) {
+  const base::TimePoint deadline = std::min(expires_at_, Now() + kReservationTime);
+  boost::asio::co_spawn(
+      core_.executor, core_.budgets.Reserve(reservation_->record, budget, deadline),
+      [reservation = reservation_, &core = core_](const std::exception_ptr& error, Grant grant) {
+        reservation->grant = error ? Grant::kUnavailable : grant;
+        if (reservation->abandoned && reservation->grant == Grant::kGranted) {
+          core.budgets.Settle(reservation->record, 0);
+        }
+        reservation->done.Set();
+      });
+}
+
+void Exchange::PrepareDemand() {
+  demand_.prompt = call_.prompt;
+  demand_.affinity = call_.affinity;
+  std::uint64_t total = 0;
+  for (const auto& one : route_->services) total += one.weight;
+  if (total == 0) return;
+  // The same request goes the same way at every instance.
+  const auto& id = call_.program.empty() ? call_.request_id : call_.program.value;
+  std::uint64_t pick = XXH64(id.data(), id.size(), 0) % total;
+  for (const auto& one : route_->services) {
+    demand_.service = one.service;
+    if (pick < one.weight) break;
+    pick -= one.weight;
+  }
+  service_ = configuration_->FindService(demand_.service);
+}
+
+awaitable<void> Exchange::Fail(Error error) {
+  if (stream_started_) {
+    end_reason_ = "broken_off: " + error.message;
+    caller_.Abort();
+    co_return;
+  }
+  end_reason_ = error.message;
+  status_ = static_cast<unsigned>(base::HttpStatus(error.code));
+  co_await caller_.RespondError(error);
+}
+
+void Exchange::LogEnd() {
+  const base::Duration took = Now() - arrived_at_;
+  const bool served = status_ >= 200 && status_ < 300 && end_reason_.empty();
+  nlohmann::json line{{"request", call_.request_id},
+                      {"program", call_.program.value},
+                      {"workspace", workspace_.value},
+                      {"route", route_ == nullptr ? "" : route_->id.value},
+                      {"config_version", configuration_ ? configuration_->Version() : 0},
+                      {"status", status_},
+                      {"runs", runs_},
+                      {"sends", sends_},
+                      {"ms", base::ToMillis(took)}};
+  if (!end_reason_.empty()) line["reason"] = end_reason_;
+  if (caller_.Gone()) line["caller_gone"] = true;
+  if (sends_ > 0) line["before_send_ms"] = base::ToMillis(first_sent_at_ - arrived_at_);
+  if (stream_started_) {
+    line["first_event_ms"] = base::ToMillis(first_event_at_ - arrived_at_);
+    line["tokens"] = tokens_;
+  }
+  if (configuration_ && !served) {
+    line["config_age_ms"] = base::ToMillis(Now() - core_.configuration.ConfirmedAt());
+  }
+  Log(Level::kInfo, served ? "request_served" : "request_failed", line);
+  core_.metrics.CountAnswer(workspace_.value, route_ == nullptr ? "" : route_->id.value, status_,
+                            took);
+}
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/exchange_stream.cpp
@@ -0,0 +1,124 @@
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "caller_connection.hpp"
+#include "clock.hpp"
+#include "exchange.hpp"
+
+namespace persimmonstair::gateway {
+namespace {
+
+using base::ErrorCode;
+using base::Verdict;
+using boost::asio::awaitable;
+using std::chrono::milliseconds;
+
+/// Pauses after which a resumable stream goes on at another target, and the least such time.
+constexpr int kSilentGaps = 4;
+constexpr milliseconds kMinSilentGap{600};
+/// Turns are kept for this many times their retention, so that short chains never have to be
+/// written again when a later turn extends their life.
+constexpr int kRetentionFactor = 2;
+constexpr milliseconds kRetentionMargin{10'000};
+
+std::uint64_t EventNumber(const std::string& id) {
+  std::uint64_t number = 0;
+  std::from_chars(id.data(), id.data() + id.size(), number);
+  return number;
+}
+
+}  // namespace
+
+awaitable<Exchange::Outcome> Exchange::RelayStream(HttpConnection& connection, AnswerHead answer) {
+  splitter_ = {};
+  const bool framed = !FindHeader(answer.head.headers, "Content-Length").empty() ||
+                      !FindHeader(answer.head.headers, "Transfer-Encoding").empty();
+  for (;;) {
+    base::Duration pause = AnswerTime();
+    if (stream_started_ && MayRunAgain()) {
+      pause = std::min(pause, std::max<base::Duration>(kSilentGaps * route_->gap_target,
+                                                       kMinSilentGap));
+    }
+    const BodyPiece piece = co_await connection.ReadBody(pause);
+    if (caller_.Gone()) co_return Outcome::kFinished;
+    if (!piece.data.empty() && !co_await ForwardEvents(answer, piece.data)) {
+      co_return Outcome::kFinished;
+    }
+    if (piece.error) {
+      NoteError(piece.error);
+      co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
+    }
+    if (piece.end) break;
+  }
+  if (!framed && !splitter_.Rest().empty()) {
+    attempt_error_ = "the stream ended inside an event";
+    co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
+  }
+  attempt_end_ = dispatch::AttemptEnd::kAnswered;
+  if (!stream_started_ && !co_await BeginStream(answer)) co_return Outcome::kFinished;
+  co_await caller_.SendPiece(splitter_.Rest());
+  co_await FinishStream();
+  co_return Outcome::kFinished;
+}
+
+awaitable<bool> Exchange::ForwardEvents(AnswerHead& answer, std::string_view bytes) {
+  std::string out;
+  for (StreamEvent& event : splitter_.Feed(bytes)) {
+    // A target that goes on with a stream may begin a little earlier than it was asked to.
+    const bool repeated = !last_event_.empty() && !event.id.empty() &&
+                          EventNumber(event.id) <= EventNumber(last_event_);
+    if (repeated) continue;
+    if (!event.id.empty()) last_event_ = event.id;
+    if (event.has_data) {
+      if (service_ != nullptr) tokens_ += service_->tokens_per_event;
+      if (route_->keeps_turns) output_ += event.data + '\n';
+    }
+    out += event.bytes;
+  }
+  if (out.empty()) co_return true;
+  if (!stream_started_ && !co_await BeginStream(answer)) co_return false;
+  co_return co_await caller_.SendPiece(out);
+}
+
+awaitable<bool> Exchange::BeginStream(AnswerHead& answer) {
+  if (reservation_) {
+    co_await reservation_->done.Wait();
+    if (reservation_->grant != Grant::kGranted) {
+      // The target has begun, so that the request counts as run.
+      tokens_ = 0;
+      base::Error error{ErrorCode::kTargetFailed, "the budget could not be charged",
+                        Verdict::kMayHaveRun, {}};
+      co_await Fail(std::move(error));
+      co_return false;
+    }
+  }
+  stream_started_ = true;
+  status_ = answer.head.status;
+  first_event_at_ = Now();
+  co_return co_await caller_.StartStream(answer.head);
+}
+
+awaitable<bool> Exchange::FinishStream() {
+  if (caller_.Gone()) co_return false;
+  if (route_->keeps_turns) {
+    const base::Duration keep = kRetentionFactor * route_->retention + kRetentionMargin;
+    schema::KeptTurn record{{call_.request_id},
+                            workspace_,
+                            std::move(ancestors_),
+                            std::move(request_.body),
+                            std::move(output_),
+                            UnixMillis() + base::ToMillis(keep)};
+    const auto kept = co_await core_.turns.Keep(std::move(record), expires_at_,
+                                                base::ToMillis(route_->retention));
+    if (!kept) {
+      base::Error error{ErrorCode::kLogUnavailable, "the turn could not be kept",
+                        Verdict::kMayHaveRun, {}};
+      co_await Fail(std::move(error));
+      co_return false;
+    }
+  }
+  co_return co_await caller_.EndStream();
+}
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/fleet_keeper.cpp
@@ -0,0 +1,153 @@
+#include "fleet_keeper.hpp"
+
+#include <utility>
+#include <vector>
+
+#include "clock.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
+#include "persimmonstair/schema/codec.hpp"
+
+namespace persimmonstair::gateway {
+namespace {
+
+using base::ErrorCode;
+using boost::asio::awaitable;
+using diagnostics::Level;
+using diagnostics::Log;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kInterval{1000};
+/// Until the instance has shares it reads more often, so that a start is quick.
+constexpr milliseconds kStartInterval{200};
+constexpr milliseconds kCallTime{900};
+constexpr std::int64_t kCrashKeepMs = 120'000;
+
+const Partition kFleet{{"fleet"}, 0};
+constexpr char kTableKey[] = "table";
+
+std::string CrashKey(const schema::CrashReport& report) {
+  return "crash/" + std::to_string(report.fingerprint) + "/" + report.target.value;
+}
+
+}  // namespace
+
+FleetKeeper::FleetKeeper(DurableStore& store, base::InstanceId instance, std::string process)
+    : store_(store), instance_(instance), process_(std::move(process)), use_(std::move(instance)) {}
+
+awaitable<void> FleetKeeper::Run() {
+  for (;;) {
+    co_await ReadAll();
+    co_await Report(false, Now() + kCallTime);
+    if (loaded_) co_await WriteTable();
+    ExpireCrashes();
+    co_await Sleep(use_.HasLease(Now()) ? kInterval : kStartInterval);
+  }
+}
+
+awaitable<void> FleetKeeper::Leave(base::TimePoint deadline) { co_await Report(true, deadline); }
+
+awaitable<void> FleetKeeper::ReadAll() {
+  const base::TimePoint deadline = Now() + kCallTime;
+  if (!loaded_) {
+    const auto snapshot = co_await store_.Newest(kFleet, deadline);
+    if (!snapshot) co_return;
+    for (const auto& placed : snapshot->records) Apply(placed.record);
+    next_ = snapshot->next;
+    loaded_ = true;
+  }
+  for (;;) {
+    const auto batch = co_await store_.Read(kFleet, next_, deadline);
+    if (!batch) {
+      if (batch.error().code == ErrorCode::kNotFound) loaded_ = false;
+      co_return;
+    }
+    if (store_.RegainedAt() != outage_seen_) {
+      outage_seen_ = store_.RegainedAt();
+      allocator_.OnOutageEnded(Now());
+    }
+    for (const auto& placed : batch->records) Apply(placed.record);
+    if (batch->records.empty()) co_return;
+    next_ = batch->next;
+  }
+}
+
+void FleetKeeper::Apply(const KeyedRecord& record) {
+  if (!record.value) return;
+  const auto decoded = schema::DecodeState(*record.value);
+  if (!decoded) {
+    Log(Level::kWarning, "record_skipped", {{"key", record.key}});
+    return;
+  }
+  const base::TimePoint now = Now();
+  if (const auto* report = std::get_if<schema::ShareReport>(&*decoded)) {
+    allocator_.OnReport(now, *report);
+  } else if (const auto* table = std::get_if<schema::ShareTable>(&*decoded)) {
+    allocator_.OnTable(now, *table);
+    const bool had_lease = use_.HasLease(now);
+    use_.Apply(now, *table);
+    if (!had_lease) {
+      Log(Level::kInfo, "shares_applied",
+          {{"round", table->round}, {"holders", table->holders.size()}});
+    }
+  } else if (const auto* crash = std::get_if<schema::CrashReport>(&*decoded)) {
+    Crashes& crashes = crashes_[crash->fingerprint];
+    crashes.targets.insert(crash->target);
+    crashes.expires_ms = std::max(crashes.expires_ms, crash->expires_ms);
+  }
+}
+
+awaitable<void> FleetKeeper::Report(bool stopping, base::TimePoint deadline) {
+  const base::TimePoint sent_at = Now();
+  schema::ShareReport report{instance_, process_, use_.Round(), stopping, use_.TakeDemand(sent_at)};
+  std::vector<KeyedRecord> records;
+  records.push_back({"report/" + instance_.value, schema::EncodeState(report)});
+  const auto crashes = std::exchange(unsent_crashes_, {});
+  for (const auto& crash : crashes) {
+    records.push_back({CrashKey(crash), schema::EncodeState(crash)});
+  }
+  const auto result = co_await store_.Append(kFleet, std::move(records), deadline);
+  if (result) {
+    use_.OnReported(sent_at);
+  } else {
+    unsent_crashes_.insert(unsent_crashes_.end(), crashes.begin(), crashes.end());
+  }
+}
+
+awaitable<void> FleetKeeper::WriteTable() {
+  const auto table = allocator_.Next(Now(), instance_);
+  if (!table) co_return;
+  // The own report may be the only record since the last read; it is read before the next try.
+  const auto batch = co_await store_.Read(kFleet, next_, Now() + kCallTime);
+  if (!batch) co_return;
+  for (const auto& placed : batch->records) Apply(placed.record);
+  next_ = batch->next;
+  const auto current = allocator_.Next(Now(), instance_);
+  if (!current) co_return;
+  const auto result =
+      co_await store_.AppendIf(kFleet, OneRecord(kTableKey, schema::EncodeState(*current)), next_);
+  Log(Level::kInfo, "share_table_written",
+      {{"round", current->round},
+       {"holders", current->holders.size()},
+       {"grants", current->grants.size()},
+       {"result", result ? "written" : result.error().message}});
+}
+
+void FleetKeeper::ReportCrash(std::uint64_t fingerprint, const base::TargetId& target) {
+  const schema::CrashReport report{fingerprint, target, UnixMillis() + kCrashKeepMs};
+  Crashes& crashes = crashes_[fingerprint];
+  crashes.targets.insert(target);
+  crashes.expires_ms = report.expires_ms;
+  unsent_crashes_.push_back(report);
+}
+
+bool FleetKeeper::IsPoison(std::uint64_t fingerprint) const {
+  const auto it = crashes_.find(fingerprint);
+  return it != crashes_.end() && it->second.targets.size() >= kMaxCrashedTargets;
+}
+
+void FleetKeeper::ExpireCrashes() {
+  const std::int64_t now_ms = UnixMillis();
+  std::erase_if(crashes_, [now_ms](const auto& one) { return one.second.expires_ms < now_ms; });
+}
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/fleet_keeper.hpp
@@ -0,0 +1,63 @@
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_FLEET_KEEPER_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_FLEET_KEEPER_HPP_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "durable_store.hpp"
+#include "persimmonstair/quota/share_allocator.hpp"
+#include "persimmonstair/quota/share_use.hpp"
+
+namespace persimmonstair::gateway {
+
+/// Targets that a request may crash before no instance sends it any more.
+inline constexpr std::size_t kMaxCrashedTargets = 3;
+
+/// @brief What the instances tell each other through one partition of the store: reports and tables
+/// of shares, and requests that crash targets.
+class FleetKeeper {
+ public:
+  FleetKeeper(DurableStore& store, base::InstanceId instance, std::string process);
+
+  /// Reads and reports about once a second; never returns.
+  boost::asio::awaitable<void> Run();
+
+  /// Gives up the shares; for a planned stop.
+  boost::asio::awaitable<void> Leave(base::TimePoint deadline);
+
+  quota::ShareUse& Shares() { return use_; }
+
+  /// Notes that a target went away while it ran a request.
+  void ReportCrash(std::uint64_t fingerprint, const base::TargetId& target);
+  /// True if the request crashed so many targets that it is not sent again.
+  bool IsPoison(std::uint64_t fingerprint) const;
+
+ private:
+  struct Crashes {
+    std::set<base::TargetId> targets;
+    std::int64_t expires_ms = 0;
+  };
+
+  boost::asio::awaitable<void> ReadAll();
+  boost::asio::awaitable<void> Report(bool stopping, base::TimePoint deadline);
+  boost::asio::awaitable<void> WriteTable();
+  void Apply(const KeyedRecord& record);
+  void ExpireCrashes();
+
+  DurableStore& store_;
+  base::InstanceId instance_;
+  std::string process_;
+  quota::ShareUse use_;
+  quota::ShareAllocator allocator_;
+  bool loaded_ = false;
+  base::Offset next_;
+  base::TimePoint outage_seen_;
+  std::map<std::uint64_t, Crashes> crashes_;
+  std::vector<schema::CrashReport> unsent_crashes_;
+};
+
+}  // namespace persimmonstair::gateway
+
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_FLEET_KEEPER_HPP_
--- /dev/null
+++ b/src/persimmonstair/gateway/followers.cpp
@@ -0,0 +1,162 @@
+#include "followers.hpp"
+
+#include <set>
+#include <utility>
+
+#include "clock.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
+
+namespace persimmonstair::gateway {
+namespace {
+
+using base::ErrorCode;
+using boost::asio::awaitable;
+using diagnostics::Level;
+using diagnostics::Log;
+using std::chrono::milliseconds;
+
+/// Longest time that the store waits for a change before it answers. Short, so that a connection
+/// that has gone silent delays a change by well under a second.
+constexpr milliseconds kConfigurationWait{500};
+constexpr milliseconds kTargetWait{400};
+/// Pause between reads of the target list, whose entries change all the time. A leaving target is
+/// seen this much later at most, which is a small part of the time that it has.
+constexpr milliseconds kTargetPause{120};
+constexpr milliseconds kRetryPause{80};
+constexpr milliseconds kSnapshotTime{1500};
+/// Time after an outage within which entries that lapsed meanwhile come back.
+constexpr milliseconds kLapseGrace{2200};
+
+}  // namespace
+
+awaitable<void> ConfigurationFollower::Run() {
+  const Partition partition{dialect_.ConfigurationStream(), 0};
+  for (;;) {
+    const auto snapshot = co_await store_.Newest(partition, Now() + kSnapshotTime);
+    if (!snapshot) {
+      co_await Sleep(kRetryPause);
+      continue;
+    }
+    Apply(snapshot->records);
+    confirmed_at_ = Now();
+    base::Offset next = snapshot->next;
+    for (;;) {
+      const auto batch = co_await store_.Poll(partition, next, kConfigurationWait);
+      if (!batch && batch.error().code == ErrorCode::kNotFound) break;
+      if (!batch) {
+        co_await Sleep(kRetryPause);
+        continue;
+      }
+      Apply(batch->records);
+      confirmed_at_ = Now();
+      next = batch->next;
+    }
+    Log(Level::kInfo, "configuration_history_dropped", {{"next", next.value}});
+  }
+}
+
+void ConfigurationFollower::Apply(const std::vector<PlacedRecord>& records) {
+  // Only the newest record matters: each holds the whole configuration.
+  for (auto it = records.rbegin(); it != records.rend(); ++it) {
+    const KeyedRecord& record = it->record;
+    if (record.key != dialect_.ConfigurationKey() || !record.value) continue;
+    auto configuration = dialect_.DecodeConfiguration(*record.value);
+    if (!configuration) {
+      Log(Level::kError, "configuration_unreadable",
+          {{"offset", it->offset.value}, {"error", configuration.error().message}});
+      continue;
+    }
+    if (current_ && configuration->Version() <= current_->Version()) return;
+    current_ = std::make_shared<const Configuration>(std::move(*configuration));
+    Log(Level::kInfo, "configuration_applied",
+        {{"version", current_->Version()},
+         {"offset", it->offset.value},
+         {"routes", current_->RouteCount()}});
+    return;
+  }
+}
+
+awaitable<void> TargetFollower::Run() {
+  const Partition partition{dialect_.TargetStream(), 0};
+  for (;;) {
+    const auto snapshot = co_await store_.Newest(partition, Now() + kSnapshotTime);
+    if (!snapshot) {
+      co_await Sleep(kRetryPause);
+      continue;
+    }
+    std::set<base::TargetId> present;
+    for (const auto& placed : snapshot->records) {
+      if (placed.record.value) present.insert({placed.record.key});
+      Apply(placed.record);
+    }
+    for (const auto& id : board_.Ids()) {
+      if (!present.contains(id)) Apply({id.value, std::nullopt});
+    }
+    base::Offset next = snapshot->next;
+    for (;;) {
+      const auto batch = co_await store_.Poll(partition, next, kTargetWait);
+      RemoveLapsed();
+      if (!batch && batch.error().code == ErrorCode::kNotFound) break;
+      if (batch) {
+        for (const auto& placed : batch->records) Apply(placed.record);
+        next = batch->next;
+      }
+      co_await Sleep(batch ? kTargetPause : kRetryPause);
+    }
+    Log(Level::kInfo, "target_history_dropped", {{"next", next.value}});
+  }
+}
+
+bool TargetFollower::InGrace() const {
+  if (store_.Failing()) return true;
+  return store_.RegainedAt() != base::TimePoint{} && Now() - store_.RegainedAt() < kLapseGrace;
+}
+
+void TargetFollower::Apply(const KeyedRecord& record) {
+  const base::TargetId id{record.key};
+  if (!record.value) {
+    if (!InGrace()) return Remove(id);
+    lapsed_.try_emplace(id, Now() + kLapseGrace);
+    return;
+  }
+  const auto entry = dialect_.DecodeTarget(record.key, *record.value);
+  if (!entry) {
+    Log(Level::kWarning, "target_entry_unreadable",
+        {{"target", record.key}, {"error", entry.error().message}});
+    Remove(id);
+    return;
+  }
+  lapsed_.erase(id);
+  const dispatch::TargetEntry* known = board_.Find(id);
+  const bool changed = known == nullptr || known->draining != entry->draining ||
+                       known->started_ms != entry->started_ms || known->endpoint != entry->endpoint;
+  if (changed) {
+    Log(Level::kInfo, "target_changed",
+        {{"target", id.value},
+         {"service", entry->service.value},
+         {"draining", entry->draining},
+         {"started_ms", entry->started_ms}});
+  }
+  if (known != nullptr && known->started_ms != entry->started_ms) pool_.Forget(id);
+  board_.Upsert(Now(), *entry);
+}
+
+void TargetFollower::Remove(const base::TargetId& id) {
+  lapsed_.erase(id);
+  if (board_.Find(id) == nullptr) return;
+  Log(Level::kInfo, "target_removed", {{"target", id.value}});
+  board_.Remove(id);
+  pool_.Forget(id);
+}
+
+void TargetFollower::RemoveLapsed() {
+  if (store_.Failing()) return;
+  const base::TimePoint now = Now();
+  std::set<base::TargetId> gone;
+  for (const auto& [id, at] : lapsed_) {
+    if (now >= at) gone.insert(id);
+  }
+  for (const auto& id : gone) Remove(id);
+}
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/followers.hpp
@@ -0,0 +1,68 @@
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_FOLLOWERS_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_FOLLOWERS_HPP_
+
+#include <map>
+#include <string>
+
+#include "durable_store.hpp"
+#include "persimmonstair/dispatch/target_board.hpp"
+#include "persimmonstair/gateway/configuration.hpp"
+#include "persimmonstair/gateway/dialect.hpp"
+#include "target_pool.hpp"
+
+namespace persimmonstair::gateway {
+
+/// @brief Follows the operator's configuration. The version in force never goes back.
+class ConfigurationFollower {
+ public:
+  ConfigurationFollower(DurableStore& store, const Dialect& dialect)
+      : store_(store), dialect_(dialect) {}
+
+  /// Never returns.
+  boost::asio::awaitable<void> Run();
+
+  /// Null until a version is known.
+  const ConfigurationPtr& Current() const { return current_; }
+  /// When the store last confirmed that there is no newer version.
+  base::TimePoint ConfirmedAt() const { return confirmed_at_; }
+
+ private:
+  void Apply(const std::vector<PlacedRecord>& records);
+
+  DurableStore& store_;
+  const Dialect& dialect_;
+  ConfigurationPtr current_;
+  base::TimePoint confirmed_at_;
+};
+
+/// @brief Follows the platform's list of targets.
+///
+/// Entries may lapse while the store can't be reached; they come back soon after. So removals that
+/// are read shortly after an outage take effect only after a while.
+class TargetFollower {
+ public:
+  TargetFollower(DurableStore& store, const Dialect& dialect, dispatch::TargetBoard& board,
+                 TargetPool& pool)
+      : store_(store), dialect_(dialect), board_(board), pool_(pool) {}
+
+  /// Never returns.
+  boost::asio::awaitable<void> Run();
+
+ private:
+  void Apply(const KeyedRecord& record);
+  void Remove(const base::TargetId& id);
+  void RemoveLapsed();
+  /// True while an entry that is missing may have lapsed in an outage.
+  bool InGrace() const;
+
+  DurableStore& store_;
+  const Dialect& dialect_;
+  dispatch::TargetBoard& board_;
+  TargetPool& pool_;
+  /// Missing targets, to be removed at the given time.
+  std::map<base::TargetId, base::TimePoint> lapsed_;
+};
+
+}  // namespace persimmonstair::gateway
+
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_FOLLOWERS_HPP_
--- /dev/null
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -0,0 +1,192 @@
+#include "persimmonstair/gateway/gateway.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <list>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include "caller_connection.hpp"
+#include "clock.hpp"
+#include "core.hpp"
+#include "info_server.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
+
+namespace persimmonstair::gateway {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using asio::ip::tcp;
+using diagnostics::Level;
+using diagnostics::Log;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kHousekeeping{500};
+constexpr milliseconds kAcceptPause{20};
+/// The platform asks for readiness once a second and needs two refusals to send callers elsewhere.
+constexpr milliseconds kStopSeen{2500};
+/// Least time of a planned stop; new connections may come until the platform has seen it.
+constexpr milliseconds kMinStop{3200};
+/// Kept free before the process is killed, for the last writes.
+constexpr milliseconds kStopMargin{900};
+constexpr milliseconds kLastWrites{500};
+constexpr milliseconds kStopCheck{40};
+
+std::string NewProcessName() {
+  std::random_device random;
+  return std::to_string(random()) + std::to_string(random());
+}
+
+}  // namespace
+
+struct Gateway::Impl {
+  Impl(asio::io_context& io, GatewaySettings settings, const Dialect& dialect, RecordStore& store)
+      : core(io.get_executor(), std::move(settings), dialect, store, NewProcessName()) {}
+
+  bool Ready() {
+    const auto& configuration = core.configuration.Current();
+    if (core.stopping || !configuration || !core.store.Reachable()) return false;
+    return !configuration->HasWorkspaces() || core.fleet.Shares().HasLease(Now());
+  }
+
+  void Spawn(awaitable<void> task) {
+    asio::co_spawn(core.executor, std::move(task), [](const std::exception_ptr& error) {
+      if (!error) return;
+      try {
+        std::rethrow_exception(error);
+      } catch (const std::exception& what) {
+        Log(Level::kError, "task_ended", {{"error", what.what()}});
+      }
+      // Without its task the instance would serve from ever older knowledge.
+      std::terminate();
+    });
+  }
+
+  awaitable<void> Accept() {
+    while (callers->is_open()) {
+      auto [ec, socket] =
+          co_await callers->async_accept(asio::as_tuple(asio::use_awaitable));
+      if (ec) {
+        co_await Sleep(kAcceptPause);
+        continue;
+      }
+      auto connection = std::make_shared<CallerConnection>(core, std::move(socket));
+      connections.push_back(connection);
+      asio::co_spawn(core.executor, connection->Run(), [connection](const std::exception_ptr& error) {
+        if (error) Log(Level::kError, "caller_connection_failed");
+      });
+    }
+  }
+
+  awaitable<void> KeepHouse() {
+    for (;;) {
+      co_await Sleep(kHousekeeping);
+      core.pool.CloseIdle();
+      connections.remove_if([](const auto& one) { return one.expired(); });
+    }
+  }
+
+  InfoAnswer Metrics() {
+    const auto& configuration = core.configuration.Current();
+    const auto gauge = [this](const char* name, const char* help, double value) {
+      core.metrics.SetGauge(name, help, value);
+    };
+    gauge("persimmonstair_configuration_version", "Version in force",
+          configuration ? static_cast<double>(configuration->Version()) : 0);
+    gauge("persimmonstair_open_requests", "Requests that are not answered",
+          static_cast<double>(core.open_requests));
+    gauge("persimmonstair_targets", "Targets in the list", static_cast<double>(core.board.size()));
+    gauge("persimmonstair_target_connections_opened", "Connections opened to targets",
+          static_cast<double>(core.pool.Opened()));
+    gauge("persimmonstair_turn_cache_bytes", "Kept turns in memory",
+          static_cast<double>(core.turns.CachedBytes()));
+    gauge("persimmonstair_store_reachable", "1 if the store answers",
+          core.store.Reachable() ? 1 : 0);
+    gauge("persimmonstair_log_lines_dropped", "Log lines lost for want of room",
+          static_cast<double>(diagnostics::DroppedLines()));
+    return {200, core.metrics.Text()};
+  }
+
+  awaitable<void> Stop(std::function<void()> stopped) {
+    const base::TimePoint begun_at = Now();
+    core.stopping = true;
+    Log(Level::kInfo, "stop_begun", {{"open_requests", core.open_requests}});
+    bool closed_idle = false;
+    for (;;) {
+      co_await Sleep(kStopCheck);
+      const base::Duration passed = Now() - begun_at;
+      if (passed >= kStopSeen && !closed_idle) {
+        closed_idle = true;
+        for (const auto& one : connections) {
+          if (const auto connection = one.lock()) connection->CloseIfIdle();
+        }
+      }
+      if (passed >= kMinStop && core.open_requests == 0) break;
+      if (passed >= core.settings.stop_time - kStopMargin) break;
+    }
+    const base::TimePoint deadline = Now() + kLastWrites;
+    co_await core.budgets.Flush(deadline);
+    co_await core.fleet.Leave(deadline);
+    Log(core.open_requests == 0 ? Level::kInfo : Level::kWarning, "stopped",
+        {{"open_requests", core.open_requests}, {"ms", base::ToMillis(Now() - begun_at)}});
+    stopped();
+  }
+
+  Core core;
+  std::optional<tcp::acceptor> callers;
+  std::optional<tcp::acceptor> readiness;
+  std::optional<tcp::acceptor> metrics;
+  std::list<std::weak_ptr<CallerConnection>> connections;
+};
+
+Gateway::Gateway(asio::io_context& io, GatewaySettings settings, const Dialect& dialect,
+                 RecordStore& store)
+    : impl_(std::make_unique<Impl>(io, std::move(settings), dialect, store)) {}
+
+Gateway::~Gateway() = default;
+
+base::Result<void> Gateway::Start() {
+  Impl& impl = *impl_;
+  const auto listen = [&impl](std::optional<tcp::acceptor>& acceptor,
+                              const dispatch::Endpoint& endpoint) -> base::Result<void> {
+    auto opened = Listen(impl.core.executor, endpoint);
+    if (!opened) return tl::make_unexpected(opened.error());
+    acceptor.emplace(std::move(*opened));
+    return {};
+  };
+  const GatewaySettings& settings = impl.core.settings;
+  if (auto result = listen(impl.callers, settings.listen); !result) return result;
+  if (auto result = listen(impl.readiness, settings.readiness_listen); !result) return result;
+  if (auto result = listen(impl.metrics, settings.metrics_listen); !result) return result;
+  impl.Spawn(impl.core.configuration.Run());
+  impl.Spawn(impl.core.targets.Run());
+  impl.Spawn(impl.core.fleet.Run());
+  impl.Spawn(impl.core.turns.DropExpired());
+  impl.Spawn(impl.core.budgets.DropExpired());
+  impl.Spawn(impl.KeepHouse());
+  impl.Spawn(impl.Accept());
+  impl.Spawn(ServeInfo(*impl.readiness, [&impl](std::string_view path) {
+    if (path != impl.core.settings.readiness_path) return InfoAnswer{404, ""};
+    return InfoAnswer{impl.Ready() ? 200U : 503U, ""};
+  }));
+  impl.Spawn(ServeInfo(*impl.metrics, [&impl](std::string_view path) {
+    return path == "/metrics" ? impl.Metrics() : InfoAnswer{404, ""};
+  }));
+  Log(Level::kInfo, "started",
+      {{"listen", settings.listen.address + ":" + std::to_string(settings.listen.port)},
+       {"data_centre", settings.data_centre.value}});
+  return {};
+}
+
+void Gateway::Stop(std::function<void()> stopped) {
+  if (!impl_->core.stopping) impl_->Spawn(impl_->Stop(std::move(stopped)));
+}
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/http_connection.cpp
@@ -0,0 +1,143 @@
+#include "persimmonstair/gateway/http_connection.hpp"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <charconv>
+#include <optional>
+
+#include "socket_options.hpp"
+
+namespace persimmonstair::gateway {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+using Parser = http::response_parser<http::buffer_body>;
+
+namespace {
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint32_t kMaxHeaderBytes = 64U << 10U;
+constexpr std::size_t kPieceBytes = 16U << 10U;
+
+HttpHead CopyHead(const Parser::value_type& message) {
+  HttpHead head{message.result_int(), std::string(message.reason()), {}};
+  for (const auto& field : message) {
+    head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  return head;
+}
+
+// Seconds in a header of the form "Keep-Alive: timeout=5, max=100".
+base::Duration ParseIdleTime(std::string_view value) {
+  constexpr std::string_view kName = "timeout=";
+  const auto at = value.find(kName);
+  if (at == std::string_view::npos) return {};
+  unsigned seconds = 0;
+  const char* const begin = value.data() + at + kName.size();
+  const auto [end, ec] = std::from_chars(begin, value.data() + value.size(), seconds);
+  return ec == std::errc{} ? std::chrono::seconds{seconds} : base::Duration{};
+}
+
+}  // namespace
+
+struct HttpConnection::Impl {
+  explicit Impl(const asio::any_io_executor& executor) : stream(executor) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  std::optional<Parser> parser;
+  std::array<char, kPieceBytes> piece{};
+  base::Duration idle_time{0};
+};
+
+HttpConnection::HttpConnection(const asio::any_io_executor& executor)
+    : impl_(std::make_unique<Impl>(executor)) {}
+
+HttpConnection::~HttpConnection() = default;
+
+asio::awaitable<error_code> HttpConnection::Connect(const dispatch::Endpoint& endpoint,
+                                                    base::Duration timeout) {
+  error_code ec;
+  const auto address = asio::ip::make_address(endpoint.address, ec);
+  if (ec) co_return ec;
+  impl_->stream.expires_after(timeout);
+  const asio::ip::tcp::endpoint peer(address, endpoint.port);
+  const auto [connect_ec] = co_await impl_->stream.async_connect(peer, kTuple);
+  if (!connect_ec) SetTcpOptions(impl_->stream.socket());
+  co_return connect_ec;
+}
+
+asio::awaitable<WriteResult> HttpConnection::Write(std::string_view bytes,
+                                                   base::Duration timeout) {
+  impl_->stream.expires_after(timeout);
+  const auto [ec, n] = co_await asio::async_write(impl_->stream, asio::buffer(bytes), kTuple);
+  co_return WriteResult{ec, n};
+}
+
+asio::awaitable<tl::expected<HttpHead, error_code>> HttpConnection::ReadHead(
+    base::Duration timeout) {
+  impl_->parser.emplace();
+  impl_->parser->header_limit(kMaxHeaderBytes);
+  impl_->parser->body_limit(boost::none);
+  impl_->stream.expires_after(timeout);
+  const auto [ec, n] =
+      co_await http::async_read_header(impl_->stream, impl_->buffer, *impl_->parser, kTuple);
+  if (ec) co_return tl::make_unexpected(ec);
+  HttpHead head = CopyHead(impl_->parser->get());
+  impl_->idle_time = ParseIdleTime(FindHeader(head.headers, "Keep-Alive"));
+  co_return head;
+}
+
+asio::awaitable<BodyPiece> HttpConnection::ReadBody(base::Duration timeout) {
+  Impl& impl = *impl_;
+  BodyPiece piece;
+  if (!impl.parser) {
+    piece.error = asio::error::not_connected;
+    co_return piece;
+  }
+  while (!impl.parser->is_done() && piece.data.empty()) {
+    auto& body = impl.parser->get().body();
+    body.data = impl.piece.data();
+    body.size = impl.piece.size();
+    body.more = true;
+    impl.stream.expires_after(timeout);
+    auto [ec, n] =
+        co_await http::async_read_some(impl.stream, impl.buffer, *impl.parser, kTuple);
+    piece.data.append(impl.piece.data(), impl.piece.size() - body.size);
+    if (ec == http::error::need_buffer) ec = {};
+    if (ec) {
+      piece.error = ec;
+      co_return piece;
+    }
+  }
+  piece.end = impl.parser->is_done();
+  co_return piece;
+}
+
+bool HttpConnection::HasMoreBytes() const { return impl_->buffer.size() > 0; }
+
+bool HttpConnection::Reusable() const {
+  return impl_->parser && impl_->parser->is_done() && impl_->parser->keep_alive() &&
+         !HasMoreBytes();
+}
+
+bool HttpConnection::Quiet() const {
+  return impl_->stream.socket().is_open() &&
+         PeekPeer(impl_->stream.socket()) == PeerState::kQuiet;
+}
+
+base::Duration HttpConnection::StatedIdleTime() const { return impl_->idle_time; }
+
+void HttpConnection::Close() { impl_->stream.close(); }
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/info_server.cpp
@@ -0,0 +1,76 @@
+#include "info_server.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+namespace persimmonstair::gateway {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::seconds kIdleTime{15};
+
+using Answer = std::function<InfoAnswer(std::string_view path)>;
+
+asio::awaitable<void> ServeOne(tcp::socket socket, Answer answer) {
+  beast::tcp_stream stream(std::move(socket));
+  beast::flat_buffer buffer;
+  for (;;) {
+    http::request<http::empty_body> request;
+    stream.expires_after(kIdleTime);
+    const auto [read_ec, read] = co_await http::async_read(stream, buffer, request, kTuple);
+    if (read_ec) co_return;
+    InfoAnswer info = answer({request.target().data(), request.target().size()});
+    http::response<http::string_body> response(static_cast<http::status>(info.status), 11);
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    response.keep_alive(request.keep_alive());
+    response.body() = std::move(info.body);
+    response.prepare_payload();
+    const auto [write_ec, written] = co_await http::async_write(stream, response, kTuple);
+    if (write_ec || !request.keep_alive()) co_return;
+  }
+}
+
+}  // namespace
+
+base::Result<tcp::acceptor> Listen(const asio::any_io_executor& executor,
+                                   const dispatch::Endpoint& endpoint) {
+  error_code ec;
+  const auto address = asio::ip::make_address(endpoint.address, ec);
+  tcp::acceptor acceptor(executor);
+  const tcp::endpoint local(address, endpoint.port);
+  if (!ec) acceptor.open(local.protocol(), ec);
+  if (!ec) acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  if (!ec) acceptor.bind(local, ec);
+  if (!ec) acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (!ec) return acceptor;
+  return base::Fail(base::ErrorCode::kInvalidRequest,
+                    "can't listen on " + endpoint.address + ":" + std::to_string(endpoint.port) +
+                        ": " + ec.message());
+}
+
+asio::awaitable<void> ServeInfo(tcp::acceptor& acceptor, Answer answer) {
+  while (acceptor.is_open()) {
+    auto [ec, socket] = co_await acceptor.async_accept(kTuple);
+    if (ec) continue;
+    asio::co_spawn(acceptor.get_executor(), ServeOne(std::move(socket), answer), asio::detached);
+  }
+}
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/settings_load.cpp
@@ -0,0 +1,96 @@
+#include "persimmonstair/gateway/settings_load.hpp"
+
+#include <charconv>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <vector>
+
+namespace persimmonstair::gateway {
+namespace {
+
+using base::ErrorCode;
+using base::Fail;
+using Json = nlohmann::json;
+
+std::vector<std::string> Problems(const schema::EntrySettings& settings) {
+  std::vector<std::string> problems;
+  const auto need = [&problems](bool holds, const std::string& rule) {
+    if (!holds) problems.push_back(rule);
+  };
+  const auto endpoint = [&need](const char* name, const std::string& value) {
+    need(ParseEndpoint(value).has_value(), std::string(name) + ": '" + value + "' is not address:port");
+  };
+  need(!settings.instance.empty(), "instance: required");
+  need(!settings.data_centre.empty(), "data_centre: required");
+  endpoint("listen", settings.listen);
+  endpoint("readiness_listen", settings.readiness_listen);
+  endpoint("metrics_listen", settings.metrics_listen);
+  endpoint("store", settings.store);
+  need(settings.parts_of_stream >= 1 && settings.parts_of_stream <= 1024,
+       "parts_of_stream: 1 to 1024");
+  need(settings.turn_cache_mb >= 1 && settings.turn_cache_mb <= 4096, "turn_cache_mb: 1 to 4096");
+  need(settings.stop_ms >= 2000 && settings.stop_ms <= 600'000, "stop_ms: 2000 to 600000");
+  const std::string& level = settings.log_level;
+  need(level == "debug" || level == "info" || level == "warn" || level == "err",
+       "log_level: debug, info, warn or err");
+  return problems;
+}
+
+}  // namespace
+
+base::Result<dispatch::Endpoint> ParseEndpoint(std::string_view text) {
+  const auto colon = text.rfind(':');
+  dispatch::Endpoint endpoint;
+  if (colon != std::string_view::npos && colon > 0) {
+    endpoint.address = text.substr(0, colon);
+    const std::string_view port = text.substr(colon + 1);
+    const auto [rest, ec] = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
+    if (ec == std::errc{} && rest == port.data() + port.size()) return endpoint;
+  }
+  return Fail(ErrorCode::kInvalidRequest, "'" + std::string(text) + "' is not address:port");
+}
+
+base::Result<schema::EntrySettings> ParseEntrySettings(std::string_view text) {
+  schema::EntrySettings settings;
+  try {
+    const Json json = Json::parse(text);
+    json.get_to(settings);
+    const Json known = settings;
+    for (const auto& [name, value] : json.items()) {
+      if (!known.contains(name)) return Fail(ErrorCode::kInvalidRequest, name + ": unknown field");
+    }
+  } catch (const Json::exception& error) {
+    return Fail(ErrorCode::kInvalidRequest, error.what());
+  }
+  std::string message;
+  for (const auto& problem : Problems(settings)) message += (message.empty() ? "" : "; ") + problem;
+  if (!message.empty()) return Fail(ErrorCode::kInvalidRequest, message);
+  return settings;
+}
+
+base::Result<schema::EntrySettings> LoadEntrySettings(const std::string& path) {
+  std::ifstream in(path);
+  std::ostringstream text;
+  if (!in || !(text << in.rdbuf())) {
+    return Fail(ErrorCode::kInvalidRequest, "can't read " + path);
+  }
+  auto settings = ParseEntrySettings(text.str());
+  if (!settings) return Fail(ErrorCode::kInvalidRequest, path + ": " + settings.error().message);
+  return settings;
+}
+
+GatewaySettings ToGatewaySettings(const schema::EntrySettings& settings) {
+  GatewaySettings out;
+  out.instance = settings.instance;
+  out.data_centre = settings.data_centre;
+  out.listen = *ParseEndpoint(settings.listen);
+  out.readiness_listen = *ParseEndpoint(settings.readiness_listen);
+  out.metrics_listen = *ParseEndpoint(settings.metrics_listen);
+  out.parts_of_stream = settings.parts_of_stream;
+  out.turn_cache_bytes = std::size_t{settings.turn_cache_mb} << 20U;
+  out.stop_time = std::chrono::milliseconds{settings.stop_ms};
+  return out;
+}
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/turn_keeper.cpp
@@ -0,0 +1,175 @@
+#include "turn_keeper.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "clock.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
+#include "persimmonstair/schema/codec.hpp"
+
+namespace persimmonstair::gateway {
+namespace {
+
+using base::ErrorCode;
+using base::Fail;
+using base::Result;
+using boost::asio::awaitable;
+
+/// Time between two passes over expired turns.
+constexpr std::chrono::seconds kDropInterval{5};
+/// Records are dropped this long after they expired. A turn that expired can't be continued, so
+/// that no instance extends its life meanwhile.
+constexpr std::int64_t kDropAgeMs = 30'000;
+constexpr std::chrono::seconds kDropTime{1};
+/// Most rounds of reading for one chain; each reads the turns that the last one named.
+constexpr int kMaxRounds = 20;
+
+}  // namespace
+
+awaitable<Result<History>> TurnKeeper::Find(base::WorkspaceId workspace, base::TurnId previous,
+                                            base::TimePoint deadline) {
+  std::vector<base::TurnId> asked;
+  for (int round = 0; round < kMaxRounds; ++round) {
+    turns::Chain chain = cache_.Find(workspace, previous, UnixMillis());
+    if (chain.foreign) co_return Fail(ErrorCode::kNotFound, "the turn is another workspace's");
+    if (chain.missing.empty()) {
+      chain.ancestors.resize(std::min(chain.ancestors.size(), turns::kMaxListedAncestors));
+      co_return History{std::move(chain.history), std::move(chain.ancestors)};
+    }
+    for (const auto& turn : chain.missing) {
+      // The store was read after the request came, so that the turn is not there for certain.
+      if (std::find(asked.begin(), asked.end(), turn) != asked.end()) {
+        co_return Fail(ErrorCode::kNotFound, "there is no turn " + turn.value);
+      }
+    }
+    asked.insert(asked.end(), chain.missing.begin(), chain.missing.end());
+    if (!co_await Fetch(std::move(chain.missing), deadline)) {
+      co_return Fail(ErrorCode::kLogUnavailable, "kept turns can't be read now");
+    }
+  }
+  co_return Fail(ErrorCode::kInternal, "the chain is too long");
+}
+
+awaitable<bool> TurnKeeper::Fetch(std::vector<base::TurnId> turns, base::TimePoint deadline) {
+  std::map<Partition, std::vector<base::TurnId>> by_partition;
+  for (auto& turn : turns) by_partition[partitions_.Of(turn.value)].push_back(std::move(turn));
+  struct Join {
+    explicit Join(const boost::asio::any_io_executor& executor) : done(executor) {}
+    std::size_t left = 0;
+    bool all_read = true;
+    Signal done;
+  };
+  const auto join = std::make_shared<Join>(executor_);
+  join->left = by_partition.size();
+  for (auto& [partition, wanted] : by_partition) {
+    boost::asio::co_spawn(executor_, FetchPartition(partition, std::move(wanted), deadline),
+                          [join](const std::exception_ptr& error, bool read) {
+                            join->all_read = join->all_read && !error && read;
+                            if (--join->left == 0) join->done.Set();
+                          });
+  }
+  co_await join->done.Wait();
+  co_return join->all_read;
+}
+
+awaitable<bool> TurnKeeper::FetchPartition(Partition partition, std::vector<base::TurnId> turns,
+                                           base::TimePoint deadline) {
+  const auto snapshot = co_await store_.Newest(partition, deadline);
+  if (!snapshot) {
+    diagnostics::Log(diagnostics::Level::kWarning, "turns_not_read",
+                     {{"stream", partition.stream.value},
+                      {"part", partition.part},
+                      {"error", snapshot.error().message}});
+    co_return false;
+  }
+  const std::int64_t now_ms = UnixMillis();
+  bool expired = false;
+  for (const auto& placed : snapshot->records) {
+    if (!placed.record.value) continue;
+    auto record = schema::DecodeState(*placed.record.value);
+    auto* kept = record ? std::get_if<schema::KeptTurn>(&*record) : nullptr;
+    if (kept == nullptr) {
+      diagnostics::Log(diagnostics::Level::kWarning, "record_skipped",
+                       {{"stream", partition.stream.value}, {"key", placed.record.key}});
+      continue;
+    }
+    if (kept->expires_ms + kDropAgeMs < now_ms) expired = true;
+    if (std::find(turns.begin(), turns.end(), kept->turn) != turns.end()) {
+      cache_.Put(std::move(*kept));
+    }
+  }
+  if (expired) drops_.emplace_front(0, partition);
+  co_return true;
+}
+
+awaitable<Result<void>> TurnKeeper::Keep(schema::KeptTurn record, base::TimePoint deadline,
+                                         std::int64_t retention_ms) {
+  const auto extended = co_await ExtendChain(record.ancestors, retention_ms, deadline);
+  if (!extended) co_return extended;
+  const Partition partition = partitions_.Of(record.turn.value);
+  const auto result = co_await store_.Append(
+      partition, OneRecord(record.turn.value, schema::EncodeState(record)), deadline);
+  if (!result) co_return tl::make_unexpected(result.error());
+  drops_.emplace_back(record.expires_ms + kDropAgeMs, partition);
+  cache_.Put(std::move(record));
+  co_return Result<void>{};
+}
+
+awaitable<Result<void>> TurnKeeper::ExtendChain(std::vector<base::TurnId> chain,
+                                                std::int64_t retention_ms,
+                                                base::TimePoint deadline) {
+  const std::int64_t now_ms = UnixMillis();
+  const auto changed =
+      cache_.Extend(chain, now_ms + retention_ms, now_ms + 2 * retention_ms);
+  for (const auto& record : changed) {
+    const auto result =
+        co_await store_.Append(partitions_.Of(record.turn.value),
+                               OneRecord(record.turn.value, schema::EncodeState(record)), deadline);
+    if (result) continue;
+    // The cached records state a life that the store doesn't know of.
+    for (const auto& one : changed) cache_.Forget(one.turn);
+    co_return tl::make_unexpected(result.error());
+  }
+  co_return Result<void>{};
+}
+
+awaitable<void> TurnKeeper::DropExpired() {
+  for (;;) {
+    co_await Sleep(kDropInterval);
+    const std::int64_t now_ms = UnixMillis();
+    cache_.Expire(now_ms);
+    std::set<Partition> due;
+    while (!drops_.empty() && drops_.front().first < now_ms) {
+      due.insert(drops_.front().second);
+      drops_.pop_front();
+    }
+    for (const Partition& partition : due) co_await DropFrom(partition);
+  }
+}
+
+// Another instance may have extended a turn, so that the records decide and not what was written.
+awaitable<void> TurnKeeper::DropFrom(Partition partition) {
+  const auto snapshot = co_await store_.Newest(partition, Now() + kDropTime);
+  if (!snapshot) co_return;
+  std::vector<KeyedRecord> drops;
+  for (const auto& placed : snapshot->records) {
+    if (!placed.record.value) continue;
+    const auto record = schema::DecodeState(*placed.record.value);
+    const auto* kept = record ? std::get_if<schema::KeptTurn>(&*record) : nullptr;
+    if (kept == nullptr || kept->expires_ms + kDropAgeMs >= UnixMillis()) continue;
+    drops.push_back({placed.record.key, std::nullopt});
+  }
+  if (drops.empty()) co_return;
+  const auto result = co_await store_.Append(partition, std::move(drops), Now() + kDropTime);
+  // What stays behind is dropped by the next reader of the partition.
+  if (!result) {
+    diagnostics::Log(diagnostics::Level::kInfo, "expired_turns_left",
+                     {{"error", result.error().message}});
+  }
+}
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/turns/token_ledger.cpp
@@ -0,0 +1,38 @@
+#include "persimmonstair/turns/token_ledger.hpp"
+
+#include <algorithm>
+
+namespace persimmonstair::turns {
+
+void TokenLedger::Apply(const schema::TokenReservation& record) {
+  Program& program = programs_[{record.workspace, record.program}];
+  program.expires_ms = std::max(program.expires_ms, record.expires_ms);
+  Turn& turn = program.turns[record.turn];
+  if (turn.settled) return;
+  program.usage.outstanding -= turn.tokens;
+  turn = {record.tokens, record.settled};
+  (record.settled ? program.usage.settled : program.usage.outstanding) += record.tokens;
+}
+
+TokenUsage TokenLedger::Usage(const base::WorkspaceId& workspace,
+                              const base::ProgramId& program) const {
+  const auto it = programs_.find({workspace, program});
+  return it == programs_.end() ? TokenUsage{} : it->second.usage;
+}
+
+bool TokenLedger::Fits(const schema::TokenReservation& reservation, std::uint64_t budget) const {
+  std::uint64_t others = 0;
+  const auto it = programs_.find({reservation.workspace, reservation.program});
+  if (it != programs_.end()) {
+    others = it->second.usage.Total();
+    const auto own = it->second.turns.find(reservation.turn);
+    if (own != it->second.turns.end()) others -= own->second.tokens;
+  }
+  return others <= budget && reservation.tokens <= budget - others;
+}
+
+void TokenLedger::Expire(std::int64_t now_ms) {
+  std::erase_if(programs_, [now_ms](const auto& one) { return one.second.expires_ms < now_ms; });
+}
+
+}  // namespace persimmonstair::turns
--- /dev/null
+++ b/src/persimmonstair/turns/turn_cache.cpp
@@ -0,0 +1,92 @@
+#include "persimmonstair/turns/turn_cache.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace persimmonstair::turns {
+namespace {
+
+std::size_t BytesOf(const schema::KeptTurn& record) {
+  return record.input.size() + record.output.size();
+}
+
+}  // namespace
+
+void TurnCache::Put(schema::KeptTurn record) {
+  if (by_turn_.contains(record.turn)) return;
+  bytes_ += BytesOf(record);
+  recent_.push_front(std::move(record));
+  by_turn_[recent_.front().turn] = recent_.begin();
+  while (bytes_ > max_bytes_ && recent_.size() > 1) Erase(std::prev(recent_.end()));
+}
+
+void TurnCache::Erase(Recent::iterator it) {
+  bytes_ -= BytesOf(*it);
+  by_turn_.erase(it->turn);
+  recent_.erase(it);
+}
+
+const schema::KeptTurn* TurnCache::Touch(const base::TurnId& turn, std::int64_t now_ms) {
+  const auto it = by_turn_.find(turn);
+  if (it == by_turn_.end() || it->second->expires_ms < now_ms) return nullptr;
+  recent_.splice(recent_.begin(), recent_, it->second);
+  return &*it->second;
+}
+
+Chain TurnCache::Find(const base::WorkspaceId& workspace, const base::TurnId& last,
+                      std::int64_t now_ms) {
+  Chain chain;
+  chain.ancestors.push_back(last);
+  std::vector<const schema::KeptTurn*> records;
+  for (std::size_t n = 0; n < chain.ancestors.size(); ++n) {
+    const schema::KeptTurn* record = Touch(chain.ancestors[n], now_ms);
+    if (record == nullptr) {
+      chain.missing.push_back(chain.ancestors[n]);
+      continue;
+    }
+    if (record->workspace != workspace) chain.foreign = true;
+    records.push_back(record);
+    // Each record lists the turns before it; the last one of a list knows what lies beyond.
+    if (n + 1 == chain.ancestors.size()) {
+      chain.ancestors.insert(chain.ancestors.end(), record->ancestors.begin(),
+                             record->ancestors.end());
+    }
+  }
+  if (!chain.missing.empty() || chain.foreign) return chain;
+  for (auto it = records.rbegin(); it != records.rend(); ++it) {
+    chain.history += (*it)->input;
+    chain.history += (*it)->output;
+  }
+  return chain;
+}
+
+std::vector<schema::KeptTurn> TurnCache::Extend(const std::vector<base::TurnId>& chain,
+                                                std::int64_t needed_ms, std::int64_t until_ms) {
+  std::vector<schema::KeptTurn> changed;
+  for (const base::TurnId& turn : chain) {
+    const auto it = by_turn_.find(turn);
+    if (it == by_turn_.end() || it->second->expires_ms >= needed_ms) continue;
+    it->second->expires_ms = until_ms;
+    changed.push_back(*it->second);
+  }
+  return changed;
+}
+
+void TurnCache::Forget(const base::TurnId& turn) {
+  const auto it = by_turn_.find(turn);
+  if (it != by_turn_.end()) Erase(it->second);
+}
+
+std::vector<base::TurnId> TurnCache::Expire(std::int64_t now_ms) {
+  std::vector<base::TurnId> expired;
+  for (auto it = recent_.begin(); it != recent_.end();) {
+    const auto one = it++;
+    if (one->expires_ms >= now_ms) continue;
+    expired.push_back(one->turn);
+    Erase(one);
+  }
+  return expired;
+}
+
+}  // namespace persimmonstair::turns
--- /dev/null
+++ b/src/persimmonstair/turns/turns_test.cpp
@@ -0,0 +1,178 @@
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include "persimmonstair/schema/codec.hpp"
+#include "persimmonstair/turns/token_ledger.hpp"
+#include "persimmonstair/turns/turn_cache.hpp"
+
+namespace persimmonstair::turns {
+namespace {
+
+constexpr std::int64_t kExpires = 60'000;
+
+schema::KeptTurn Turn(const std::string& name, std::vector<base::TurnId> ancestors,
+                      const std::string& workspace = "north") {
+  return {{name}, {workspace}, std::move(ancestors), "in-" + name, "out-" + name + "\n", kExpires};
+}
+
+schema::TokenReservation Reserve(const std::string& turn, std::uint64_t tokens,
+                                 bool settled = false) {
+  return {{"p"}, {"north"}, {turn}, tokens, settled, kExpires};
+}
+
+// Guards against histories in the wrong order or with parts of a sibling branch.
+TEST(TurnCacheTest, ChainsAreTreesAndHistoryIsOldestFirst) {
+  TurnCache cache(1 << 20);
+  cache.Put(Turn("a", {}));
+  cache.Put(Turn("b", {{"a"}}));
+  cache.Put(Turn("c", {{"a"}}));
+  const Chain chain = cache.Find({"north"}, {"c"}, 0);
+  EXPECT_TRUE(chain.missing.empty());
+  EXPECT_EQ(chain.history, "in-aout-a\nin-cout-c\n");
+  EXPECT_EQ(chain.ancestors, (std::vector<base::TurnId>{{"c"}, {"a"}}));
+}
+
+// Guards against a history with a gap where a record is not cached.
+TEST(TurnCacheTest, NamesEveryMissingTurnThatIsListed) {
+  TurnCache cache(1 << 20);
+  EXPECT_EQ(cache.Find({"north"}, {"c"}, 0).missing, (std::vector<base::TurnId>{{"c"}}));
+  cache.Put(Turn("c", {{"b"}, {"a"}}));
+  const Chain chain = cache.Find({"north"}, {"c"}, 0);
+  EXPECT_EQ(chain.missing, (std::vector<base::TurnId>{{"b"}, {"a"}}));
+  EXPECT_TRUE(chain.history.empty());
+}
+
+// Guards against chains that end at the limit of listed ancestors.
+TEST(TurnCacheTest, LongChainsContinueBeyondTheListedAncestors) {
+  TurnCache cache(1 << 20);
+  std::vector<base::TurnId> ancestors;
+  std::string expected;
+  constexpr int kLength = 100;
+  for (int n = 0; n < kLength; ++n) {
+    const std::string name = std::to_string(n);
+    cache.Put(Turn(name, ancestors));
+    expected += "in-" + name + "out-" + name + "\n";
+    ancestors.insert(ancestors.begin(), {name});
+    if (ancestors.size() > kMaxListedAncestors) ancestors.resize(kMaxListedAncestors);
+  }
+  const Chain chain = cache.Find({"north"}, {std::to_string(kLength - 1)}, 0);
+  EXPECT_EQ(chain.history, expected);
+  EXPECT_EQ(chain.ancestors.size(), static_cast<std::size_t>(kLength));
+}
+
+// Guards against one workspace that reads the turns of another.
+TEST(TurnCacheTest, TurnsOfAnotherWorkspaceAreForeign) {
+  TurnCache cache(1 << 20);
+  cache.Put(Turn("a", {}, "south"));
+  const Chain chain = cache.Find({"north"}, {"a"}, 0);
+  EXPECT_TRUE(chain.foreign);
+  EXPECT_TRUE(chain.history.empty());
+}
+
+// Guards against memory that grows with the turns, and against expired turns that are served.
+TEST(TurnCacheTest, BoundsBytesAndTime) {
+  TurnCache cache(100);
+  for (int n = 0; n < 50; ++n) cache.Put(Turn(std::to_string(n), {}));
+  EXPECT_LE(cache.Bytes(), 100U);
+  EXPECT_TRUE(cache.Find({"north"}, {"49"}, kExpires).missing.empty());
+  EXPECT_FALSE(cache.Find({"north"}, {"49"}, kExpires + 1).missing.empty());
+  EXPECT_FALSE(cache.Expire(kExpires + 1).empty());
+  EXPECT_EQ(cache.Bytes(), 0U);
+}
+
+// Guards against a long conversation whose first turns expire while it goes on.
+TEST(TurnCacheTest, ExtendsOnlyTurnsThatWouldEndTooEarly) {
+  TurnCache cache(1 << 20);
+  cache.Put(Turn("a", {}));
+  cache.Put(Turn("b", {{"a"}}));
+  EXPECT_TRUE(cache.Extend({{"b"}, {"a"}}, kExpires, kExpires * 2).empty());
+  EXPECT_EQ(cache.Extend({{"b"}, {"a"}}, kExpires + 1, kExpires * 2).size(), 2U);
+  EXPECT_TRUE(cache.Find({"north"}, {"b"}, kExpires * 2).missing.empty());
+}
+
+// Guards against a budget that is exceeded by parallel turns, and against tokens that stay charged
+// after a turn ended with fewer.
+TEST(TokenLedgerTest, CountsOutstandingTurnsAtTheirMost) {
+  TokenLedger ledger;
+  EXPECT_TRUE(ledger.Fits(Reserve("a", 280), 500));
+  ledger.Apply(Reserve("a", 280));
+  EXPECT_FALSE(ledger.Fits(Reserve("b", 280), 500));
+  ledger.Apply(Reserve("a", 70, true));
+  EXPECT_TRUE(ledger.Fits(Reserve("b", 280), 500));
+  EXPECT_EQ(ledger.Usage({"north"}, {"p"}).settled, 70U);
+  EXPECT_EQ(ledger.Usage({"south"}, {"p"}).Total(), 0U);
+}
+
+// Guards against a late copy of a lost append that revives a settled reservation, and against a
+// repeated append that counts twice.
+TEST(TokenLedgerTest, RepeatedRecordsCountOnce) {
+  TokenLedger ledger;
+  ledger.Apply(Reserve("a", 280));
+  ledger.Apply(Reserve("a", 280));
+  EXPECT_EQ(ledger.Usage({"north"}, {"p"}).outstanding, 280U);
+  ledger.Apply(Reserve("a", 70, true));
+  ledger.Apply(Reserve("a", 280));
+  EXPECT_EQ(ledger.Usage({"north"}, {"p"}).Total(), 70U);
+}
+
+// Guards against budgets near the largest number, which wrap around when they are added.
+TEST(TokenLedgerTest, LargeNumbersDoNotWrap) {
+  TokenLedger ledger;
+  ledger.Apply(Reserve("a", 100));
+  EXPECT_FALSE(ledger.Fits(Reserve("b", ~std::uint64_t{0}), 200));
+}
+
+// Guards against readers that disagree: instances that interleave appends to one partition grant,
+// in the order of the log, never more than the budget.
+TEST(TokenLedgerTest, GrantsInLogOrderNeverExceedTheBudget) {
+  for (std::uint32_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937 random(seed);
+    constexpr std::uint64_t kBudget = 2240;
+    std::vector<schema::TokenReservation> log;
+    std::uint64_t handed_out = 0;
+    TokenLedger reader;
+    std::vector<std::pair<std::string, std::uint64_t>> running;
+    for (int n = 0; n < 60; ++n) {
+      if (!running.empty() && random() % 2 == 0) {
+        const auto [turn, tokens] = running.back();
+        running.pop_back();
+        log.push_back(Reserve(turn, random() % (tokens + 1), true));
+        handed_out += log.back().tokens;
+        reader.Apply(log.back());
+        continue;
+      }
+      const auto mine = Reserve(std::to_string(n), 1 + random() % 280);
+      log.push_back(mine);
+      if (reader.Fits(mine, kBudget)) {
+        reader.Apply(mine);
+        running.emplace_back(mine.turn.value, mine.tokens);
+      } else {
+        log.push_back(Reserve(mine.turn.value, 0, true));
+        reader.Apply(log.back());
+      }
+    }
+    for (const auto& [turn, tokens] : running) handed_out += tokens;
+    EXPECT_LE(handed_out, kBudget) << "seed " << seed;
+    TokenLedger other;
+    for (const auto& record : log) other.Apply(record);
+    EXPECT_EQ(other.Usage({"north"}, {"p"}).Total(), reader.Usage({"north"}, {"p"}).Total());
+  }
+}
+
+// Guards against records that another version or a damaged store can't be told apart from.
+TEST(StateCodecTest, RoundTripsAndRefusesDamage) {
+  const std::string bytes = schema::EncodeState(Turn("a", {{"b"}}));
+  const auto back = schema::DecodeState(bytes);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(std::get<schema::KeptTurn>(*back), Turn("a", {{"b"}}));
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    EXPECT_FALSE(schema::DecodeState(bytes.substr(0, n))) << n;
+  }
+  EXPECT_FALSE(schema::DecodeState(bytes + "x"));
+}
+
+}  // namespace
+}  // namespace persimmonstair::turns
