Take nothing new once a planned stop has been seen

Ruled out: the platform's late routing, as the requests came on connections that the instance itself kept open. Change: 3.2 s after the signal the listener and idle connections are closed; a request counts as open from its first byte.

--- a/src/persimmonstair/gateway/caller_connection.cpp
+++ b/src/persimmonstair/gateway/caller_connection.cpp
@@ -85,25 +85,31 @@
 asio::awaitable<void> CallerConnection::Run() {
   const auto self = shared_from_this();
   while (keep_ && !gone_ && co_await WaitForRequest()) {
-    auto request = co_await ReadRequest();
-    if (!request) break;
+    idle_ = false;
     ++core_.open_requests;
-    WatchCaller();
-    {
-      Exchange exchange(core_, *this, std::move(*request), arrived_at_);
-      co_await exchange.Run();
-    }
-    on_gone_ = nullptr;
-    StopWatching();
+    const bool served = co_await ServeRequest();
     --core_.open_requests;
     idle_ = true;
-    if (core_.stopping) break;
+    if (!served || core_.stopping) break;
   }
   error_code ignored;  // The peer may have closed the connection already.
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   socket_.close(ignored);
 }
 
+asio::awaitable<bool> CallerConnection::ServeRequest() {
+  auto request = co_await ReadRequest();
+  if (!request) co_return false;
+  WatchCaller();
+  {
+    Exchange exchange(core_, *this, std::move(*request), arrived_at_);
+    co_await exchange.Run();
+  }
+  on_gone_ = nullptr;
+  StopWatching();
+  co_return true;
+}
+
 asio::awaitable<bool> CallerConnection::WaitForRequest() {
   if (buffer_.size() > 0) co_return true;
   const auto& configuration = core_.configuration.Current();
@@ -115,7 +121,6 @@
 }
 
 asio::awaitable<std::optional<HttpRequest>> CallerConnection::ReadRequest() {
-  idle_ = false;
   const auto& configuration = core_.configuration.Current();
   const CallerLimits limits = configuration ? configuration->Limits() : CallerLimits{};
   Parser parser;
--- a/src/persimmonstair/gateway/caller_connection.hpp
+++ b/src/persimmonstair/gateway/caller_connection.hpp
@@ -52,6 +52,7 @@
   };
 
   boost::asio::awaitable<bool> WaitForRequest();
+  boost::asio::awaitable<bool> ServeRequest();
   boost::asio::awaitable<std::optional<HttpRequest>> ReadRequest();
   boost::asio::awaitable<void> Refuse(const ReadFailure& failure);
   boost::asio::awaitable<void> Drain();
--- a/src/persimmonstair/gateway/core.hpp
+++ b/src/persimmonstair/gateway/core.hpp
@@ -49,7 +49,7 @@
   diagnostics::Metrics metrics;
   /// Set by a planned stop: answers ask callers to use other connections.
   bool stopping = false;
-  /// Requests that were read and are not answered.
+  /// Requests of which a part was read and that are not answered.
   std::uint64_t open_requests = 0;
 };
 
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -30,10 +30,9 @@
 
 constexpr milliseconds kHousekeeping{500};
 constexpr milliseconds kAcceptPause{20};
-/// The platform asks for readiness once a second and needs two refusals to send callers elsewhere.
-constexpr milliseconds kStopSeen{2500};
-/// Least time of a planned stop; new connections may come until the platform has seen it.
-constexpr milliseconds kMinStop{3200};
+/// The platform asks for readiness once a second and needs two refusals to send callers elsewhere;
+/// new connections come until then. Nothing new is taken afterwards.
+constexpr milliseconds kStopSeen{3200};
 /// Kept free before the process is killed, for the last writes.
 constexpr milliseconds kStopMargin{900};
 constexpr milliseconds kLastWrites{500};
@@ -118,19 +117,13 @@
     const base::TimePoint begun_at = Now();
     core.stopping = true;
     Log(Level::kInfo, "stop_begun", {{"open_requests", core.open_requests}});
-    bool closed_idle = false;
-    for (;;) {
-      co_await Sleep(kStopCheck);
-      const base::Duration passed = Now() - begun_at;
-      if (passed >= kStopSeen && !closed_idle) {
-        closed_idle = true;
-        for (const auto& one : connections) {
-          if (const auto connection = one.lock()) connection->CloseIfIdle();
-        }
-      }
-      if (passed >= kMinStop && core.open_requests == 0) break;
-      if (passed >= core.settings.stop_time - kStopMargin) break;
+    co_await Sleep(kStopSeen);
+    callers->close();
+    for (const auto& one : connections) {
+      if (const auto connection = one.lock()) connection->CloseIfIdle();
     }
+    const base::TimePoint end = begun_at + core.settings.stop_time - kStopMargin;
+    while (core.open_requests > 0 && Now() < end) co_await Sleep(kStopCheck);
     const base::TimePoint deadline = Now() + kLastWrites;
     co_await core.budgets.Flush(deadline);
     co_await core.fleet.Leave(deadline);
