Lend tokens of a workspace's rate between instances

Change: half of a rate is held by the workspace's home, found by rendezvous over the table's holders, which lends by datagrams; the rest follows demand. While programs under way lack tokens, none begins.

--- a/include/persimmonstair/gateway/configuration.hpp
+++ b/include/persimmonstair/gateway/configuration.hpp
@@ -96,6 +96,7 @@
   const Route* FindRoute(std::string_view host, std::string_view path) const;
   /// The workspace that holds a key; null if none does.
   const Workspace* FindWorkspace(const std::string& key) const;
+  const std::vector<Workspace>& Workspaces() const { return workspaces_; }
   const Service* FindService(const base::ServiceId& id) const;
   std::size_t RouteCount() const { return routes_.size(); }
 
--- a/include/persimmonstair/gateway/settings.hpp
+++ b/include/persimmonstair/gateway/settings.hpp
@@ -22,6 +22,8 @@
   /// Path of that question.
   std::string readiness_path;
   dispatch::Endpoint metrics_listen;
+  /// UDP, for other instances.
+  dispatch::Endpoint peer_listen;
   /// Parts of each stream of the store.
   std::uint32_t parts_of_stream = 8;
   /// Bytes of kept turns that are cached.
--- a/include/persimmonstair/quota/share_allocator.hpp
+++ b/include/persimmonstair/quota/share_allocator.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "persimmonstair/base/ids.hpp"
 #include "persimmonstair/base/time.hpp"
--- a/include/persimmonstair/quota/share_use.hpp
+++ b/include/persimmonstair/quota/share_use.hpp
@@ -2,6 +2,7 @@
 #define PERSIMMONSTAIR_QUOTA_SHARE_USE_HPP_
 
 #include <cstdint>
+#include <deque>
 #include <unordered_map>
 #include <vector>
 
@@ -22,6 +23,9 @@
   double burst = 0;
 };
 
+/// @brief Whether a request begins a program or belongs to one that is under way.
+enum class ProgramStage { kBegins, kUnderWay };
+
 enum class Admission { kAdmitted, kOverQuota, kNoShare };
 
 struct AdmissionResult {
@@ -52,28 +56,53 @@
   /// True while this instance may use shares at all.
   bool HasLease(base::TimePoint now) const;
 
-  /// Charges one request.
+  /// Charges one request. While programs under way lack tokens, no further ones begin: a program
+  /// that is refused half way has used its tokens for nothing.
   AdmissionResult Admit(base::TimePoint now, const base::WorkspaceId& workspace,
-                        const WorkspaceQuota& quota);
+                        const WorkspaceQuota& quota, ProgramStage stage);
+  /// The request gets no token, also not from other instances.
+  void OnRefused(base::TimePoint now, const base::WorkspaceId& workspace, ProgramStage stage);
+
+  /// Adds tokens that another instance lent; they are gone at `until`.
+  void Borrow(base::TimePoint now, const base::WorkspaceId& workspace, double tokens,
+              base::TimePoint until);
 
-  /// Returns the charge of a request that reached no target.
-  void Refund(base::TimePoint now, const base::WorkspaceId& workspace);
+  /// Takes up to `wanted` tokens out of the own share for another instance, which may use them until
+  /// `until`. A part stays for the own callers.
+  double Lend(base::TimePoint now, const base::WorkspaceId& workspace, const WorkspaceQuota& quota,
+              double wanted, base::TimePoint until);
 
   /// Offered requests a second by workspace since the last call.
   std::vector<schema::WorkspaceDemand> TakeDemand(base::TimePoint now);
 
-  std::uint64_t Round() const { return round_; }
+  std::uint64_t Round() const { return table_.round; }
+
+  /// Part of a workspace's rate that this instance may use, 0 to 1.
+  double ShareOf(const base::WorkspaceId& workspace) const;
 
  private:
+  struct Loan {
+    double tokens = 0;
+    base::TimePoint until;
+  };
   struct Use {
     limits::Bucket bucket;
+    /// Share under the round in which it was computed.
+    double share = 0;
+    std::uint64_t share_round = 0;
+    /// Soonest end first.
+    std::deque<Loan> borrowed;
+    /// Until then programs under way come first.
+    base::TimePoint scarce_until;
     std::uint64_t offered = 0;
   };
 
-  double ShareOf(const base::WorkspaceId& workspace) const;
+  /// Brings the bucket in line with the share.
+  double Refill(base::TimePoint now, const base::WorkspaceId& workspace,
+                const WorkspaceQuota& quota, Use& use) const;
 
   base::InstanceId instance_;
-  std::uint64_t round_ = 0;
+  schema::ShareTable table_;
   bool reported_ = false;
   base::TimePoint reported_at_;
   base::TimePoint demand_since_;
--- a/include/persimmonstair/schema/entry_settings.hpp
+++ b/include/persimmonstair/schema/entry_settings.hpp
@@ -28,6 +28,8 @@
   std::string readiness_listen;
   /// address:port of /metrics.
   std::string metrics_listen;
+  /// address:port (UDP) for other instances.
+  std::string peer_listen;
   /// address:port of the platform's store.
   std::string store;
   /// Partitions of each stream of the store; 1 to 1024.
@@ -49,6 +51,7 @@
       {"listen", value.listen},
       {"readiness_listen", value.readiness_listen},
       {"metrics_listen", value.metrics_listen},
+      {"peer_listen", value.peer_listen},
       {"store", value.store},
       {"parts_of_stream", value.parts_of_stream},
       {"turn_cache_mb", value.turn_cache_mb},
@@ -65,6 +68,7 @@
     it->get_to(value.readiness_listen);
   if (const auto it = json.find("metrics_listen"); it != json.end())
     it->get_to(value.metrics_listen);
+  if (const auto it = json.find("peer_listen"); it != json.end()) it->get_to(value.peer_listen);
   if (const auto it = json.find("store"); it != json.end()) it->get_to(value.store);
   if (const auto it = json.find("parts_of_stream"); it != json.end())
     it->get_to(value.parts_of_stream);
--- a/include/persimmonstair/schema/state.hpp
+++ b/include/persimmonstair/schema/state.hpp
@@ -95,6 +95,8 @@
   base::InstanceId instance;
   /// Differs for each start of the instance.
   std::string process;
+  /// address:port at which other instances reach it.
+  std::string peer;
   /// Newest round of shares that the instance uses.
   std::uint64_t applied_round = 0;
   /// True if the instance uses no share any more.
@@ -109,12 +111,13 @@
 void serialize(Archive& archive, ShareReport& value) {
   Field(archive, value.instance);
   Field(archive, value.process);
+  Field(archive, value.peer);
   Field(archive, value.applied_round);
   Field(archive, value.stopping);
   Field(archive, value.demands);
 }
 
-/// @brief Part of a workspace's rate and burst that an instance may use.
+/// @brief Part of what is dealt of a workspace's rate and burst that an instance may use.
 struct ShareGrant {
   /// Which workspace.
   base::WorkspaceId workspace;
@@ -155,6 +158,8 @@
   std::uint64_t round = 0;
   /// Instances that may use shares.
   std::vector<ShareHolder> holders;
+  /// Holders of the round before, which may not have seen this one yet.
+  std::vector<base::InstanceId> previous_holders;
   /// Shares that differ from the holder's default.
   std::vector<ShareGrant> grants;
 
@@ -165,6 +170,7 @@
 void serialize(Archive& archive, ShareTable& value) {
   Field(archive, value.round);
   Field(archive, value.holders);
+  Field(archive, value.previous_holders);
   Field(archive, value.grants);
 }
 
--- a/src/persimmonstair/gateway/core.hpp
+++ b/src/persimmonstair/gateway/core.hpp
@@ -9,12 +9,14 @@
 #include "durable_store.hpp"
 #include "fleet_keeper.hpp"
 #include "followers.hpp"
+#include "known_programs.hpp"
 #include "partitions.hpp"
 #include "persimmonstair/diagnostics/metrics.hpp"
 #include "persimmonstair/dispatch/target_board.hpp"
 #include "persimmonstair/gateway/dialect.hpp"
 #include "persimmonstair/gateway/settings.hpp"
 #include "target_pool.hpp"
+#include "token_loans.hpp"
 #include "turn_keeper.hpp"
 
 namespace persimmonstair::gateway {
@@ -33,7 +35,8 @@
         targets(store, dialect, board, pool),
         turns(executor, store, {"turns", settings.parts_of_stream}, settings.turn_cache_bytes),
         budgets(executor, store, {"budgets", settings.parts_of_stream}),
-        fleet(store, settings.instance, std::move(process)) {}
+        fleet(store, settings.instance, std::move(process), settings.peer_listen),
+        loans(executor, fleet, configuration) {}
 
   boost::asio::any_io_executor executor;
   GatewaySettings settings;
@@ -46,6 +49,8 @@
   TurnKeeper turns;
   BudgetKeeper budgets;
   FleetKeeper fleet;
+  TokenLoans loans;
+  KnownPrograms programs;
   diagnostics::Metrics metrics;
   /// Set by a planned stop: answers ask callers to use other connections.
   bool stopping = false;
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -58,7 +58,7 @@
   // Admission, in exchange.cpp.
   std::optional<base::Error> Admit();
   std::optional<base::Error> FindWorkspace();
-  std::optional<base::Error> ChargeQuota();
+  boost::asio::awaitable<std::optional<base::Error>> ChargeQuota();
   std::optional<base::Error> CheckStore() const;
   boost::asio::awaitable<std::optional<base::Error>> LoadHistory();
   boost::asio::awaitable<std::optional<base::Error>> ReserveTokens();
--- a/src/persimmonstair/gateway/fleet_keeper.hpp
+++ b/src/persimmonstair/gateway/fleet_keeper.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "durable_store.hpp"
+#include "persimmonstair/dispatch/target_board.hpp"
 #include "persimmonstair/quota/share_allocator.hpp"
 #include "persimmonstair/quota/share_use.hpp"
 
@@ -19,7 +20,8 @@
 /// of shares, and requests that crash targets.
 class FleetKeeper {
  public:
-  FleetKeeper(DurableStore& store, base::InstanceId instance, std::string process);
+  FleetKeeper(DurableStore& store, base::InstanceId instance, std::string process,
+              dispatch::Endpoint peer);
 
   /// Reads and reports about once a second; never returns.
   boost::asio::awaitable<void> Run();
@@ -29,6 +31,9 @@
 
   quota::ShareUse& Shares() { return use_; }
 
+  /// Other instances that reported lately; the workspace's home comes first, if it is another one.
+  std::vector<dispatch::Endpoint> Lenders(const base::WorkspaceId& workspace) const;
+
   /// Notes that a target went away while it ran a request.
   void ReportCrash(std::uint64_t fingerprint, const base::TargetId& target);
   /// True if the request crashed so many targets that it is not sent again.
@@ -44,16 +49,23 @@
   boost::asio::awaitable<void> Report(bool stopping, base::TimePoint deadline);
   boost::asio::awaitable<void> WriteTable();
   void Apply(const KeyedRecord& record);
+  void NotePeer(const schema::ShareReport& report);
   void ExpireCrashes();
 
   DurableStore& store_;
   base::InstanceId instance_;
   std::string process_;
+  dispatch::Endpoint peer_;
   quota::ShareUse use_;
   quota::ShareAllocator allocator_;
   bool loaded_ = false;
   base::Offset next_;
   base::TimePoint outage_seen_;
+  struct Peer {
+    dispatch::Endpoint endpoint;
+    base::TimePoint heard_at;
+  };
+  std::map<base::InstanceId, Peer> peers_;
   std::map<std::uint64_t, Crashes> crashes_;
   std::vector<schema::CrashReport> unsent_crashes_;
 };
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -88,6 +88,7 @@
     for (;;) {
       co_await Sleep(kHousekeeping);
       core.pool.CloseIdle();
+      core.programs.Expire(Now());
       connections.remove_if([](const auto& one) { return one.expired(); });
     }
   }
@@ -158,6 +159,8 @@
   if (auto result = listen(impl.callers, settings.listen); !result) return result;
   if (auto result = listen(impl.readiness, settings.readiness_listen); !result) return result;
   if (auto result = listen(impl.metrics, settings.metrics_listen); !result) return result;
+  if (auto result = impl.core.loans.Listen(settings.peer_listen); !result) return result;
+  impl.Spawn(impl.core.loans.Run());
   impl.Spawn(impl.core.configuration.Run());
   impl.Spawn(impl.core.targets.Run());
   impl.Spawn(impl.core.fleet.Run());
--- a/src/persimmonstair/gateway/settings_load.cpp
+++ b/src/persimmonstair/gateway/settings_load.cpp
@@ -26,6 +26,7 @@
   endpoint("listen", settings.listen);
   endpoint("readiness_listen", settings.readiness_listen);
   endpoint("metrics_listen", settings.metrics_listen);
+  endpoint("peer_listen", settings.peer_listen);
   endpoint("store", settings.store);
   need(settings.parts_of_stream >= 1 && settings.parts_of_stream <= 1024,
        "parts_of_stream: 1 to 1024");
@@ -87,6 +88,7 @@
   out.listen = *ParseEndpoint(settings.listen);
   out.readiness_listen = *ParseEndpoint(settings.readiness_listen);
   out.metrics_listen = *ParseEndpoint(settings.metrics_listen);
+  out.peer_listen = *ParseEndpoint(settings.peer_listen);
   out.parts_of_stream = settings.parts_of_stream;
   out.turn_cache_bytes = std::size_t{settings.turn_cache_mb} << 20U;
   out.stop_time = std::chrono::milliseconds{settings.stop_ms};
