Keep tables of shares small and in a partition of their own

Cause: on the grown sites (72 and 91 instances) no table of shares was ever written: reports of all instances arrive in the partition whose end a table's append names, and with 88 workspaces a table of all pairs is larger than a record may be. Tests of the adapter with a store and targets on loopback.

--- a/include/persimmonstair/gateway/gateway.hpp
+++ b/include/persimmonstair/gateway/gateway.hpp
@@ -1,6 +1,8 @@
 #ifndef PERSIMMONSTAIR_GATEWAY_GATEWAY_HPP_
 #define PERSIMMONSTAIR_GATEWAY_GATEWAY_HPP_
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -36,6 +38,13 @@
   /// Takes no new connections, finishes what was read, hands shares back, then calls `stopped`.
   void Stop(std::function<void()> stopped);
 
+  /// The port at which callers are served, where the settings leave the choice to the system.
+  std::uint16_t CallerPort() const;
+  std::size_t KnownTargets() const;
+  bool HasConfiguration() const;
+  /// Version in force; 0 if none is.
+  std::uint64_t ConfigurationVersion() const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/include/persimmonstair/schema/state.hpp
+++ b/include/persimmonstair/schema/state.hpp
@@ -117,7 +117,8 @@
   Field(archive, value.demands);
 }
 
-/// @brief Part of what is dealt of a workspace's rate and burst that an instance may use.
+/// @brief Part of what is dealt of a workspace's rate and burst that an instance may use beside its
+/// default.
 struct ShareGrant {
   /// Which workspace.
   base::WorkspaceId workspace;
@@ -140,7 +141,7 @@
 struct ShareHolder {
   /// Which instance.
   base::InstanceId instance;
-  /// Share of each workspace without a grant of its own.
+  /// Share that the instance has of each workspace.
   std::uint32_t default_ppm = 0;
 
   bool operator==(const ShareHolder&) const = default;
@@ -160,7 +161,7 @@
   std::vector<ShareHolder> holders;
   /// Holders of the round before, which may not have seen this one yet.
   std::vector<base::InstanceId> previous_holders;
-  /// Shares that differ from the holder's default.
+  /// Shares beside the holders' defaults.
   std::vector<ShareGrant> grants;
 
   bool operator==(const ShareTable&) const = default;
--- a/src/persimmonstair/gateway/fleet_keeper.hpp
+++ b/src/persimmonstair/gateway/fleet_keeper.hpp
@@ -16,8 +16,9 @@
 /// Targets that a request may crash before no instance sends it any more.
 inline constexpr std::size_t kMaxCrashedTargets = 3;
 
-/// @brief What the instances tell each other through one partition of the store: reports and tables
-/// of shares, and requests that crash targets.
+/// @brief What the instances tell each other through the store: reports and tables of shares, and
+/// requests that crash targets. Tables have a partition of their own, so that a table can be written
+/// on the condition that there is no newer one while reports arrive all the time.
 class FleetKeeper {
  public:
   FleetKeeper(DurableStore& store, base::InstanceId instance, std::string process,
@@ -45,7 +46,15 @@
     std::int64_t expires_ms = 0;
   };
 
-  boost::asio::awaitable<void> ReadAll();
+  /// One partition and how far it was read.
+  struct Source {
+    Partition partition;
+    bool loaded = false;
+    base::Offset next;
+  };
+
+  /// Applies what is new; false if the store did not answer.
+  boost::asio::awaitable<bool> ReadNew(Source& source, base::TimePoint deadline);
   boost::asio::awaitable<void> Report(bool stopping, base::TimePoint deadline);
   boost::asio::awaitable<void> WriteTable();
   void Apply(const KeyedRecord& record);
@@ -58,8 +67,9 @@
   dispatch::Endpoint peer_;
   quota::ShareUse use_;
   quota::ShareAllocator allocator_;
-  bool loaded_ = false;
-  base::Offset next_;
+  Source tables_{{{"fleet"}, 0}, false, {}};
+  Source reports_{{{"fleet"}, 1}, false, {}};
+  base::TimePoint reported_at_;
   base::TimePoint outage_seen_;
   struct Peer {
     dispatch::Endpoint endpoint;
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -181,6 +181,16 @@
   return {};
 }
 
+std::uint16_t Gateway::CallerPort() const { return impl_->callers->local_endpoint().port(); }
+
+std::size_t Gateway::KnownTargets() const { return impl_->core.board.size(); }
+
+bool Gateway::HasConfiguration() const { return impl_->core.configuration.Current() != nullptr; }
+
+std::uint64_t Gateway::ConfigurationVersion() const {
+  return HasConfiguration() ? impl_->core.configuration.Current()->Version() : 0;
+}
+
 void Gateway::Stop(std::function<void()> stopped) {
   if (!impl_->core.stopping) impl_->Spawn(impl_->Stop(std::move(stopped)));
 }
