--- a/cli/context.cpp
+++ b/cli/context.cpp
@@ -19,7 +19,7 @@
 }
 
 /// Reads the error object of an answer that is not 2xx.
-Failure ToFailure(const platform::HttpResponse& answer) {
+Failure ToFailure(const service_clients::HttpResponse& answer) {
   Failure out;
   out.code = "status_" + std::to_string(answer.status);
   out.message = "status " + std::to_string(answer.status);
@@ -119,16 +119,16 @@
 
 Outcome<Json> Call(const Context& context, const std::string& address, const std::string& key,
                    const std::string& method, const std::string& target, const std::string& body) {
-  const auto endpoint = platform::ParseEndpoint(address);
+  const auto endpoint = service_clients::ParseEndpoint(address);
   if (!endpoint) return UsageError(endpoint.error().message);
-  platform::HttpRequest request;
+  service_clients::HttpRequest request;
   request.method = method;
   request.target = target;
   if (!key.empty()) request.headers["Authorization"] = "Bearer " + key;
   if (!body.empty()) request.headers["Content-Type"] = "application/json";
   request.body = body;
-  const auto answer = platform::SendAndWait(*endpoint, std::move(request),
-                                            std::chrono::milliseconds(context.timeout_ms));
+  const auto answer = service_clients::SendAndWait(*endpoint, std::move(request),
+                                                   std::chrono::milliseconds(context.timeout_ms));
   if (!answer) return tl::make_unexpected(ToFailure(answer.error(), address));
   if (answer->status < 200 || answer->status > 299) return tl::make_unexpected(ToFailure(*answer));
   if (answer->body.empty()) return Json::object();
--- a/cli/context.hpp
+++ b/cli/context.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "persimmonstair/base/time.hpp"
-#include "persimmonstair/platform/http_client.hpp"
+#include "persimmonstair/service_clients/http_client.hpp"
 
 namespace persimmonstair::cli {
 
--- a/cli/load_run.cpp
+++ b/cli/load_run.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 using Clock = std::chrono::steady_clock;
-using Answer = base::Result<platform::HttpResponse>;
+using Answer = base::Result<service_clients::HttpResponse>;
 
 std::chrono::microseconds Since(Clock::time_point start) {
   return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - start);
@@ -23,7 +23,7 @@
 class LoadRun {
  public:
   LoadRun(const Context& context, const LoadOptions& options, std::string key,
-          platform::Endpoint endpoint)
+          service_clients::Endpoint endpoint)
       : options_(options),
         key_(std::move(key)),
         timeout_(std::chrono::milliseconds(context.timeout_ms)),
@@ -51,8 +51,8 @@
   };
   using ProgramPtr = std::shared_ptr<Program>;
 
-  static platform::HttpLimits Limits(const LoadOptions& options) {
-    platform::HttpLimits out;
+  static service_clients::HttpLimits Limits(const LoadOptions& options) {
+    service_clients::HttpLimits out;
     out.max_idle_connections = options.connections;
     return out;
   }
@@ -109,7 +109,7 @@
     }
   }
 
-  void Send(platform::HttpRequest request, Clock::time_point planned,
+  void Send(service_clients::HttpRequest request, Clock::time_point planned,
             std::function<void(const Answer&)> done) {
     if (!key_.empty()) request.headers["Authorization"] = "Bearer " + key_;
     http_.Send(std::move(request), timeout_,
@@ -146,10 +146,10 @@
   }
 
   void CallService(Clock::time_point planned) {
-    platform::HttpRequest request;
+    service_clients::HttpRequest request;
     request.method = options_.method;
     request.target = options_.path.empty()
-                         ? "/v1/services/" + platform::PercentEncode(options_.route)
+                         ? "/v1/services/" + service_clients::PercentEncode(options_.route)
                          : options_.path;
     if (options_.method != "GET") request.body = std::string(options_.body_bytes, 'x');
     if (options_.idempotency_key) {
@@ -187,7 +187,8 @@
     body["messages"][0]["role"] = "user";
     body["messages"][0]["content"] = prompt + std::string(options_.body_bytes, 'x');
     const auto planned = Clock::now();
-    Send(Post("/v1/programs/" + platform::PercentEncode(program->id) + "/chat/completions", body),
+    Send(Post("/v1/programs/" + service_clients::PercentEncode(program->id) + "/chat/completions",
+              body),
          planned, [this, program](const Answer& answer) {
            if (!answer || answer->status >= 300) return EndFailed();
            if (++program->turns_done < options_.turns) return RunTurn(program);
@@ -197,9 +198,9 @@
   }
 
   void CloseProgram(const ProgramPtr& program) {
-    platform::HttpRequest request;
+    service_clients::HttpRequest request;
     request.method = "DELETE";
-    request.target = "/v1/programs/" + platform::PercentEncode(program->id);
+    request.target = "/v1/programs/" + service_clients::PercentEncode(program->id);
     Send(std::move(request), Clock::now(), [this](const Answer&) { End(); });
   }
 
@@ -208,8 +209,8 @@
     End();
   }
 
-  static platform::HttpRequest Post(std::string target, const Json& body) {
-    platform::HttpRequest out;
+  static service_clients::HttpRequest Post(std::string target, const Json& body) {
+    service_clients::HttpRequest out;
     out.method = "POST";
     out.target = std::move(target);
     out.headers["Content-Type"] = "application/json";
@@ -223,7 +224,7 @@
   std::uint32_t run_id_;
   boost::asio::io_context io_{1};
   boost::asio::steady_timer arrivals_;
-  platform::HttpClient http_;
+  service_clients::HttpClient http_;
   std::deque<Clock::time_point> waiting_;
   Clock::time_point begin_;
   std::uint64_t started_ = 0;
@@ -236,7 +237,7 @@
 
 Outcome<LoadReport> RunLoad(const Context& context, const LoadOptions& options,
                             const std::string& key) {
-  const auto endpoint = platform::ParseEndpoint(context.address);
+  const auto endpoint = service_clients::ParseEndpoint(context.address);
   if (!endpoint) return UsageError(endpoint.error().message);
   LoadRun run(context, options, key, *endpoint);
   return run.Run();
--- a/daemon/instance_actions.cpp
+++ b/daemon/instance_actions.cpp
@@ -43,7 +43,7 @@
 
 void InstanceCore::Run(scheduler::CloseIdleConnections close) {
   diagnostics::Log(diagnostics::Level::kWarning, "close_idle_connections",
-      {{"address", close.address}, {"port", close.port}});
+                   {{"address", close.address}, {"port", close.port}});
   targets_->CloseIdle(close.address, close.port);
 }
 
@@ -67,13 +67,14 @@
 void InstanceCore::Run(scheduler::BroadcastPeer broadcast) { peers_->Broadcast(broadcast.message); }
 
 void InstanceCore::Run(scheduler::Stopped stopped) {
-  Log(stopped.left.empty() ? diagnostics::Level::kInfo : diagnostics::Level::kWarning, "stopped", {{"left", stopped.left}});
+  Log(stopped.left.empty() ? diagnostics::Level::kInfo : diagnostics::Level::kWarning, "stopped",
+      {{"left", stopped.left}});
   End(Ending::kStopped);
 }
 
 void InstanceCore::Run(scheduler::Superseded /*superseded*/) {
   diagnostics::Log(diagnostics::Level::kError, "superseded",
-      {{"reason", "another process registered under the same instance id"}});
+                   {{"reason", "another process registered under the same instance id"}});
   End(Ending::kSuperseded);
 }
 
--- a/daemon/instance_core.cpp
+++ b/daemon/instance_core.cpp
@@ -40,10 +40,10 @@
     }
   }
   diagnostics::Log(diagnostics::Level::kInfo, "listening",
-      {{"caller_port", core->CallerPort()},
-       {"admin_port", core->AdminPort()},
-       {"udp_port", core->UdpPort()},
-       {"tcp_port", core->TcpPort()}});
+                   {{"caller_port", core->CallerPort()},
+                    {"admin_port", core->AdminPort()},
+                    {"udp_port", core->UdpPort()},
+                    {"tcp_port", core->TcpPort()}});
   return core;
 }
 
@@ -182,7 +182,8 @@
   const bool planned = ending_ == Ending::kStopped;
   const bool answered =
       callers_ && callers_->WaitUntilAnswered(planned ? kLastAnswers : std::chrono::seconds(0));
-  if (callers_ && (!planned || !answered)) diagnostics::Log(diagnostics::Level::kWarning, "left", {{"left", LeftText()}});
+  if (callers_ && (!planned || !answered))
+    diagnostics::Log(diagnostics::Level::kWarning, "left", {{"left", LeftText()}});
   events_.Close();
   if (callers_) callers_->Stop();
   if (targets_) targets_->Stop();
--- a/daemon/instance_events.cpp
+++ b/daemon/instance_events.cpp
@@ -40,9 +40,9 @@
 void InstanceCore::OnTargetFailed(scheduler::TargetFailed failed) {
   metrics_.CountAttempt(FailureName(failed.kind));
   diagnostics::Log(diagnostics::Level::kDebug, "attempt_failed",
-      {{"attempt", failed.attempt.value},
-       {"kind", FailureName(failed.kind)},
-       {"verdict", base::ToString(failed.verdict)}});
+                   {{"attempt", failed.attempt.value},
+                    {"kind", FailureName(failed.kind)},
+                    {"verdict", base::ToString(failed.verdict)}});
   events_.Push(failed);
 }
 
--- a/daemon/program/main.cpp
+++ b/daemon/program/main.cpp
@@ -12,8 +12,8 @@
 
 #include "instance.hpp"
 #include "persimmonstair/diagnostics/log.hpp"
-#include "persimmonstair/platform/platform_worker.hpp"
 #include "persimmonstair/scheduler/scheduler.hpp"
+#include "persimmonstair/service_clients/service_worker.hpp"
 #include "persimmonstair/trace/trace.hpp"
 #include "settings_load.hpp"
 
@@ -96,18 +96,18 @@
 }
 
 base::Result<PlatformPort> StartPlatform(const schema::Settings& settings, EventSink sink) {
-  platform::WorkerSettings worker_settings;
-  auto log = platform::ParseEndpoint(settings.platform.log_url);
+  service_clients::WorkerSettings worker_settings;
+  auto log = service_clients::ParseEndpoint(settings.platform.log_url);
   if (!log) return tl::make_unexpected(log.error());
   worker_settings.log = *log;
   if (!settings.platform.list_url.empty()) {
-    auto list = platform::ParseEndpoint(settings.platform.list_url);
+    auto list = service_clients::ParseEndpoint(settings.platform.list_url);
     if (!list) return tl::make_unexpected(list.error());
     worker_settings.list = *list;
   }
   worker_settings.client.timeout = std::chrono::milliseconds(settings.platform.timeout_ms);
   worker_settings.client.user_agent = "persimmonstair/" + settings.instance.value;
-  auto worker = std::make_shared<platform::PlatformWorker>(worker_settings, std::move(sink));
+  auto worker = std::make_shared<service_clients::ServiceWorker>(worker_settings, std::move(sink));
   for (const auto& stream : scheduler::Scheduler::Streams()) worker->Follow(stream, {});
   return PlatformPort{
       [worker](scheduler::Append append) { worker->Execute(std::move(append)); },
@@ -147,7 +147,8 @@
   if (line->check || line->print_effective) return 0;
   std::vector<std::string> secrets = {options->fleet_key};
   for (const auto& [name, token] : options->credentials) secrets.push_back(token);
-  diagnostics::StartLog(line->settings.log_level, line->settings.instance.value, std::move(secrets));
+  diagnostics::StartLog(line->settings.log_level, line->settings.instance.value,
+                        std::move(secrets));
   const auto platform = [&](EventSink sink) {
     return StartPlatform(line->settings, std::move(sink));
   };
--- a/daemon/settings_test.cpp
+++ b/daemon/settings_test.cpp
@@ -107,7 +107,8 @@
 TEST(LogTest, LinesAreJsonAndContainNoSecret) {
   std::ostringstream out;
   diagnostics::StartLog("info", "i1", {"secret-token"}, out);
-  diagnostics::Log(diagnostics::Level::kInfo, "example", {{"text", "a \"quoted\" secret-token\n"}, {"n", 4}});
+  diagnostics::Log(diagnostics::Level::kInfo, "example",
+                   {{"text", "a \"quoted\" secret-token\n"}, {"n", 4}});
   diagnostics::Log(diagnostics::Level::kDebug, "hidden");
   diagnostics::StartLog("off", "", {});
   const auto line = nlohmann::json::parse(out.str());
--- a/include/persimmonstair/quota/share_use.hpp
+++ b/include/persimmonstair/quota/share_use.hpp
@@ -67,8 +67,8 @@
   void Borrow(base::TimePoint now, const base::WorkspaceId& workspace, double tokens,
               base::TimePoint until);
 
-  /// Takes up to `wanted` tokens out of the own share for another instance, which may use them until
-  /// `until`. A part stays for the own callers.
+  /// Takes up to `wanted` tokens out of the own share for another instance, which may use them
+  /// until `until`. A part stays for the own callers.
   double Lend(base::TimePoint now, const base::WorkspaceId& workspace, const WorkspaceQuota& quota,
               double wanted, base::TimePoint until);
 
--- a/include/persimmonstair/platform/concepts.hpp
+++ b/include/persimmonstair/service_clients/concepts.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_PLATFORM_CONCEPTS_HPP_
-#define PERSIMMONSTAIR_PLATFORM_CONCEPTS_HPP_
+#ifndef PERSIMMONSTAIR_SERVICE_CLIENTS_CONCEPTS_HPP_
+#define PERSIMMONSTAIR_SERVICE_CLIENTS_CONCEPTS_HPP_
 
 #include <concepts>
 #include <cstdint>
@@ -10,7 +10,7 @@
 #include "persimmonstair/scheduler/actions.hpp"
 #include "persimmonstair/scheduler/events.hpp"
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 
 /// @brief A read of consecutive records.
 struct ReadRequest {
@@ -63,6 +63,6 @@
   { executor.RunAfter(delay, task) } -> std::same_as<void>;
 };
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
 
-#endif  // PERSIMMONSTAIR_PLATFORM_CONCEPTS_HPP_
+#endif  // PERSIMMONSTAIR_SERVICE_CLIENTS_CONCEPTS_HPP_
--- a/include/persimmonstair/platform/directory_clients.hpp
+++ b/include/persimmonstair/service_clients/directory_clients.hpp
@@ -1,12 +1,12 @@
-#ifndef PERSIMMONSTAIR_PLATFORM_DIRECTORY_CLIENTS_HPP_
-#define PERSIMMONSTAIR_PLATFORM_DIRECTORY_CLIENTS_HPP_
+#ifndef PERSIMMONSTAIR_SERVICE_CLIENTS_DIRECTORY_CLIENTS_HPP_
+#define PERSIMMONSTAIR_SERVICE_CLIENTS_DIRECTORY_CLIENTS_HPP_
 
 #include <string>
 
-#include "persimmonstair/platform/concepts.hpp"
-#include "persimmonstair/platform/log_client.hpp"
+#include "persimmonstair/service_clients/concepts.hpp"
+#include "persimmonstair/service_clients/log_client.hpp"
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 
 /// @brief Client of the platform's instance list. An InstanceListClient.
 class HttpInstanceList {
@@ -35,6 +35,6 @@
   ClientSettings settings_;
 };
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
 
-#endif  // PERSIMMONSTAIR_PLATFORM_DIRECTORY_CLIENTS_HPP_
+#endif  // PERSIMMONSTAIR_SERVICE_CLIENTS_DIRECTORY_CLIENTS_HPP_
--- a/include/persimmonstair/platform/endpoint.hpp
+++ b/include/persimmonstair/service_clients/endpoint.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_PLATFORM_ENDPOINT_HPP_
-#define PERSIMMONSTAIR_PLATFORM_ENDPOINT_HPP_
+#ifndef PERSIMMONSTAIR_SERVICE_CLIENTS_ENDPOINT_HPP_
+#define PERSIMMONSTAIR_SERVICE_CLIENTS_ENDPOINT_HPP_
 
 #include <cstdint>
 #include <string>
@@ -7,7 +7,7 @@
 
 #include "persimmonstair/base/error.hpp"
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 
 /// @brief Address of an HTTP service. Host names are not resolved.
 struct Endpoint {
@@ -30,6 +30,6 @@
 /// @brief Percent-encodes everything but unreserved characters (RFC 3986).
 std::string PercentEncode(std::string_view text);
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
 
-#endif  // PERSIMMONSTAIR_PLATFORM_ENDPOINT_HPP_
+#endif  // PERSIMMONSTAIR_SERVICE_CLIENTS_ENDPOINT_HPP_
--- a/include/persimmonstair/platform/http_client.hpp
+++ b/include/persimmonstair/service_clients/http_client.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_PLATFORM_HTTP_CLIENT_HPP_
-#define PERSIMMONSTAIR_PLATFORM_HTTP_CLIENT_HPP_
+#ifndef PERSIMMONSTAIR_SERVICE_CLIENTS_HTTP_CLIENT_HPP_
+#define PERSIMMONSTAIR_SERVICE_CLIENTS_HTTP_CLIENT_HPP_
 
 #include <cstdint>
 #include <functional>
@@ -8,13 +8,13 @@
 #include <string>
 
 #include "persimmonstair/base/error.hpp"
-#include "persimmonstair/platform/endpoint.hpp"
+#include "persimmonstair/service_clients/endpoint.hpp"
 
 namespace boost::asio {
 class io_context;
 }  // namespace boost::asio
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 
 /// @brief Bounds of an HttpClient.
 struct HttpLimits {
@@ -78,6 +78,6 @@
 base::Result<HttpResponse> SendAndWait(const Endpoint& endpoint, HttpRequest request,
                                        base::Duration deadline, HttpLimits limits = {});
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
 
-#endif  // PERSIMMONSTAIR_PLATFORM_HTTP_CLIENT_HPP_
+#endif  // PERSIMMONSTAIR_SERVICE_CLIENTS_HTTP_CLIENT_HPP_
--- a/include/persimmonstair/platform/log_client.hpp
+++ b/include/persimmonstair/service_clients/log_client.hpp
@@ -1,13 +1,13 @@
-#ifndef PERSIMMONSTAIR_PLATFORM_LOG_CLIENT_HPP_
-#define PERSIMMONSTAIR_PLATFORM_LOG_CLIENT_HPP_
+#ifndef PERSIMMONSTAIR_SERVICE_CLIENTS_LOG_CLIENT_HPP_
+#define PERSIMMONSTAIR_SERVICE_CLIENTS_LOG_CLIENT_HPP_
 
 #include <memory>
 #include <string>
 
-#include "persimmonstair/platform/concepts.hpp"
-#include "persimmonstair/platform/http_client.hpp"
+#include "persimmonstair/service_clients/concepts.hpp"
+#include "persimmonstair/service_clients/http_client.hpp"
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 
 /// @brief How a platform client calls its service.
 struct ClientSettings {
@@ -42,6 +42,6 @@
   std::shared_ptr<Impl> impl_;
 };
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
 
-#endif  // PERSIMMONSTAIR_PLATFORM_LOG_CLIENT_HPP_
+#endif  // PERSIMMONSTAIR_SERVICE_CLIENTS_LOG_CLIENT_HPP_
--- a/include/persimmonstair/platform/log_follower.hpp
+++ b/include/persimmonstair/service_clients/log_follower.hpp
@@ -1,13 +1,13 @@
-#ifndef PERSIMMONSTAIR_PLATFORM_LOG_FOLLOWER_HPP_
-#define PERSIMMONSTAIR_PLATFORM_LOG_FOLLOWER_HPP_
+#ifndef PERSIMMONSTAIR_SERVICE_CLIENTS_LOG_FOLLOWER_HPP_
+#define PERSIMMONSTAIR_SERVICE_CLIENTS_LOG_FOLLOWER_HPP_
 
 #include <functional>
 #include <memory>
 #include <utility>
 
-#include "persimmonstair/platform/concepts.hpp"
+#include "persimmonstair/service_clients/concepts.hpp"
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 
 /// @brief Takes an event, or returns false and leaves it unchanged if there is no room now.
 /// Ring::TryPush() behaves like this.
@@ -92,6 +92,6 @@
   StatePtr state_;
 };
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
 
-#endif  // PERSIMMONSTAIR_PLATFORM_LOG_FOLLOWER_HPP_
+#endif  // PERSIMMONSTAIR_SERVICE_CLIENTS_LOG_FOLLOWER_HPP_
--- a/include/persimmonstair/platform/platform_worker.hpp
+++ b/include/persimmonstair/service_clients/service_worker.hpp
@@ -1,16 +1,16 @@
-#ifndef PERSIMMONSTAIR_PLATFORM_PLATFORM_WORKER_HPP_
-#define PERSIMMONSTAIR_PLATFORM_PLATFORM_WORKER_HPP_
+#ifndef PERSIMMONSTAIR_SERVICE_CLIENTS_PLATFORM_WORKER_HPP_
+#define PERSIMMONSTAIR_SERVICE_CLIENTS_PLATFORM_WORKER_HPP_
 
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "persimmonstair/platform/log_client.hpp"
-#include "persimmonstair/platform/log_follower.hpp"
 #include "persimmonstair/schema/settings.hpp"
+#include "persimmonstair/service_clients/log_client.hpp"
+#include "persimmonstair/service_clients/log_follower.hpp"
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 
 struct WorkerSettings {
   Endpoint log;
@@ -34,16 +34,16 @@
 /// that is taken yields exactly one AppendDone, also at Stop(). An event that finds no room in the
 /// sink is offered again, so none is lost before Stop(). All members may be called from any thread.
 ///
-///     PlatformWorker worker{settings, [&](auto&& e) { return ring.TryPush(std::move(e)); }};
+///     ServiceWorker worker{settings, [&](auto&& e) { return ring.TryPush(std::move(e)); }};
 ///     worker.Follow({"control"}, base::Offset{0});
 ///     worker.Execute(std::get<scheduler::Append>(action));
-class PlatformWorker {
+class ServiceWorker {
  public:
   /// `sink` runs on the worker's thread.
-  PlatformWorker(WorkerSettings settings, EventSink sink);
-  ~PlatformWorker();
-  PlatformWorker(const PlatformWorker&) = delete;
-  PlatformWorker& operator=(const PlatformWorker&) = delete;
+  ServiceWorker(WorkerSettings settings, EventSink sink);
+  ~ServiceWorker();
+  ServiceWorker(const ServiceWorker&) = delete;
+  ServiceWorker& operator=(const ServiceWorker&) = delete;
 
   /// Begins to follow a stream; a stream that is followed already is left as it is.
   void Follow(base::StreamName stream, base::Offset from);
@@ -57,6 +57,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
 
-#endif  // PERSIMMONSTAIR_PLATFORM_PLATFORM_WORKER_HPP_
+#endif  // PERSIMMONSTAIR_SERVICE_CLIENTS_PLATFORM_WORKER_HPP_
--- a/src/persimmonstair/effects/effects_test.cpp
+++ b/src/persimmonstair/effects/effects_test.cpp
@@ -246,7 +246,8 @@
 TEST_F(CoordinatorTest, RepeatOfAReleasedClaimMayComeBack) {
   coordinator_.OnRecord(now_, {offset_++}, ClaimOf("other", Key(), "i2"));
   EXPECT_TRUE(Begin(1).empty());
-  const EffectActions out = coordinator_.OnRecord(now_, {offset_++}, ReleaseOf("r", Key(), "other"));
+  const EffectActions out =
+      coordinator_.OnRecord(now_, {offset_++}, ReleaseOf("r", Key(), "other"));
   EXPECT_EQ(VerdictOf(out), Verdict::kNotRun);
   EXPECT_GT(Only<EffectRefusal>(out)->error.retry_after, base::Duration{0});
 }
--- a/src/persimmonstair/gateway/budget_keeper.cpp
+++ b/src/persimmonstair/gateway/budget_keeper.cpp
@@ -36,20 +36,10 @@
 
 }  // namespace
 
-bool BudgetKeeper::LikelyFits(const schema::TokenReservation& reservation,
-                              std::uint64_t budget) const {
-  const auto it = states_.find(partitions_.Of(reservation.program.value));
-  if (it == states_.end() || !it->second.loaded) return false;
-  // Others may have reserved as much as is known here before that is seen.
-  const auto usage = it->second.ledger.Usage(reservation.workspace, reservation.program);
-  return usage.Total() > 0 && it->second.ledger.Fits(reservation, budget / 2);
-}
-
 awaitable<Grant> BudgetKeeper::Reserve(schema::TokenReservation reservation, std::uint64_t budget,
                                        base::TimePoint deadline) {
   const Partition partition = partitions_.Of(reservation.program.value);
   State& state = states_[partition];
-  if (state.loaded && !state.ledger.Fits(reservation, budget)) co_return Grant::kSpent;
   const auto waiting = std::make_shared<Waiting>(executor_);
   waiting->reservation = std::move(reservation);
   waiting->budget = budget;
--- a/src/persimmonstair/gateway/budget_keeper.hpp
+++ b/src/persimmonstair/gateway/budget_keeper.hpp
@@ -40,10 +40,6 @@
   boost::asio::awaitable<Grant> Reserve(schema::TokenReservation reservation, std::uint64_t budget,
                                         base::TimePoint deadline);
 
-  /// True if what is known here leaves room for the reservation. It may still be refused, if other
-  /// instances reserved since.
-  bool LikelyFits(const schema::TokenReservation& reservation, std::uint64_t budget) const;
-
   /// The turn ended and handed out `tokens`.
   void Settle(schema::TokenReservation reservation, std::uint64_t tokens);
 
--- a/src/persimmonstair/gateway/caller_connection.cpp
+++ b/src/persimmonstair/gateway/caller_connection.cpp
@@ -201,7 +201,8 @@
   HttpHead head{static_cast<unsigned>(base::HttpStatus(error.code)), {}, {}};
   head.headers.push_back({"Content-Type", "application/json"});
   if (error.retry_after > base::Duration{0}) {
-    head.headers.push_back({"Retry-After", fmt::format("{:.3f}", base::ToSeconds(error.retry_after))});
+    head.headers.push_back(
+        {"Retry-After", fmt::format("{:.3f}", base::ToSeconds(error.retry_after))});
   }
   co_return co_await Respond(std::move(head), ErrorBody(error));
 }
@@ -234,14 +235,17 @@
 void CallerConnection::WatchCaller() {
   watching_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
-                     asio::bind_cancellation_slot(
-                         stop_watching_.slot(), [self = shared_from_this()](error_code ec) {
-                           if (ec || !self->watching_) return;
-                           const PeerState state = PeekPeer(self->socket_);
-                           if (state == PeerState::kClosed) self->MarkGone();
-                           // Bytes of the next request stay unread and hide the end behind them.
-                           if (state == PeerState::kQuiet) self->WatchCaller();
-                         }));
+                     asio::bind_cancellation_slot(stop_watching_.slot(),
+                                                  [self = shared_from_this()](error_code ec) {
+                                                    if (ec || !self->watching_) return;
+                                                    const PeerState state = PeekPeer(self->socket_);
+                                                    if (state == PeerState::kClosed)
+                                                      self->MarkGone();
+                                                    // Bytes of the next request stay unread and
+                                                    // hide the end behind them.
+                                                    if (state == PeerState::kQuiet)
+                                                      self->WatchCaller();
+                                                  }));
 }
 
 void CallerConnection::StopWatching() {
--- a/src/persimmonstair/gateway/clock.hpp
+++ b/src/persimmonstair/gateway/clock.hpp
@@ -17,9 +17,9 @@
 inline base::TimePoint Now() {
   timespec time{};
   clock_gettime(CLOCK_BOOTTIME, &time);
-  return base::TimePoint{std::chrono::seconds{time.tv_sec} +
-                         std::chrono::duration_cast<base::Duration>(
-                             std::chrono::nanoseconds{time.tv_nsec})};
+  return base::TimePoint{
+      std::chrono::seconds{time.tv_sec} +
+      std::chrono::duration_cast<base::Duration>(std::chrono::nanoseconds{time.tv_nsec})};
 }
 
 /// @brief Milliseconds since the Unix epoch on this machine's clock.
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -2,7 +2,6 @@
 
 #include <xxhash.h>
 
-#include <boost/asio/co_spawn.hpp>
 #include <utility>
 
 #include "caller_connection.hpp"
@@ -61,10 +60,7 @@
     PrepareDemand();
     co_await Dispatch();
   }
-  if (reservation_ && !reservation_->done.IsSet()) reservation_->abandoned = true;
-  if (reservation_ && reservation_->grant == Grant::kGranted) {
-    core_.budgets.Settle(reservation_->record, tokens_);
-  }
+  if (reserved_) core_.budgets.Settle(*reserved_, tokens_);
   LogEnd();
 }
 
@@ -152,37 +148,21 @@
 
 awaitable<std::optional<Error>> Exchange::ReserveTokens() {
   if (!call_.token_budget || route_->repeat != Repeat::kStream) co_return std::nullopt;
-  reservation_ = std::make_shared<Reservation>(core_.executor);
-  reservation_->record = {call_.program,    workspace_, {call_.request_id},
-                          call_.max_tokens, false,      UnixMillis() + BudgetKeeper::kKeepMs};
-  const bool likely = core_.budgets.LikelyFits(reservation_->record, *call_.token_budget);
-  StartReservation(*call_.token_budget);
-  // Where the budget has room, the target starts while the store takes the reservation; no token
-  // is handed on before.
-  if (likely) co_return std::nullopt;
-  co_await reservation_->done.Wait();
-  if (reservation_->grant == Grant::kSpent) {
+  const schema::TokenReservation reservation{
+      call_.program,    workspace_, {call_.request_id},
+      call_.max_tokens, false,      UnixMillis() + BudgetKeeper::kKeepMs};
+  const base::TimePoint deadline = std::min(expires_at_, Now() + kReservationTime);
+  const Grant grant = co_await core_.budgets.Reserve(reservation, *call_.token_budget, deadline);
+  if (grant == Grant::kSpent) {
     co_return Refusal(ErrorCode::kBudgetExhausted, "the program's budget is spent");
   }
-  if (reservation_->grant == Grant::kUnavailable) {
+  if (grant == Grant::kUnavailable) {
     co_return Refusal(ErrorCode::kLogUnavailable, "the budget can't be charged now", kRetrySoon);
   }
+  reserved_ = reservation;
   co_return std::nullopt;
 }
 
-void Exchange::StartReservation(std::uint64_t budget) {
-  const base::TimePoint deadline = std::min(expires_at_, Now() + kReservationTime);
-  boost::asio::co_spawn(
-      core_.executor, core_.budgets.Reserve(reservation_->record, budget, deadline),
-      [reservation = reservation_, &core = core_](const std::exception_ptr& error, Grant grant) {
-        reservation->grant = error ? Grant::kUnavailable : grant;
-        if (reservation->abandoned && reservation->grant == Grant::kGranted) {
-          core.budgets.Settle(reservation->record, 0);
-        }
-        reservation->done.Set();
-      });
-}
-
 void Exchange::PrepareDemand() {
   demand_.prompt = call_.prompt;
   demand_.affinity = call_.affinity;
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -45,16 +45,6 @@
     kFailed,
   };
 
-  /// Tokens reserved while the request is on its way.
-  struct Reservation {
-    explicit Reservation(const boost::asio::any_io_executor& executor) : done(executor) {}
-    schema::TokenReservation record;
-    Grant grant = Grant::kUnavailable;
-    /// The request ended before; what is granted later is given back.
-    bool abandoned = false;
-    Signal done;
-  };
-
   // Admission, in exchange.cpp.
   std::optional<base::Error> Admit();
   std::optional<base::Error> FindWorkspace();
@@ -62,7 +52,6 @@
   std::optional<base::Error> CheckStore() const;
   boost::asio::awaitable<std::optional<base::Error>> LoadHistory();
   boost::asio::awaitable<std::optional<base::Error>> ReserveTokens();
-  void StartReservation(std::uint64_t budget);
   void PrepareDemand();
 
   // Attempts, in exchange_attempts.cpp.
@@ -102,7 +91,8 @@
 
   std::optional<std::string> body_;
   std::vector<base::TurnId> ancestors_;
-  std::shared_ptr<Reservation> reservation_;
+  /// The most tokens that the turn may hand out; settled when it ends.
+  std::optional<schema::TokenReservation> reserved_;
 
   dispatch::Demand demand_;
   /// Targets that may have run the request.
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -69,8 +69,8 @@
 base::Duration Exchange::AnswerTime() const {
   const base::Duration left = std::max<base::Duration>(TimeLeft(), milliseconds{1});
   if (!MayRunAgain()) return left;
-  return std::min(
-      left, std::max<base::Duration>(kSilentObjectives * route_->objective, kMinSilentTime));
+  return std::min(left,
+                  std::max<base::Duration>(kSilentObjectives * route_->objective, kMinSilentTime));
 }
 
 awaitable<void> Exchange::Dispatch() {
@@ -96,7 +96,9 @@
     }
     const bool late = TimeLeft() <= kLeastTime;
     Error error{late ? ErrorCode::kTimeout : ErrorCode::kTargetFailed,
-                "target " + target->id.value + ": " + attempt_error_, Verdict::kMayHaveRun, {}};
+                "target " + target->id.value + ": " + attempt_error_,
+                Verdict::kMayHaveRun,
+                {}};
     co_await Fail(std::move(error));
     co_return;
   }
@@ -142,8 +144,8 @@
   const Outcome outcome = co_await SendTo(target, connection);
   active_ = nullptr;
   if (caller_.Gone()) attempt_end_ = dispatch::AttemptEnd::kCancelled;
-  const bool silent = attempt_end_ == dispatch::AttemptEnd::kUnreachable ||
-                      attempt_error_ == "timeout";
+  const bool silent =
+      attempt_end_ == dispatch::AttemptEnd::kUnreachable || attempt_error_ == "timeout";
   if (silent) core_.pool.Forget(target.id);
   if (connection) core_.pool.Release(target, std::move(connection));
   core_.board.End(Now(), target.id, attempt_end_, load_);
@@ -194,8 +196,8 @@
   load_ = answer->load;
   if (answer->not_run || answer->misdirected) {
     --runs_;
-    attempt_end_ = answer->misdirected ? dispatch::AttemptEnd::kUnreachable
-                                       : dispatch::AttemptEnd::kRejected;
+    attempt_end_ =
+        answer->misdirected ? dispatch::AttemptEnd::kUnreachable : dispatch::AttemptEnd::kRejected;
     attempt_error_ = "status " + std::to_string(answer->head.status);
     co_await ReadWholeBody(*connection);
     co_return Outcome::kNotRun;
--- a/src/persimmonstair/gateway/exchange_stream.cpp
+++ b/src/persimmonstair/gateway/exchange_stream.cpp
@@ -37,8 +37,8 @@
   for (;;) {
     base::Duration pause = AnswerTime();
     if (stream_started_ && MayRunAgain()) {
-      pause = std::min(pause, std::max<base::Duration>(kSilentGaps * route_->gap_target,
-                                                       kMinSilentGap));
+      pause = std::min(pause,
+                       std::max<base::Duration>(kSilentGaps * route_->gap_target, kMinSilentGap));
     }
     const BodyPiece piece = co_await connection.ReadBody(pause);
     if (caller_.Gone()) co_return Outcome::kFinished;
@@ -82,17 +82,6 @@
 }
 
 awaitable<bool> Exchange::BeginStream(AnswerHead& answer) {
-  if (reservation_) {
-    co_await reservation_->done.Wait();
-    if (reservation_->grant != Grant::kGranted) {
-      // The target has begun, so that the request counts as run.
-      tokens_ = 0;
-      base::Error error{ErrorCode::kTargetFailed, "the budget could not be charged",
-                        Verdict::kMayHaveRun, {}};
-      co_await Fail(std::move(error));
-      co_return false;
-    }
-  }
   stream_started_ = true;
   status_ = answer.head.status;
   first_event_at_ = Now();
@@ -103,17 +92,14 @@
   if (caller_.Gone()) co_return false;
   if (route_->keeps_turns) {
     const base::Duration keep = kRetentionFactor * route_->retention + kRetentionMargin;
-    schema::KeptTurn record{{call_.request_id},
-                            workspace_,
-                            std::move(ancestors_),
-                            std::move(request_.body),
-                            std::move(output_),
-                            UnixMillis() + base::ToMillis(keep)};
+    schema::KeptTurn record{{call_.request_id},    workspace_,
+                            std::move(ancestors_), std::move(request_.body),
+                            std::move(output_),    UnixMillis() + base::ToMillis(keep)};
     const auto kept = co_await core_.turns.Keep(std::move(record), expires_at_,
                                                 base::ToMillis(route_->retention));
     if (!kept) {
-      base::Error error{ErrorCode::kLogUnavailable, "the turn could not be kept",
-                        Verdict::kMayHaveRun, {}};
+      base::Error error{
+          ErrorCode::kLogUnavailable, "the turn could not be kept", Verdict::kMayHaveRun, {}};
       co_await Fail(std::move(error));
       co_return false;
     }
--- a/src/persimmonstair/gateway/fleet_keeper.hpp
+++ b/src/persimmonstair/gateway/fleet_keeper.hpp
@@ -17,8 +17,8 @@
 inline constexpr std::size_t kMaxCrashedTargets = 3;
 
 /// @brief What the instances tell each other through the store: reports and tables of shares, and
-/// requests that crash targets. Tables have a partition of their own, so that a table can be written
-/// on the condition that there is no newer one while reports arrive all the time.
+/// requests that crash targets. Tables have a partition of their own, so that a table can be
+/// written on the condition that there is no newer one while reports arrive all the time.
 class FleetKeeper {
  public:
   FleetKeeper(DurableStore& store, base::InstanceId instance, std::string process,
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -70,17 +70,17 @@
 
   awaitable<void> Accept() {
     while (callers->is_open()) {
-      auto [ec, socket] =
-          co_await callers->async_accept(asio::as_tuple(asio::use_awaitable));
+      auto [ec, socket] = co_await callers->async_accept(asio::as_tuple(asio::use_awaitable));
       if (ec) {
         co_await Sleep(kAcceptPause);
         continue;
       }
       auto connection = std::make_shared<CallerConnection>(core, std::move(socket));
       connections.push_back(connection);
-      asio::co_spawn(core.executor, connection->Run(), [connection](const std::exception_ptr& error) {
-        if (error) Log(Level::kError, "caller_connection_failed");
-      });
+      asio::co_spawn(core.executor, connection->Run(),
+                     [connection](const std::exception_ptr& error) {
+                       if (error) Log(Level::kError, "caller_connection_failed");
+                     });
     }
   }
 
--- a/src/persimmonstair/gateway/http.cpp
+++ b/src/persimmonstair/gateway/http.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kHopByHop = {
-    "connection", "keep-alive",        "proxy-authenticate", "proxy-connection", "te",
-    "trailer",    "transfer-encoding", "upgrade",            "content-length"};
+    "connection",        "keep-alive", "proxy-authenticate", "proxy-connection", "te", "trailer",
+    "transfer-encoding", "upgrade",    "content-length"};
 
 }  // namespace
 
--- a/src/persimmonstair/gateway/http_connection.cpp
+++ b/src/persimmonstair/gateway/http_connection.cpp
@@ -77,8 +77,7 @@
   co_return connect_ec;
 }
 
-asio::awaitable<WriteResult> HttpConnection::Write(std::string_view bytes,
-                                                   base::Duration timeout) {
+asio::awaitable<WriteResult> HttpConnection::Write(std::string_view bytes, base::Duration timeout) {
   impl_->stream.expires_after(timeout);
   const auto [ec, n] = co_await asio::async_write(impl_->stream, asio::buffer(bytes), kTuple);
   co_return WriteResult{ec, n};
@@ -111,8 +110,7 @@
     body.size = impl.piece.size();
     body.more = true;
     impl.stream.expires_after(timeout);
-    auto [ec, n] =
-        co_await http::async_read_some(impl.stream, impl.buffer, *impl.parser, kTuple);
+    auto [ec, n] = co_await http::async_read_some(impl.stream, impl.buffer, *impl.parser, kTuple);
     piece.data.append(impl.piece.data(), impl.piece.size() - body.size);
     if (ec == http::error::need_buffer) ec = {};
     if (ec) {
@@ -132,8 +130,7 @@
 }
 
 bool HttpConnection::Quiet() const {
-  return impl_->stream.socket().is_open() &&
-         PeekPeer(impl_->stream.socket()) == PeerState::kQuiet;
+  return impl_->stream.socket().is_open() && PeekPeer(impl_->stream.socket()) == PeerState::kQuiet;
 }
 
 base::Duration HttpConnection::StatedIdleTime() const { return impl_->idle_time; }
--- a/src/persimmonstair/gateway/info_server.cpp
+++ b/src/persimmonstair/gateway/info_server.cpp
@@ -60,9 +60,9 @@
   if (!ec) acceptor.bind(local, ec);
   if (!ec) acceptor.listen(asio::socket_base::max_listen_connections, ec);
   if (!ec) return acceptor;
-  return base::Fail(base::ErrorCode::kInvalidRequest,
-                    "can't listen on " + endpoint.address + ":" + std::to_string(endpoint.port) +
-                        ": " + ec.message());
+  return base::Fail(base::ErrorCode::kInvalidRequest, "can't listen on " + endpoint.address + ":" +
+                                                          std::to_string(endpoint.port) + ": " +
+                                                          ec.message());
 }
 
 asio::awaitable<void> ServeInfo(tcp::acceptor& acceptor, Answer answer) {
--- a/src/persimmonstair/gateway/settings_load.cpp
+++ b/src/persimmonstair/gateway/settings_load.cpp
@@ -19,7 +19,8 @@
     if (!holds) problems.push_back(rule);
   };
   const auto endpoint = [&need](const char* name, const std::string& value) {
-    need(ParseEndpoint(value).has_value(), std::string(name) + ": '" + value + "' is not address:port");
+    need(ParseEndpoint(value).has_value(),
+         std::string(name) + ": '" + value + "' is not address:port");
   };
   need(!settings.instance.empty(), "instance: required");
   need(!settings.data_centre.empty(), "data_centre: required");
--- a/src/persimmonstair/gateway/target_pool.hpp
+++ b/src/persimmonstair/gateway/target_pool.hpp
@@ -29,8 +29,7 @@
   explicit TargetPool(const boost::asio::any_io_executor& executor) : executor_(executor) {}
 
   /// An idle connection that is still quiet, or a new one.
-  boost::asio::awaitable<
-      tl::expected<std::unique_ptr<HttpConnection>, boost::system::error_code>>
+  boost::asio::awaitable<tl::expected<std::unique_ptr<HttpConnection>, boost::system::error_code>>
   Acquire(const dispatch::TargetEntry& target, Freshness freshness, base::Duration timeout);
 
   /// Takes back a connection after a complete answer; closes it unless it can be used again.
--- a/src/persimmonstair/gateway/token_loans.cpp
+++ b/src/persimmonstair/gateway/token_loans.cpp
@@ -56,8 +56,8 @@
 asio::awaitable<void> TokenLoans::Run() {
   for (;;) {
     udp::endpoint sender;
-    const auto [ec, n] = co_await socket_.async_receive_from(
-        asio::buffer(buffer_), sender, asio::as_tuple(asio::use_awaitable));
+    const auto [ec, n] = co_await socket_.async_receive_from(asio::buffer(buffer_), sender,
+                                                             asio::as_tuple(asio::use_awaitable));
     // An error reports an earlier datagram that nobody took; the next one may arrive.
     if (ec) continue;
     const auto message = schema::DecodePeer({buffer_.data(), n});
--- a/src/persimmonstair/gateway/token_loans.hpp
+++ b/src/persimmonstair/gateway/token_loans.hpp
@@ -18,8 +18,8 @@
 
 /// @brief Moves tokens of workspaces' rates between instances, in datagrams.
 ///
-/// A datagram that is lost loses at most the tokens in it: they are taken out of the lender's bucket
-/// before they are sent.
+/// A datagram that is lost loses at most the tokens in it: they are taken out of the lender's
+/// bucket before they are sent.
 class TokenLoans {
  public:
   TokenLoans(const boost::asio::any_io_executor& executor, FleetKeeper& fleet,
--- a/src/persimmonstair/gateway/turn_keeper.cpp
+++ b/src/persimmonstair/gateway/turn_keeper.cpp
@@ -123,8 +123,7 @@
                                                 std::int64_t retention_ms,
                                                 base::TimePoint deadline) {
   const std::int64_t now_ms = UnixMillis();
-  const auto changed =
-      cache_.Extend(chain, now_ms + retention_ms, now_ms + 2 * retention_ms);
+  const auto changed = cache_.Extend(chain, now_ms + retention_ms, now_ms + 2 * retention_ms);
   for (const auto& record : changed) {
     const auto result =
         co_await store_.Append(partitions_.Of(record.turn.value),
--- a/src/persimmonstair/gateway/turn_keeper.hpp
+++ b/src/persimmonstair/gateway/turn_keeper.hpp
@@ -38,8 +38,7 @@
 
   /// Returns once the turn is durable; later turns may name it from then on. Its ancestors live for
   /// `retention_ms` from now at least.
-  boost::asio::awaitable<base::Result<void>> Keep(schema::KeptTurn record,
-                                                  base::TimePoint deadline,
+  boost::asio::awaitable<base::Result<void>> Keep(schema::KeptTurn record, base::TimePoint deadline,
                                                   std::int64_t retention_ms);
 
   /// Drops expired turns from the partitions that this instance wrote to; never returns.
--- a/src/persimmonstair/quota/quota_test.cpp
+++ b/src/persimmonstair/quota/quota_test.cpp
@@ -16,7 +16,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-base::TimePoint At(base::Duration since_start) { return base::TimePoint{seconds{100} + since_start}; }
+base::TimePoint At(base::Duration since_start) {
+  return base::TimePoint{seconds{100} + since_start};
+}
 
 const base::WorkspaceId kNorth{"north"};
 constexpr ProgramStage kUnderWay = ProgramStage::kUnderWay;
@@ -35,7 +37,8 @@
   use.Apply(At({}), {1, {{{"a"}, 500'000}}, {}, {}});
   use.OnReported(At({}));
   EXPECT_EQ(use.Admit(At({}), kNorth, quota, kUnderWay).admission, Admission::kOverQuota);
-  EXPECT_EQ(use.Admit(At(milliseconds{20}), kNorth, quota, kUnderWay).admission, Admission::kAdmitted);
+  EXPECT_EQ(use.Admit(At(milliseconds{20}), kNorth, quota, kUnderWay).admission,
+            Admission::kAdmitted);
   EXPECT_EQ(use.Admit(At(kShareLease), kNorth, quota, kUnderWay).admission, Admission::kNoShare);
 }
 
@@ -170,7 +173,8 @@
         log.push_back(Report(other, instance.use.Round(), static_cast<double>(random() % 50)));
         instance.use.OnReported(now);
         in_use[other] = {now, instance.use.ShareOf(kNorth)};
-        if (const auto table = instance.allocator.Next(now, {other}); table && end == log.size() - 1) {
+        if (const auto table = instance.allocator.Next(now, {other});
+            table && end == log.size() - 1) {
           log.push_back(*table);
         }
       }
--- a/src/persimmonstair/platform/directory_clients.cpp
+++ b/src/persimmonstair/service_clients/directory_clients.cpp
@@ -1,4 +1,4 @@
-#include "persimmonstair/platform/directory_clients.hpp"
+#include "persimmonstair/service_clients/directory_clients.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -6,7 +6,7 @@
 
 #include "log_format.hpp"
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 namespace {
 
 /// Shortest pause after a 429, also for one without a usable Retry-After.
@@ -72,4 +72,4 @@
 static_assert(InstanceListClient<HttpInstanceList>);
 static_assert(WeightStoreClient<HttpWeightStore>);
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
--- a/src/persimmonstair/platform/endpoint.cpp
+++ b/src/persimmonstair/service_clients/endpoint.cpp
@@ -1,11 +1,11 @@
-#include "persimmonstair/platform/endpoint.hpp"
+#include "persimmonstair/service_clients/endpoint.hpp"
 
 #include <arpa/inet.h>
 
 #include <array>
 #include <charconv>
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 namespace {
 
 constexpr std::string_view kScheme = "http://";
@@ -67,4 +67,4 @@
   return out;
 }
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
--- a/src/persimmonstair/platform/http_client.cpp
+++ b/src/persimmonstair/service_clients/http_client.cpp
@@ -1,4 +1,4 @@
-#include "persimmonstair/platform/http_client.hpp"
+#include "persimmonstair/service_clients/http_client.hpp"
 
 #include <sys/socket.h>
 
@@ -21,7 +21,7 @@
 #include <unordered_set>
 #include <utility>
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 namespace {
 
 namespace asio = boost::asio;
@@ -231,4 +231,4 @@
   return out;
 }
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
--- a/src/persimmonstair/platform/log_client.cpp
+++ b/src/persimmonstair/service_clients/log_client.cpp
@@ -1,4 +1,4 @@
-#include "persimmonstair/platform/log_client.hpp"
+#include "persimmonstair/service_clients/log_client.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -8,7 +8,7 @@
 
 #include "log_format.hpp"
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 namespace {
 
 /// Calls of one Fetch(); a log that never gets on with the unread offsets ends it.
@@ -130,4 +130,4 @@
 
 static_assert(LogClient<HttpLogClient>);
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
--- a/src/persimmonstair/platform/log_format.cpp
+++ b/src/persimmonstair/service_clients/log_format.cpp
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 namespace {
 
 using Json = nlohmann::json;
@@ -203,4 +203,4 @@
   return out;
 }
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
--- a/src/persimmonstair/platform/log_format.hpp
+++ b/src/persimmonstair/service_clients/log_format.hpp
@@ -1,14 +1,14 @@
-#ifndef PERSIMMONSTAIR_PLATFORM_LOG_FORMAT_HPP_
-#define PERSIMMONSTAIR_PLATFORM_LOG_FORMAT_HPP_
+#ifndef PERSIMMONSTAIR_SERVICE_CLIENTS_LOG_FORMAT_HPP_
+#define PERSIMMONSTAIR_SERVICE_CLIENTS_LOG_FORMAT_HPP_
 
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "persimmonstair/platform/concepts.hpp"
-#include "persimmonstair/platform/http_client.hpp"
+#include "persimmonstair/service_clients/concepts.hpp"
+#include "persimmonstair/service_clients/http_client.hpp"
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 
 /// Largest record. Escaped in JSON it may double, and must still fit into HttpLimits' 16 MiB: a
 /// record that no answer can hold would stop every reader of its stream.
@@ -42,6 +42,6 @@
 /// @brief Reads the instance list; kIncompleteAnswer if it contradicts the protocol.
 base::Result<scheduler::InstanceListRead> ReadListAnswer(const base::Result<HttpResponse>& answer);
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
 
-#endif  // PERSIMMONSTAIR_PLATFORM_LOG_FORMAT_HPP_
+#endif  // PERSIMMONSTAIR_SERVICE_CLIENTS_LOG_FORMAT_HPP_
--- a/src/persimmonstair/platform/platform_test.cpp
+++ b/src/persimmonstair/service_clients/service_clients_test.cpp
@@ -9,11 +9,11 @@
 
 #include "log_format.hpp"
 #include "persimmonstair/base/ring.hpp"
-#include "persimmonstair/platform/directory_clients.hpp"
-#include "persimmonstair/platform/platform_worker.hpp"
+#include "persimmonstair/service_clients/directory_clients.hpp"
+#include "persimmonstair/service_clients/service_worker.hpp"
 #include "standin/standin.hpp"
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 namespace {
 
 using namespace std::chrono_literals;
@@ -317,7 +317,7 @@
   std::unique_ptr<Standin> log;
   std::unique_ptr<Standin> list;
   base::Ring<scheduler::Event> ring{8};
-  std::optional<PlatformWorker> worker;
+  std::optional<ServiceWorker> worker;
 };
 
 // Guards against actions and events that do not meet over the real protocol.
@@ -413,4 +413,4 @@
 }
 
 }  // namespace
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
--- a/src/persimmonstair/platform/platform_worker.cpp
+++ b/src/persimmonstair/service_clients/service_worker.cpp
@@ -1,4 +1,4 @@
-#include "persimmonstair/platform/platform_worker.hpp"
+#include "persimmonstair/service_clients/service_worker.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -9,9 +9,9 @@
 #include <unordered_set>
 #include <utility>
 
-#include "persimmonstair/platform/directory_clients.hpp"
+#include "persimmonstair/service_clients/directory_clients.hpp"
 
-namespace persimmonstair::platform {
+namespace persimmonstair::service_clients {
 namespace {
 
 namespace asio = boost::asio;
@@ -44,7 +44,7 @@
 
 }  // namespace
 
-class PlatformWorker::Impl {
+class ServiceWorker::Impl {
  public:
   Impl(WorkerSettings settings, EventSink sink)
       : settings_(std::move(settings)),
@@ -144,27 +144,27 @@
   return out;
 }
 
-PlatformWorker::PlatformWorker(WorkerSettings settings, EventSink sink)
+ServiceWorker::ServiceWorker(WorkerSettings settings, EventSink sink)
     : impl_(std::make_unique<Impl>(std::move(settings), std::move(sink))) {}
 
-PlatformWorker::~PlatformWorker() = default;
+ServiceWorker::~ServiceWorker() = default;
 
-void PlatformWorker::Follow(base::StreamName stream, base::Offset from) {
+void ServiceWorker::Follow(base::StreamName stream, base::Offset from) {
   impl_->Post(
       [impl = impl_.get(), stream = std::move(stream), from] { impl->Follow(stream, from); });
 }
 
-void PlatformWorker::Execute(scheduler::Append append) {
+void ServiceWorker::Execute(scheduler::Append append) {
   impl_->Post([impl = impl_.get(), append = std::move(append)]() mutable {
     impl->Append(std::move(append));
   });
 }
 
-void PlatformWorker::Execute(scheduler::FetchRecords fetch) {
+void ServiceWorker::Execute(scheduler::FetchRecords fetch) {
   impl_->Post(
       [impl = impl_.get(), fetch = std::move(fetch)]() mutable { impl->Fetch(std::move(fetch)); });
 }
 
-void PlatformWorker::Stop() { impl_->Stop(); }
+void ServiceWorker::Stop() { impl_->Stop(); }
 
-}  // namespace persimmonstair::platform
+}  // namespace persimmonstair::service_clients
--- a/standin/standin_test.cpp
+++ b/standin/standin_test.cpp
@@ -7,7 +7,7 @@
 #include <thread>
 #include <utility>
 
-#include "persimmonstair/platform/http_client.hpp"
+#include "persimmonstair/service_clients/http_client.hpp"
 #include "standin/prefix_cache.hpp"
 
 namespace persimmonstair::standin {
@@ -23,20 +23,21 @@
     standin = std::move(*started);
   }
 
-  base::Result<platform::HttpResponse> Send(std::string method, std::string target,
-                                            std::string body = "",
-                                            std::map<std::string, std::string> headers = {},
-                                            base::Duration deadline = 20s) {
-    return platform::SendAndWait(
-        *platform::ParseEndpoint(standin->url()),
+  base::Result<service_clients::HttpResponse> Send(std::string method, std::string target,
+                                                   std::string body = "",
+                                                   std::map<std::string, std::string> headers = {},
+                                                   base::Duration deadline = 20s) {
+    return service_clients::SendAndWait(
+        *service_clients::ParseEndpoint(standin->url()),
         {std::move(method), std::move(target), std::move(headers), std::move(body)}, deadline);
   }
 
   Json Get(std::string target) { return Json::parse(Send("GET", std::move(target)).value().body); }
 
-  base::Result<platform::HttpResponse> Chat(const std::string& content,
-                                            const std::string& program = "", bool stream = false,
-                                            base::Duration deadline = 20s) {
+  base::Result<service_clients::HttpResponse> Chat(const std::string& content,
+                                                   const std::string& program = "",
+                                                   bool stream = false,
+                                                   base::Duration deadline = 20s) {
     Json body;
     body["model"] = "quote";
     body["stream"] = stream;
@@ -47,7 +48,7 @@
     return Send("POST", "/v1/chat/completions", body.dump(), headers, deadline);
   }
 
-  Json Usage(const base::Result<platform::HttpResponse>& answer) {
+  Json Usage(const base::Result<service_clients::HttpResponse>& answer) {
     return Json::parse(answer.value().body)["usage"];
   }
 
