--- a/src/persimmonstair/gateway/budget_keeper.cpp
+++ b/src/persimmonstair/gateway/budget_keeper.cpp
@@ -92,6 +92,7 @@
   std::vector<KeyedRecord> records;
   const std::vector<schema::TokenReservation> settled = std::move(state.settled);
   state.settled.clear();
+  records.reserve(settled.size() + batch.size());
   for (const auto& one : settled) records.push_back(Encode(one));
   for (const auto& one : batch) records.push_back(Encode(one->reservation));
   const std::uint64_t count = records.size();
@@ -162,7 +163,9 @@
     return std::any_of(states_.begin(), states_.end(),
                        [](const auto& one) { return one.second.running; });
   };
-  while (pending() && Now() < deadline) co_await Sleep(milliseconds{10});
+  while (pending() && Now() < deadline) {
+    co_await Sleep(milliseconds{10});
+  }
 }
 
 awaitable<void> BudgetKeeper::DropExpired() {
--- a/src/persimmonstair/gateway/caller_connection.cpp
+++ b/src/persimmonstair/gateway/caller_connection.cpp
@@ -239,12 +239,14 @@
                                                   [self = shared_from_this()](error_code ec) {
                                                     if (ec || !self->watching_) return;
                                                     const PeerState state = PeekPeer(self->socket_);
-                                                    if (state == PeerState::kClosed)
+                                                    if (state == PeerState::kClosed) {
                                                       self->MarkGone();
+                                                    }
                                                     // Bytes of the next request stay unread and
                                                     // hide the end behind them.
-                                                    if (state == PeerState::kQuiet)
+                                                    if (state == PeerState::kQuiet) {
                                                       self->WatchCaller();
+                                                    }
                                                   }));
 }
 
--- a/src/persimmonstair/gateway/clock.hpp
+++ b/src/persimmonstair/gateway/clock.hpp
@@ -46,7 +46,9 @@
   bool IsSet() const { return set_; }
 
   boost::asio::awaitable<void> Wait() {
-    while (!set_) co_await timer_.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    while (!set_) {
+      co_await timer_.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
   }
 
  private:
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -51,9 +51,15 @@
 awaitable<void> Exchange::Run() {
   call_ = core_.dialect.DecodeCall(request_);
   auto error = Admit();
-  if (!error) error = co_await ChargeQuota();
-  if (!error) error = co_await LoadHistory();
-  if (!error) error = co_await ReserveTokens();
+  if (!error) {
+    error = co_await ChargeQuota();
+  }
+  if (!error) {
+    error = co_await LoadHistory();
+  }
+  if (!error) {
+    error = co_await ReserveTokens();
+  }
   if (error) {
     co_await Fail(std::move(*error));
   } else {
--- a/src/persimmonstair/gateway/fleet_keeper.cpp
+++ b/src/persimmonstair/gateway/fleet_keeper.cpp
@@ -71,8 +71,12 @@
       outage_seen_ = store_.RegainedAt();
       allocator_.OnOutageEnded(Now());
     }
-    if (Now() - reported_at_ >= kInterval) co_await Report(false, deadline);
-    if (tables_read && reports_read) co_await WriteTable();
+    if (Now() - reported_at_ >= kInterval) {
+      co_await Report(false, deadline);
+    }
+    if (tables_read && reports_read) {
+      co_await WriteTable();
+    }
     ExpireCrashes();
     co_await Sleep(use_.HasLease(Now()) ? kInterval : kStartInterval);
   }
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -124,7 +124,9 @@
       if (const auto connection = one.lock()) connection->CloseIfIdle();
     }
     const base::TimePoint end = begun_at + core.settings.stop_time - kStopMargin;
-    while (core.open_requests > 0 && Now() < end) co_await Sleep(kStopCheck);
+    while (core.open_requests > 0 && Now() < end) {
+      co_await Sleep(kStopCheck);
+    }
     const base::TimePoint deadline = Now() + kLastWrites;
     co_await core.budgets.Flush(deadline);
     co_await core.fleet.Leave(deadline);
--- a/src/persimmonstair/gateway/http_connection.cpp
+++ b/src/persimmonstair/gateway/http_connection.cpp
@@ -27,6 +27,7 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint32_t kMaxHeaderBytes = 64U << 10U;
+constexpr std::string_view kTimeoutName = "timeout=";
 constexpr std::size_t kPieceBytes = 16U << 10U;
 
 HttpHead CopyHead(const Parser::value_type& message) {
@@ -39,11 +40,10 @@
 
 // Seconds in a header of the form "Keep-Alive: timeout=5, max=100".
 base::Duration ParseIdleTime(std::string_view value) {
-  constexpr std::string_view kName = "timeout=";
-  const auto at = value.find(kName);
+  const auto at = value.find(kTimeoutName);
   if (at == std::string_view::npos) return {};
   unsigned seconds = 0;
-  const char* const begin = value.data() + at + kName.size();
+  const char* const begin = value.data() + at + kTimeoutName.size();
   const auto [end, ec] = std::from_chars(begin, value.data() + value.size(), seconds);
   return ec == std::errc{} ? std::chrono::seconds{seconds} : base::Duration{};
 }
--- a/src/persimmonstair/gateway/partitions.hpp
+++ b/src/persimmonstair/gateway/partitions.hpp
@@ -24,7 +24,8 @@
       : kind_(std::move(kind)), parts_(parts_of_stream) {}
 
   Partition Of(std::string_view key) const {
-    const std::uint64_t index = XXH64(key.data(), key.size(), 0) % (kStreamsOfKind * parts_);
+    const std::uint64_t index =
+        XXH64(key.data(), key.size(), 0) % (std::uint64_t{kStreamsOfKind} * parts_);
     return {{kind_ + "-" + std::to_string(index / parts_)},
             static_cast<std::uint32_t>(index % parts_)};
   }
--- a/src/persimmonstair/gateway/token_loans.cpp
+++ b/src/persimmonstair/gateway/token_loans.cpp
@@ -94,7 +94,7 @@
   const auto it = rounds_.find(loan.nonce);
   if (it == rounds_.end() || it->second->workspace != loan.workspace) return;
   Round& round = *it->second;
-  const double tokens = static_cast<double>(loan.tokens_milli / kMilli);
+  const auto tokens = static_cast<double>(loan.tokens_milli) / kMilli;
   round.tokens += tokens;
   fleet_.Shares().Borrow(Now(), loan.workspace, tokens, round.sent_at + kLoanTime);
   if (++round.answered == round.asked) round.done.Set();
--- a/src/persimmonstair/gateway/turn_keeper.cpp
+++ b/src/persimmonstair/gateway/turn_keeper.cpp
@@ -146,7 +146,9 @@
       due.insert(drops_.front().second);
       drops_.pop_front();
     }
-    for (const Partition& partition : due) co_await DropFrom(partition);
+    for (const Partition& partition : due) {
+      co_await DropFrom(partition);
+    }
   }
 }
 
