--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -267,6 +267,7 @@
     co_return Outcome::kFailed;
   }
   status_ = status;
+  if (status >= 400) end_reason_ = "the target's own answer";
   co_await caller_.Respond(std::move(answer.head), std::move(*body));
   co_return Outcome::kFinished;
 }
