--- a/daemon/instance_core.cpp
+++ b/daemon/instance_core.cpp
@@ -182,8 +182,9 @@
   const bool planned = ending_ == Ending::kStopped;
   const bool answered =
       callers_ && callers_->WaitUntilAnswered(planned ? kLastAnswers : std::chrono::seconds(0));
-  if (callers_ && (!planned || !answered))
+  if (callers_ && (!planned || !answered)) {
     diagnostics::Log(diagnostics::Level::kWarning, "left", {{"left", LeftText()}});
+  }
   events_.Close();
   if (callers_) callers_->Stop();
   if (targets_) targets_->Stop();
