Let requests wait for tokens of their rate in one line per workspace

Change: AdmissionQueue (library quota) holds requests for up to 250 ms, programs under way before new ones, and refuses at once what can't get its token in time. The home of a workspace queues the requests of other instances in the same line (QuotaGate, messages TokenAsk and TokenAnswer). A request counts once as offered, however often it is asked for. Before, ShareUse::Admit counted it again after each round.

--- a/include/persimmonstair/gateway/configuration.hpp
+++ b/include/persimmonstair/gateway/configuration.hpp
@@ -96,7 +96,7 @@
   const Route* FindRoute(std::string_view host, std::string_view path) const;
   /// The workspace that holds a key; null if none does.
   const Workspace* FindWorkspace(const std::string& key) const;
-  const std::vector<Workspace>& Workspaces() const { return workspaces_; }
+  const Workspace* FindWorkspaceById(const base::WorkspaceId& id) const;
   const Service* FindService(const base::ServiceId& id) const;
   std::size_t RouteCount() const { return routes_.size(); }
 
@@ -109,6 +109,7 @@
   /// Indices of a host's routes, longest prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
   std::unordered_map<std::string, std::size_t> workspace_by_key_;
+  std::unordered_map<base::WorkspaceId, std::size_t> workspace_by_id_;
   std::unordered_map<base::ServiceId, std::size_t> service_by_id_;
 };
 
--- a/include/persimmonstair/quota/share_use.hpp
+++ b/include/persimmonstair/quota/share_use.hpp
@@ -23,17 +23,6 @@
   double burst = 0;
 };
 
-/// @brief Whether a request begins a program or belongs to one that is under way.
-enum class ProgramStage { kBegins, kUnderWay };
-
-enum class Admission { kAdmitted, kOverQuota, kNoShare };
-
-struct AdmissionResult {
-  Admission admission = Admission::kNoShare;
-  /// When a token will be there, if over the quota.
-  base::Duration retry_after{0};
-};
-
 /// @brief What one instance uses of the workspaces' rates.
 ///
 /// Times are those of a clock that counts suspended time, because another instance may use the
@@ -42,7 +31,7 @@
 ///     ShareUse use({"i1"});
 ///     use.Apply(now, table);
 ///     use.OnReported(now);
-///     if (use.Admit(now, workspace, quota).admission == Admission::kAdmitted) Serve();
+///     if (use.TakeOwn(now, workspace, quota)) Serve();
 class ShareUse {
  public:
   explicit ShareUse(base::InstanceId instance) : instance_(std::move(instance)) {}
@@ -56,21 +45,27 @@
   /// True while this instance may use shares at all.
   bool HasLease(base::TimePoint now) const;
 
-  /// Charges one request. While programs under way lack tokens, no further ones begin: a program
-  /// that is refused half way has used its tokens for nothing.
-  AdmissionResult Admit(base::TimePoint now, const base::WorkspaceId& workspace,
-                        const WorkspaceQuota& quota, ProgramStage stage);
-  /// The request gets no token, also not from other instances.
-  void OnRefused(base::TimePoint now, const base::WorkspaceId& workspace, ProgramStage stage);
+  /// Notes that a caller sent a request; shares follow what is offered.
+  void CountOffer(const base::WorkspaceId& workspace) { ++uses_[workspace].offered; }
+
+  /// Takes one token out of the own share. False if there is none, or no lease.
+  bool TakeOwn(base::TimePoint now, const base::WorkspaceId& workspace,
+               const WorkspaceQuota& quota);
+  /// Takes one token out of those that other instances lent.
+  bool TakeBorrowed(base::TimePoint now, const base::WorkspaceId& workspace);
+
+  /// Time after which the own share has `tokens` more than were taken so far; 0 if it has now.
+  base::Duration TimeTo(base::TimePoint now, const base::WorkspaceId& workspace,
+                        const WorkspaceQuota& quota, double tokens);
 
   /// Adds tokens that another instance lent; they are gone at `until`.
   void Borrow(base::TimePoint now, const base::WorkspaceId& workspace, double tokens,
               base::TimePoint until);
 
-  /// Takes up to `wanted` tokens out of the own share for another instance, which may use them
-  /// until `until`. A part stays for the own callers.
-  double Lend(base::TimePoint now, const base::WorkspaceId& workspace, const WorkspaceQuota& quota,
-              double wanted, base::TimePoint until);
+  /// Takes one token out of the own share for another instance, which may use it until `until`.
+  /// False if there is none, or no lease.
+  bool LendOne(base::TimePoint now, const base::WorkspaceId& workspace, const WorkspaceQuota& quota,
+               base::TimePoint until);
 
   /// Offered requests a second by workspace since the last call.
   std::vector<schema::WorkspaceDemand> TakeDemand(base::TimePoint now);
@@ -92,8 +87,6 @@
     std::uint64_t share_round = 0;
     /// Soonest end first.
     std::deque<Loan> borrowed;
-    /// Until then programs under way come first.
-    base::TimePoint scarce_until;
     std::uint64_t offered = 0;
   };
 
--- a/src/persimmonstair/gateway/configuration.cpp
+++ b/src/persimmonstair/gateway/configuration.cpp
@@ -20,6 +20,7 @@
   }
   for (std::size_t n = 0; n < workspaces_.size(); ++n) {
     for (const auto& key : workspaces_[n].keys) workspace_by_key_[key] = n;
+    workspace_by_id_[workspaces_[n].id] = n;
   }
   for (std::size_t n = 0; n < services_.size(); ++n) service_by_id_[services_[n].id] = n;
 }
@@ -38,6 +39,11 @@
   return it == workspace_by_key_.end() ? nullptr : &workspaces_[it->second];
 }
 
+const Workspace* Configuration::FindWorkspaceById(const base::WorkspaceId& id) const {
+  const auto it = workspace_by_id_.find(id);
+  return it == workspace_by_id_.end() ? nullptr : &workspaces_[it->second];
+}
+
 const Service* Configuration::FindService(const base::ServiceId& id) const {
   const auto it = service_by_id_.find(id);
   return it == service_by_id_.end() ? nullptr : &services_[it->second];
--- a/src/persimmonstair/gateway/core.hpp
+++ b/src/persimmonstair/gateway/core.hpp
@@ -15,8 +15,8 @@
 #include "persimmonstair/dispatch/target_board.hpp"
 #include "persimmonstair/gateway/dialect.hpp"
 #include "persimmonstair/gateway/settings.hpp"
+#include "quota_gate.hpp"
 #include "target_pool.hpp"
-#include "token_loans.hpp"
 #include "turn_keeper.hpp"
 
 namespace persimmonstair::gateway {
@@ -36,7 +36,7 @@
         turns(executor, store, {"turns", settings.parts_of_stream}, settings.turn_cache_bytes),
         budgets(executor, store, {"budgets", settings.parts_of_stream}),
         fleet(store, settings.instance, std::move(process), settings.peer_listen),
-        loans(executor, fleet, configuration) {}
+        quota(executor, fleet, configuration) {}
 
   boost::asio::any_io_executor executor;
   GatewaySettings settings;
@@ -49,7 +49,7 @@
   TurnKeeper turns;
   BudgetKeeper budgets;
   FleetKeeper fleet;
-  TokenLoans loans;
+  QuotaGate quota;
   KnownPrograms programs;
   diagnostics::Metrics metrics;
   /// Set by a planned stop: answers ask callers to use other connections.
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -27,8 +27,6 @@
 constexpr milliseconds kCertainConfiguration{1500};
 /// Longest time that a reservation may take; it usually takes the time of one append.
 constexpr milliseconds kReservationTime{1000};
-/// Rounds of borrowing for one request; others may take what a round brought.
-constexpr int kMaxLoanRounds = 2;
 
 Error Refusal(ErrorCode code, std::string message, base::Duration retry_after = {}) {
   return Error{code, std::move(message), Verdict::kNotRun, retry_after};
@@ -97,9 +95,9 @@
 }
 
 std::optional<Error> Exchange::FindWorkspace() {
-  const Workspace* workspace = configuration_->FindWorkspace(call_.key);
-  if (workspace != nullptr) {
-    workspace_ = workspace->id;
+  charged_ = configuration_->FindWorkspace(call_.key);
+  if (charged_ != nullptr) {
+    workspace_ = charged_->id;
     return std::nullopt;
   }
   if (route_->open || !configuration_->HasWorkspaces()) return std::nullopt;
@@ -110,17 +108,9 @@
 }
 
 awaitable<std::optional<Error>> Exchange::ChargeQuota() {
-  const Workspace* workspace = configuration_->FindWorkspace(call_.key);
-  if (workspace == nullptr) co_return std::nullopt;
-  quota::ShareUse& shares = core_.fleet.Shares();
+  if (charged_ == nullptr) co_return std::nullopt;
   const quota::ProgramStage stage = core_.programs.Stage(Now(), *route_, call_);
-  auto result = shares.Admit(Now(), workspace_, workspace->quota, stage);
-  // Tokens may lie unused at other instances.
-  for (int round = 0; round < kMaxLoanRounds; ++round) {
-    if (result.admission != quota::Admission::kOverQuota) break;
-    if (!co_await core_.loans.Borrow(workspace_)) break;
-    result = shares.Admit(Now(), workspace_, workspace->quota, stage);
-  }
+  const quota::AdmissionResult result = co_await core_.quota.Admit(*charged_, stage);
   if (result.admission == quota::Admission::kAdmitted) {
     core_.programs.Begin(Now(), call_.program);
     co_return std::nullopt;
@@ -128,7 +118,6 @@
   if (result.admission == quota::Admission::kNoShare) {
     co_return Refusal(ErrorCode::kLogUnavailable, "no share of the rate", kRetryStore);
   }
-  shares.OnRefused(Now(), workspace_, stage);
   co_return Refusal(ErrorCode::kRateLimited, "over the workspace's rate", result.retry_after);
 }
 
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -85,6 +85,8 @@
   ConfigurationPtr configuration_;
   const Route* route_ = nullptr;
   const Service* service_ = nullptr;
+  /// Whose rate the request is charged to; null on routes without keys.
+  const Workspace* charged_ = nullptr;
   base::WorkspaceId workspace_;
   base::TimePoint expires_at_;
   std::uint64_t fingerprint_ = 0;
--- a/src/persimmonstair/gateway/fleet_keeper.cpp
+++ b/src/persimmonstair/gateway/fleet_keeper.cpp
@@ -42,13 +42,17 @@
       peer_(std::move(peer)),
       use_(std::move(instance)) {}
 
-std::vector<dispatch::Endpoint> FleetKeeper::Lenders(const base::WorkspaceId& workspace) const {
+Lenders FleetKeeper::LendersOf(const base::WorkspaceId& workspace) const {
   const auto home = quota::HomeOf(workspace, quota::HoldersOf(allocator_.Table()));
   const base::TimePoint now = Now();
-  std::vector<dispatch::Endpoint> lenders;
+  Lenders lenders;
   for (const auto& [instance, peer] : peers_) {
     if (instance == instance_ || now - peer.heard_at >= kPeerSilence) continue;
-    lenders.insert(instance == home ? lenders.begin() : lenders.end(), peer.endpoint);
+    if (instance == home) {
+      lenders.home = peer.endpoint;
+    } else {
+      lenders.others.push_back(peer.endpoint);
+    }
   }
   return lenders;
 }
--- a/src/persimmonstair/gateway/fleet_keeper.hpp
+++ b/src/persimmonstair/gateway/fleet_keeper.hpp
@@ -3,8 +3,10 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "durable_store.hpp"
 #include "persimmonstair/dispatch/target_board.hpp"
@@ -16,6 +18,13 @@
 /// Targets that a request may crash before no instance sends it any more.
 inline constexpr std::size_t kMaxCrashedTargets = 3;
 
+/// @brief Instances that may lend tokens of one workspace's rate.
+struct Lenders {
+  /// Holds the largest part; nothing if that is the asking instance or was not heard of lately.
+  std::optional<dispatch::Endpoint> home;
+  std::vector<dispatch::Endpoint> others;
+};
+
 /// @brief What the instances tell each other through the store: reports and tables of shares, and
 /// requests that crash targets. Tables have a partition of their own, so that a table can be
 /// written on the condition that there is no newer one while reports arrive all the time.
@@ -32,8 +41,9 @@
 
   quota::ShareUse& Shares() { return use_; }
 
-  /// Other instances that reported lately; the workspace's home comes first, if it is another one.
-  std::vector<dispatch::Endpoint> Lenders(const base::WorkspaceId& workspace) const;
+  /// Other instances that reported lately and may lend tokens of a workspace's rate.
+  Lenders LendersOf(const base::WorkspaceId& workspace) const;
+  bool HasPeers() const { return peers_.size() > 1; }
 
   /// Notes that a target went away while it ran a request.
   void ReportCrash(std::uint64_t fingerprint, const base::TargetId& target);
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -161,8 +161,8 @@
   if (auto result = listen(impl.callers, settings.listen); !result) return result;
   if (auto result = listen(impl.readiness, settings.readiness_listen); !result) return result;
   if (auto result = listen(impl.metrics, settings.metrics_listen); !result) return result;
-  if (auto result = impl.core.loans.Listen(settings.peer_listen); !result) return result;
-  impl.Spawn(impl.core.loans.Run());
+  if (auto result = impl.core.quota.Listen(settings.peer_listen); !result) return result;
+  impl.Spawn(impl.core.quota.Run());
   impl.Spawn(impl.core.configuration.Run());
   impl.Spawn(impl.core.targets.Run());
   impl.Spawn(impl.core.fleet.Run());
--- a/src/persimmonstair/gateway/known_programs.hpp
+++ b/src/persimmonstair/gateway/known_programs.hpp
@@ -7,7 +7,7 @@
 #include "persimmonstair/base/time.hpp"
 #include "persimmonstair/gateway/configuration.hpp"
 #include "persimmonstair/gateway/dialect.hpp"
-#include "persimmonstair/quota/share_use.hpp"
+#include "persimmonstair/quota/admission_queue.hpp"
 
 namespace persimmonstair::gateway {
 
--- /dev/null
+++ b/src/persimmonstair/gateway/quota_gate.cpp
@@ -0,0 +1,220 @@
+#include "quota_gate.hpp"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <vector>
+
+#include "clock.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
+#include "persimmonstair/schema/quota_codec.hpp"
+
+namespace persimmonstair::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+using quota::Admission;
+using quota::AdmissionResult;
+using quota::Asker;
+using quota::ProgramStage;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Time for the first answers of other instances: two ways between data centres and a busy
+/// instance.
+constexpr milliseconds kAnswerTime{20};
+/// Time for which a home that did not answer isn't asked again.
+constexpr milliseconds kSilentTime{500};
+/// Instances asked when the home does not help.
+constexpr std::size_t kMaxOthers = 2;
+
+std::optional<udp::endpoint> ToUdp(const dispatch::Endpoint& endpoint) {
+  error_code ec;
+  const auto address = asio::ip::make_address(endpoint.address, ec);
+  if (ec) return std::nullopt;
+  return udp::endpoint(address, endpoint.port);
+}
+
+}  // namespace
+
+base::Result<void> QuotaGate::Listen(const dispatch::Endpoint& endpoint) {
+  const auto local = ToUdp(endpoint);
+  error_code ec = asio::error::invalid_argument;
+  if (local) socket_.open(local->protocol(), ec);
+  if (!ec) socket_.bind(*local, ec);
+  if (!ec) return {};
+  return base::Fail(base::ErrorCode::kInvalidRequest, "can't use UDP " + endpoint.address + ":" +
+                                                          std::to_string(endpoint.port) + ": " +
+                                                          ec.message());
+}
+
+asio::awaitable<void> QuotaGate::Run() {
+  for (;;) {
+    udp::endpoint sender;
+    const auto [ec, n] = co_await socket_.async_receive_from(asio::buffer(buffer_), sender,
+                                                             asio::as_tuple(asio::use_awaitable));
+    // An error reports an earlier datagram that nobody took; the next one may arrive.
+    if (ec) continue;
+    const auto message = schema::DecodeQuota({buffer_.data(), n});
+    if (message) Handle(*message, sender);
+  }
+}
+
+asio::awaitable<AdmissionResult> QuotaGate::Admit(const Workspace& workspace, ProgramStage stage) {
+  fleet_.Shares().CountOffer(workspace.id);
+  const std::uint64_t id = next_id_++;
+  const bool alone = !fleet_.HasPeers();
+  const quota::TokenDemand demand{id, stage, alone ? Asker::kOwnCaller : Asker::kOwnCallerWithHelp,
+                                  quota::kMaxPatience};
+  const auto result = queue_.Ask(Now(), workspace.id, workspace.quota, demand);
+  if (result) co_return *result;
+  const auto waiting = std::make_shared<Waiting>(socket_.get_executor());
+  waiting->workspace = workspace.id;
+  waiting->stage = stage;
+  waiting_[id] = waiting;
+  Serve();
+  if (!alone) {
+    co_await SeekHelp(id, waiting);
+  }
+  while (!waiting->result) {
+    waiting->changed.expires_at(asio::steady_timer::time_point::max());
+    co_await waiting->changed.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  waiting_.erase(id);
+  co_return *waiting->result;
+}
+
+asio::awaitable<void> QuotaGate::SeekHelp(std::uint64_t id, WaitingPtr waiting) {
+  const Lenders lenders = fleet_.LendersOf(waiting->workspace);
+  base::TimePoint& silent_until = home_silent_until_[waiting->workspace];
+  if (lenders.home && Now() >= silent_until) {
+    AskInstance(*lenders.home, id, *waiting, quota::kMaxPatience);
+    co_await AwaitAnswers(waiting, kAnswerTime);
+    if (waiting->unanswered > 0) silent_until = Now() + kSilentTime;
+    if (waiting->result || waiting->queued) co_return;
+  }
+  std::vector<dispatch::Endpoint> others = lenders.others;
+  std::shuffle(others.begin(), others.end(), random_);
+  if (others.size() > kMaxOthers) others.resize(kMaxOthers);
+  waiting->unanswered = 0;
+  for (const auto& other : others) AskInstance(other, id, *waiting, {});
+  co_await AwaitAnswers(waiting, kAnswerTime);
+  if (waiting->result || waiting->queued) co_return;
+  const auto result = queue_.OnNoHelp(Now(), waiting->workspace, id, waiting->elsewhere_after);
+  if (result) Decide(*waiting, *result);
+}
+
+asio::awaitable<void> QuotaGate::AwaitAnswers(WaitingPtr waiting, base::Duration time) {
+  const base::TimePoint until = Now() + time;
+  while (!waiting->result && waiting->unanswered > 0 && Now() < until) {
+    waiting->changed.expires_after(until - Now());
+    co_await waiting->changed.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+void QuotaGate::AskInstance(const dispatch::Endpoint& instance, std::uint64_t id, Waiting& waiting,
+                            base::Duration patience) {
+  const auto endpoint = ToUdp(instance);
+  if (!endpoint) return;
+  ForgetOldAsks();
+  const std::uint64_t nonce = next_id_++;
+  asks_[nonce] = {waiting.workspace, id, Now() + patience + quota::kLoanTime};
+  ++waiting.unanswered;
+  Send(schema::TokenAsk{waiting.workspace, nonce, waiting.stage == ProgramStage::kBegins,
+                        static_cast<std::uint32_t>(base::ToMillis(patience))},
+       *endpoint);
+}
+
+void QuotaGate::ForgetOldAsks() {
+  const base::TimePoint now = Now();
+  while (!asks_.empty() && asks_.begin()->second.usable_until <= now) asks_.erase(asks_.begin());
+}
+
+void QuotaGate::Handle(const schema::QuotaMessage& message, const udp::endpoint& sender) {
+  if (const auto* ask = std::get_if<schema::TokenAsk>(&message)) {
+    Handle(*ask, sender);
+  } else if (const auto* answer = std::get_if<schema::TokenAnswer>(&message)) {
+    Handle(*answer);
+  }
+}
+
+void QuotaGate::Handle(const schema::TokenAsk& ask, const udp::endpoint& sender) {
+  const Remote remote{ask.workspace, ask.nonce, sender};
+  const auto& configuration = configuration_.Current();
+  const Workspace* workspace =
+      configuration ? configuration->FindWorkspaceById(ask.workspace) : nullptr;
+  if (workspace == nullptr) return Answer(remote, {Admission::kNoShare, {}});
+  const std::uint64_t id = next_id_++;
+  const auto patience =
+      std::min<base::Duration>(milliseconds{ask.patience_ms}, quota::kMaxPatience);
+  const quota::TokenDemand demand{id, ask.begins ? ProgramStage::kBegins : ProgramStage::kUnderWay,
+                                  Asker::kInstance, patience};
+  const auto result = queue_.Ask(Now(), workspace->id, workspace->quota, demand);
+  if (result) return Answer(remote, *result);
+  remotes_[id] = remote;
+  Send(schema::TokenAnswer{ask.workspace, ask.nonce, false, true, 0}, sender);
+  Serve();
+}
+
+void QuotaGate::Handle(const schema::TokenAnswer& answer) {
+  const auto it = asks_.find(answer.nonce);
+  if (it == asks_.end() || it->second.workspace != answer.workspace) return;
+  const Ask ask = it->second;
+  if (!answer.queued) asks_.erase(it);
+  const auto found = waiting_.find(ask.request);
+  if (found != waiting_.end()) {
+    Waiting& waiting = *found->second;
+    if (waiting.unanswered > 0) --waiting.unanswered;
+    waiting.queued = answer.queued;
+    if (!answer.granted && !answer.queued) {
+      waiting.elsewhere_after =
+          std::min<base::Duration>(waiting.elsewhere_after, milliseconds{answer.retry_after_ms});
+    }
+    waiting.changed.cancel();
+  }
+  if (!answer.granted) return;
+  fleet_.Shares().Borrow(Now(), ask.workspace, 1, ask.usable_until);
+  Serve();
+}
+
+void QuotaGate::Answer(const Remote& remote, const AdmissionResult& result) {
+  const bool granted = result.admission == Admission::kAdmitted;
+  Send(schema::TokenAnswer{remote.workspace, remote.nonce, granted, false,
+                           static_cast<std::uint32_t>(base::ToMillis(result.retry_after))},
+       remote.sender);
+}
+
+void QuotaGate::Send(const schema::QuotaMessage& message, const udp::endpoint& peer) {
+  const auto bytes = std::make_shared<std::string>(schema::EncodeQuota(message));
+  socket_.async_send_to(asio::buffer(*bytes), peer, [bytes](error_code /*ec*/, std::size_t /*n*/) {
+    // A datagram that can't be sent is as good as lost, which the protocol allows.
+  });
+}
+
+void QuotaGate::Decide(Waiting& waiting, const AdmissionResult& result) {
+  waiting.result = result;
+  waiting.changed.cancel();
+}
+
+void QuotaGate::Serve() {
+  const base::TimePoint now = Now();
+  for (const quota::Decision& decision : queue_.Serve(now)) {
+    if (const auto own = waiting_.find(decision.id); own != waiting_.end()) {
+      Decide(*own->second, decision.result);
+    } else if (const auto remote = remotes_.find(decision.id); remote != remotes_.end()) {
+      Answer(remote->second, decision.result);
+      remotes_.erase(remote);
+    }
+  }
+  const auto next = queue_.NextAt(now);
+  if (!next) return;
+  timer_.expires_after(*next - now);
+  timer_.async_wait([this](error_code ec) {
+    if (!ec) Serve();
+  });
+}
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/quota_gate.hpp
@@ -0,0 +1,106 @@
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_QUOTA_GATE_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_QUOTA_GATE_HPP_
+
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "fleet_keeper.hpp"
+#include "followers.hpp"
+#include "persimmonstair/quota/admission_queue.hpp"
+#include "persimmonstair/schema/quota.hpp"
+
+namespace persimmonstair::gateway {
+
+/// @brief Admits requests within their workspaces' rates.
+///
+/// A request that finds no token waits in this instance's queue and, by a datagram, in that of its
+/// workspace's home, which holds the largest part of the rate. A datagram that is lost loses at
+/// most the token in it: it is taken out of the lender's bucket before it is sent.
+class QuotaGate {
+ public:
+  QuotaGate(const boost::asio::any_io_executor& executor, FleetKeeper& fleet,
+            const ConfigurationFollower& configuration)
+      : socket_(executor),
+        timer_(executor),
+        fleet_(fleet),
+        configuration_(configuration),
+        queue_(fleet.Shares()) {}
+
+  base::Result<void> Listen(const dispatch::Endpoint& endpoint);
+
+  /// Serves other instances; never returns.
+  boost::asio::awaitable<void> Run();
+
+  /// Takes a token for one request, or waits for one for kMaxPatience at most.
+  boost::asio::awaitable<quota::AdmissionResult> Admit(const Workspace& workspace,
+                                                       quota::ProgramStage stage);
+
+ private:
+  /// A request of an own caller that waits.
+  struct Waiting {
+    explicit Waiting(const boost::asio::any_io_executor& executor) : changed(executor) {}
+    base::WorkspaceId workspace;
+    quota::ProgramStage stage = quota::ProgramStage::kUnderWay;
+    std::optional<quota::AdmissionResult> result;
+    /// Instances asked that did not answer yet.
+    std::size_t unanswered = 0;
+    /// True if one of them has the request in its queue.
+    bool queued = false;
+    /// When the soonest of those that refused has a token.
+    base::Duration elsewhere_after = std::chrono::hours{1};
+    boost::asio::steady_timer changed;
+  };
+  using WaitingPtr = std::shared_ptr<Waiting>;
+  /// A token asked of another instance.
+  struct Ask {
+    base::WorkspaceId workspace;
+    std::uint64_t request = 0;
+    base::TimePoint usable_until;
+  };
+  /// A request of another instance that waits here.
+  struct Remote {
+    base::WorkspaceId workspace;
+    std::uint64_t nonce = 0;
+    boost::asio::ip::udp::endpoint sender;
+  };
+
+  boost::asio::awaitable<void> SeekHelp(std::uint64_t id, WaitingPtr waiting);
+  /// Waits until the asked instances have answered, or the request has its result.
+  static boost::asio::awaitable<void> AwaitAnswers(WaitingPtr waiting, base::Duration time);
+  void AskInstance(const dispatch::Endpoint& instance, std::uint64_t id, Waiting& waiting,
+                   base::Duration patience);
+  void Handle(const schema::QuotaMessage& message, const boost::asio::ip::udp::endpoint& sender);
+  void Handle(const schema::TokenAsk& ask, const boost::asio::ip::udp::endpoint& sender);
+  void Handle(const schema::TokenAnswer& answer);
+  void Send(const schema::QuotaMessage& message, const boost::asio::ip::udp::endpoint& peer);
+  void Answer(const Remote& remote, const quota::AdmissionResult& result);
+  void Decide(Waiting& waiting, const quota::AdmissionResult& result);
+  /// Serves the queue and sets the timer for the next time.
+  void Serve();
+  void ForgetOldAsks();
+
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::steady_timer timer_;
+  FleetKeeper& fleet_;
+  const ConfigurationFollower& configuration_;
+  quota::AdmissionQueue queue_;
+  std::array<char, 2048> buffer_{};
+  std::uint64_t next_id_ = 1;
+  std::map<std::uint64_t, WaitingPtr> waiting_;
+  std::map<std::uint64_t, Remote> remotes_;
+  /// By nonce; those with the lowest numbers are the oldest.
+  std::map<std::uint64_t, Ask> asks_;
+  /// Homes that did not answer are left out until then.
+  std::map<base::WorkspaceId, base::TimePoint> home_silent_until_;
+  std::minstd_rand random_{std::random_device{}()};
+};
+
+}  // namespace persimmonstair::gateway
+
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_QUOTA_GATE_HPP_
--- a/src/persimmonstair/quota/quota_test.cpp
+++ b/src/persimmonstair/quota/quota_test.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "persimmonstair/quota/admission_queue.hpp"
 #include "persimmonstair/quota/home.hpp"
 #include "persimmonstair/quota/share_allocator.hpp"
 #include "persimmonstair/quota/share_use.hpp"
@@ -23,6 +24,13 @@
 const base::WorkspaceId kNorth{"north"};
 constexpr ProgramStage kUnderWay = ProgramStage::kUnderWay;
 
+constexpr TokenDemand kImpatient{1, kUnderWay, Asker::kOwnCaller, {}};
+
+// What a request that doesn't wait gets.
+AdmissionResult Admit(ShareUse& use, base::TimePoint now, const WorkspaceQuota& quota) {
+  return AdmissionQueue(use).Ask(now, kNorth, quota, kImpatient).value();
+}
+
 schema::ShareReport Report(const std::string& instance, std::uint64_t round, double demand = 0) {
   schema::ShareReport report{{instance}, "1", "", round, false, {}};
   if (demand > 0) report.demands.push_back({kNorth, static_cast<std::uint64_t>(demand * 1000)});
@@ -33,13 +41,12 @@
 TEST(ShareUseTest, StartsEmptyAndNeedsALease) {
   ShareUse use({"a"});
   const WorkspaceQuota quota{100, 100};
-  EXPECT_EQ(use.Admit(At({}), kNorth, quota, kUnderWay).admission, Admission::kNoShare);
+  EXPECT_EQ(Admit(use, At({}), quota).admission, Admission::kNoShare);
   use.Apply(At({}), {1, {{{"a"}, 500'000}}, {}, {}});
   use.OnReported(At({}));
-  EXPECT_EQ(use.Admit(At({}), kNorth, quota, kUnderWay).admission, Admission::kOverQuota);
-  EXPECT_EQ(use.Admit(At(milliseconds{20}), kNorth, quota, kUnderWay).admission,
-            Admission::kAdmitted);
-  EXPECT_EQ(use.Admit(At(kShareLease), kNorth, quota, kUnderWay).admission, Admission::kNoShare);
+  EXPECT_EQ(Admit(use, At({}), quota).admission, Admission::kOverQuota);
+  EXPECT_EQ(Admit(use, At(milliseconds{20}), quota).admission, Admission::kAdmitted);
+  EXPECT_EQ(Admit(use, At(kShareLease), quota).admission, Admission::kNoShare);
 }
 
 // Guards against a refusal that tells callers to come back before there is a token.
@@ -48,10 +55,9 @@
   use.Apply(At({}), {1, {{{"a"}, 1'000'000}}, {}, {}});
   use.OnReported(At({}));
   const WorkspaceQuota quota{10, 10};
-  const AdmissionResult refused = use.Admit(At({}), kNorth, quota, kUnderWay);
+  const AdmissionResult refused = Admit(use, At({}), quota);
   EXPECT_EQ(refused.retry_after, milliseconds{100});
-  EXPECT_EQ(use.Admit(At(refused.retry_after), kNorth, quota, kUnderWay).admission,
-            Admission::kAdmitted);
+  EXPECT_EQ(Admit(use, At(refused.retry_after), quota).admission, Admission::kAdmitted);
 }
 
 // Guards against callers that come to one instance in a burst and are refused while the workspace's
@@ -63,53 +69,173 @@
   for (ShareUse* use : {&lender, &borrower}) {
     use->Apply(At({}), {1, {{{"a"}, 500'000}, {{"b"}, 500'000}}, {}, {}});
     use->OnReported(At({}));
-    use->Admit(At({}), kNorth, quota, kUnderWay);
+    Admit(*use, At({}), quota);
   }
   const base::TimePoint full = At(seconds{2});
   const base::TimePoint until = full + milliseconds{500};
   const auto admitted = [&](ShareUse& use, base::TimePoint now) {
     int n = 0;
-    while (use.Admit(now, kNorth, quota, kUnderWay).admission == Admission::kAdmitted) ++n;
+    while (Admit(use, now, quota).admission == Admission::kAdmitted) ++n;
     return n;
   };
   EXPECT_EQ(admitted(borrower, full), static_cast<int>(20 * borrower.ShareOf(kNorth)));
-  const double lent = lender.Lend(full, kNorth, quota, 3, until);
-  EXPECT_EQ(lent, 3);
-  borrower.Borrow(full, kNorth, lent, until);
+  for (int n = 0; n < 3; ++n) EXPECT_TRUE(lender.LendOne(full, kNorth, quota, until));
+  borrower.Borrow(full, kNorth, 3, until);
   EXPECT_EQ(admitted(borrower, full), 3);
   EXPECT_EQ(admitted(lender, full), static_cast<int>(20 * lender.ShareOf(kNorth)) - 3);
   EXPECT_NEAR(lender.ShareOf(kNorth) + borrower.ShareOf(kNorth), 1, 1e-9);
 }
 
+// A queue of the one instance that has the whole rate, with an empty bucket.
+struct WholeRate {
+  WholeRate() {
+    shares.Apply(At({}), {1, {{{"a"}, 1'000'000}}, {}, {}});
+    shares.OnReported(At({}));
+    shares.TimeTo(At({}), kNorth, quota, 1);
+  }
+
+  WorkspaceQuota quota{20, 20};
+  ShareUse shares{{"a"}};
+  AdmissionQueue queue{shares};
+};
+
 // Guards against a workspace over its rate all of whose programs fail half way: while those under
 // way lack tokens, no further ones begin.
-TEST(ShareUseTest, ProgramsUnderWayComeFirst) {
-  const WorkspaceQuota quota{20, 20};
-  ShareUse use({"a"});
-  use.Apply(At({}), {1, {{{"a"}, 1'000'000}}, {}, {}});
-  use.OnReported(At({}));
-  use.Admit(At({}), kNorth, quota, kUnderWay);
+TEST(AdmissionQueueTest, ProgramsUnderWayComeFirst) {
+  WholeRate one;
+  const TokenDemand begins{2, ProgramStage::kBegins, Asker::kOwnCaller, {}};
+  ASSERT_TRUE(one.queue.Ask(At({}), kNorth, one.quota, kImpatient));
   const base::TimePoint soon = At(milliseconds{100});
-  use.OnRefused(soon, kNorth, kUnderWay);
-  const AdmissionResult refused = use.Admit(soon, kNorth, quota, ProgramStage::kBegins);
-  EXPECT_EQ(refused.admission, Admission::kOverQuota);
-  EXPECT_EQ(use.Admit(soon, kNorth, quota, kUnderWay).admission, Admission::kAdmitted);
-  EXPECT_EQ(use.Admit(soon + refused.retry_after, kNorth, quota, ProgramStage::kBegins).admission,
+  const auto refused = one.queue.Ask(soon, kNorth, one.quota, begins);
+  EXPECT_EQ(refused->admission, Admission::kOverQuota);
+  EXPECT_EQ(one.queue.Ask(soon, kNorth, one.quota, kImpatient)->admission, Admission::kAdmitted);
+  EXPECT_EQ(one.queue.Ask(soon + refused->retry_after, kNorth, one.quota, begins)->admission,
             Admission::kAdmitted);
 }
 
+// Guards against a burst within the rate that is refused, though its tokens come within the time
+// that a refused caller needs to connect anew.
+TEST(AdmissionQueueTest, ABurstWaitsForTokensInOrder) {
+  WholeRate one;
+  const auto ask = [&](std::uint64_t id, ProgramStage stage) {
+    return one.queue.Ask(At({}), kNorth, one.quota, {id, stage, Asker::kOwnCaller, kMaxPatience});
+  };
+  EXPECT_FALSE(ask(1, kUnderWay));
+  EXPECT_FALSE(ask(2, ProgramStage::kBegins));
+  EXPECT_FALSE(ask(3, kUnderWay));
+  std::vector<std::uint64_t> order;
+  base::TimePoint now = At({});
+  while (const auto next = one.queue.NextAt(now)) {
+    ASSERT_GT(*next, now);
+    ASSERT_LE(*next, At(kMaxPatience));
+    now = *next;
+    for (const Decision& decision : one.queue.Serve(now)) {
+      EXPECT_EQ(decision.result.admission, Admission::kAdmitted);
+      order.push_back(decision.id);
+    }
+  }
+  EXPECT_EQ(order, (std::vector<std::uint64_t>{1, 3, 2}));
+}
+
+// Guards against requests that wait although their token can't come in time.
+TEST(AdmissionQueueTest, RefusesAtOnceWhatCannotBeServedInTime) {
+  WholeRate one;
+  std::uint64_t id = 0;
+  std::optional<AdmissionResult> result;
+  while (!result) {
+    result = one.queue.Ask(At({}), kNorth, one.quota,
+                           {++id, kUnderWay, Asker::kOwnCaller, kMaxPatience});
+  }
+  EXPECT_EQ(result->admission, Admission::kOverQuota);
+  EXPECT_EQ(id, 6U);
+  EXPECT_EQ(result->retry_after, milliseconds{300});
+}
+
+// Guards against an instance that keeps its callers' requests in front of those of other instances,
+// and against borrowed tokens that are lent on.
+TEST(AdmissionQueueTest, OtherInstancesWaitInTheSameLine) {
+  WholeRate one;
+  one.queue.Ask(At({}), kNorth, one.quota, {1, kUnderWay, Asker::kInstance, kMaxPatience});
+  one.queue.Ask(At({}), kNorth, one.quota, {2, kUnderWay, Asker::kOwnCaller, kMaxPatience});
+  one.queue.Ask(At({}), kNorth, one.quota, {3, kUnderWay, Asker::kOwnCaller, kMaxPatience});
+  one.shares.Borrow(At({}), kNorth, 1, At(kMaxPatience));
+  const auto borrowed = one.queue.Serve(At({}));
+  ASSERT_EQ(borrowed.size(), 1U);
+  EXPECT_EQ(borrowed[0].id, 2U);
+  const auto own = one.queue.Serve(At(milliseconds{50}));
+  ASSERT_EQ(own.size(), 1U);
+  EXPECT_EQ(own[0].id, 1U);
+}
+
+// Guards against a request that waits for an instance that can't help, and against a wait that is
+// given up although the own share has a token in time.
+TEST(AdmissionQueueTest, WaitsOnWithoutHelpOnlyForItsOwnShare) {
+  WholeRate one;
+  one.quota.rate_per_s = 5;
+  const auto ask = [&](std::uint64_t id) {
+    return one.queue.Ask(At({}), kNorth, one.quota,
+                         {id, kUnderWay, Asker::kOwnCallerWithHelp, kMaxPatience});
+  };
+  EXPECT_FALSE(ask(1));
+  EXPECT_FALSE(ask(2));
+  EXPECT_FALSE(one.queue.OnNoHelp(At({}), kNorth, 1, milliseconds{90}));
+  const auto refused = one.queue.OnNoHelp(At({}), kNorth, 2, milliseconds{90});
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->retry_after, milliseconds{90});
+  EXPECT_EQ(one.queue.Serve(At(milliseconds{200})).size(), 1U);
+}
+
+// Guards against a wait without end when tokens don't come.
+TEST(AdmissionQueueTest, PatienceEnds) {
+  WholeRate one;
+  one.quota.rate_per_s = 0.1;
+  one.queue.Ask(At({}), kNorth, one.quota, {1, kUnderWay, Asker::kOwnCallerWithHelp, kMaxPatience});
+  EXPECT_EQ(one.queue.NextAt(At({})), At(kMaxPatience));
+  const auto ended = one.queue.Serve(At(kMaxPatience));
+  ASSERT_EQ(ended.size(), 1U);
+  EXPECT_EQ(ended[0].result.admission, Admission::kOverQuota);
+  EXPECT_FALSE(one.queue.NextAt(At(kMaxPatience)));
+}
+
+// Guards against tokens that are handed out beyond the rate by waiting: in any span of time no more
+// requests are admitted than the burst and the rate allow.
+TEST(AdmissionQueueTest, WaitingAddsNoTokens) {
+  for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+    std::mt19937 random(seed);
+    WholeRate one;
+    std::vector<base::TimePoint> admitted;
+    base::TimePoint now = At({});
+    for (std::uint64_t id = 1; id < 400; ++id) {
+      now += milliseconds{random() % 40};
+      const Asker asker = random() % 2 == 0 ? Asker::kInstance : Asker::kOwnCaller;
+      const auto result = one.queue.Ask(now, kNorth, one.quota,
+                                        {id, kUnderWay, asker, milliseconds{random() % 250}});
+      if (result && result->admission == Admission::kAdmitted) admitted.push_back(now);
+      for (const Decision& decision : one.queue.Serve(now)) {
+        if (decision.result.admission == Admission::kAdmitted) admitted.push_back(now);
+      }
+    }
+    ASSERT_GT(admitted.size(), 50U);
+    for (std::size_t from = 0; from < admitted.size(); ++from) {
+      for (std::size_t to = from; to < admitted.size(); ++to) {
+        const double span = base::ToSeconds(admitted[to] - admitted[from]);
+        const double most = one.quota.burst + one.quota.rate_per_s * span + 1;
+        ASSERT_LE(static_cast<double>(to - from + 1), most) << "seed " << seed;
+      }
+    }
+  }
+}
+
 // Guards against borrowed tokens that are used after their lender could refill.
 TEST(ShareUseTest, LoansEnd) {
   const WorkspaceQuota quota{1, 1};
   ShareUse use({"b"});
   use.Apply(At({}), {1, {{{"b"}, 1'000'000}}, {}, {}});
   use.OnReported(At({}));
-  EXPECT_EQ(use.Admit(At({}), kNorth, quota, kUnderWay).admission, Admission::kOverQuota);
+  EXPECT_EQ(Admit(use, At({}), quota).admission, Admission::kOverQuota);
   use.Borrow(At({}), kNorth, 3, At(milliseconds{500}));
-  EXPECT_EQ(use.Admit(At(milliseconds{499}), kNorth, quota, kUnderWay).admission,
-            Admission::kAdmitted);
-  EXPECT_NE(use.Admit(At(milliseconds{500}), kNorth, quota, kUnderWay).admission,
-            Admission::kAdmitted);
+  EXPECT_EQ(Admit(use, At(milliseconds{499}), quota).admission, Admission::kAdmitted);
+  EXPECT_NE(Admit(use, At(milliseconds{500}), quota).admission, Admission::kAdmitted);
 }
 
 // Guards against two instances that both take themselves for the home of a workspace while one of
@@ -131,7 +257,7 @@
 // Guards against a workspace without a limit that is refused.
 TEST(ShareUseTest, NoRateMeansNoLimit) {
   ShareUse use({"a"});
-  EXPECT_EQ(use.Admit(At({}), kNorth, {}, kUnderWay).admission, Admission::kAdmitted);
+  EXPECT_EQ(Admit(use, At({}), {}).admission, Admission::kAdmitted);
 }
 
 // Guards against shares that add up to more than the whole while instances come, go and lag behind
--- a/src/persimmonstair/quota/share_use.cpp
+++ b/src/persimmonstair/quota/share_use.cpp
@@ -12,15 +12,8 @@
 constexpr double kMilli = 1000;
 /// Shortest period over which demand is stated, in seconds.
 constexpr double kMinDemandPeriod = 0.1;
-/// Time after a refusal in which programs under way come first; a bucket that lacks tokens gains
-/// enough for some requests meanwhile.
-constexpr std::chrono::milliseconds kScarceTime{300};
 /// Tokens a second below which a share is of no use.
 constexpr double kLeastRate = 1e-3;
-/// Shortest wait that a refusal states, in seconds.
-constexpr double kMinWait = 0.02;
-/// Longest wait that a refusal states.
-constexpr std::chrono::seconds kMaxRetryAfter{2};
 
 }  // namespace
 
@@ -54,39 +47,32 @@
   return dealt * (1 - kHomePart) + (home ? kHomePart : 0);
 }
 
-AdmissionResult ShareUse::Admit(base::TimePoint now, const base::WorkspaceId& workspace,
-                                const WorkspaceQuota& quota, ProgramStage stage) {
+bool ShareUse::TakeOwn(base::TimePoint now, const base::WorkspaceId& workspace,
+                       const WorkspaceQuota& quota) {
+  if (!HasLease(now)) return false;
   Use& use = uses_[workspace];
-  ++use.offered;
-  if (quota.rate_per_s <= 0) return {Admission::kAdmitted, {}};
-  if (!HasLease(now)) return {Admission::kNoShare, {}};
-  const double level = Refill(now, workspace, quota, use);
-  if (stage == ProgramStage::kBegins && now < use.scarce_until) {
-    return {Admission::kOverQuota, use.scarce_until - now};
-  }
-  if (level >= 1) {
-    use.bucket.Take(1);
-    return {Admission::kAdmitted, {}};
-  }
-  while (!use.borrowed.empty() &&
-         (use.borrowed.front().until <= now || use.borrowed.front().tokens < 1)) {
-    use.borrowed.pop_front();
-  }
-  if (!use.borrowed.empty()) {
-    use.borrowed.front().tokens -= 1;
-    return {Admission::kAdmitted, {}};
+  if (Refill(now, workspace, quota, use) < 1) return false;
+  use.bucket.Take(1);
+  return true;
+}
+
+bool ShareUse::TakeBorrowed(base::TimePoint now, const base::WorkspaceId& workspace) {
+  auto& borrowed = uses_[workspace].borrowed;
+  while (!borrowed.empty() && (borrowed.front().until <= now || borrowed.front().tokens < 1)) {
+    borrowed.pop_front();
   }
-  // The next token of the own share, or of the home, which gets one after the other.
-  const double own = (1 - level) / std::max(use.bucket.Rate(), kLeastRate);
-  const double home = 1 / (quota.rate_per_s * kHomePart);
-  const double seconds = std::min({own, home, base::ToSeconds(kMaxRetryAfter)});
-  return {Admission::kOverQuota, std::chrono::ceil<base::Duration>(
-                                     std::chrono::duration<double>(std::max(seconds, kMinWait)))};
+  if (borrowed.empty()) return false;
+  borrowed.front().tokens -= 1;
+  return true;
 }
 
-void ShareUse::OnRefused(base::TimePoint now, const base::WorkspaceId& workspace,
-                         ProgramStage stage) {
-  if (stage == ProgramStage::kUnderWay) uses_[workspace].scarce_until = now + kScarceTime;
+base::Duration ShareUse::TimeTo(base::TimePoint now, const base::WorkspaceId& workspace,
+                                const WorkspaceQuota& quota, double tokens) {
+  Use& use = uses_[workspace];
+  const double missing = tokens - Refill(now, workspace, quota, use);
+  if (missing <= 0) return {};
+  const double seconds = missing / std::max(use.bucket.Rate(), kLeastRate);
+  return std::chrono::ceil<base::Duration>(std::chrono::duration<double>(seconds));
 }
 
 double ShareUse::Refill(base::TimePoint now, const base::WorkspaceId& workspace,
@@ -110,15 +96,13 @@
   uses_[workspace].borrowed.push_back({tokens, until});
 }
 
-double ShareUse::Lend(base::TimePoint now, const base::WorkspaceId& workspace,
-                      const WorkspaceQuota& quota, double wanted, base::TimePoint until) {
-  if (quota.rate_per_s <= 0 || !HasLease(now)) return 0;
+bool ShareUse::LendOne(base::TimePoint now, const base::WorkspaceId& workspace,
+                       const WorkspaceQuota& quota, base::TimePoint until) {
+  if (!HasLease(now)) return false;
   Use& use = uses_[workspace];
-  const double level = Refill(now, workspace, quota, use);
-  const double tokens = std::floor(std::min(wanted, level));
-  if (tokens < 1) return 0;
-  use.bucket.Lend(tokens, until);
-  return tokens;
+  if (Refill(now, workspace, quota, use) < 1) return false;
+  use.bucket.Lend(1, until);
+  return true;
 }
 
 std::vector<schema::WorkspaceDemand> ShareUse::TakeDemand(base::TimePoint now) {
--- a/src/persimmonstair/schema/codec.cpp
+++ b/src/persimmonstair/schema/codec.cpp
@@ -8,6 +8,8 @@
 #include <streambuf>
 #include <utility>
 
+#include "persimmonstair/schema/quota_codec.hpp"
+
 namespace persimmonstair::schema {
 namespace {
 
@@ -110,4 +112,10 @@
   return DecodeBinary<StateRecord>(bytes, "state record");
 }
 
+std::string EncodeQuota(const QuotaMessage& message) { return EncodeBinary(message); }
+
+base::Result<QuotaMessage> DecodeQuota(std::string_view bytes) {
+  return DecodeBinary<QuotaMessage>(bytes, "quota message");
+}
+
 }  // namespace persimmonstair::schema
