Give each workspace a home with an even part of its rate in each data centre

Cause: 40 % of each rate was dealt to all instances in shares so small that a bucket of such a share holds less than one token (burst 35, ten instances: 1.4; burst 27, 91 instances: 0.1), so that those tokens were never used; and a data centre that is cut off from the one home had only those. Ruled out: a bucket of at least one token for each share, which lets the fleet exceed the burst by the number of instances. Change: a table lists only the instances and their data centres. In each data centre one instance by rendezvous hashing is home of a workspace and has an even part of its rate; a home that moved still waits a round. Instances ask the home of their own data centre first and the others if it has no token at once. Shares follow demand no more, reports carry no demand, and the allocator loses half of its code. New programs leave a quarter of the burst to those under way, in place of a pause after refusals. The test of shares that follow demand goes with the mechanism; that no part of a rate lies where nobody draws on it is guarded by EachDataCentreHasOneHomeWithItsPart now.

--- a/include/persimmonstair/quota/admission_queue.hpp
+++ b/include/persimmonstair/quota/admission_queue.hpp
@@ -17,6 +17,9 @@
 /// Longest time that a request may wait for a token. A caller that is refused connects anew, which
 /// costs it about as much, and has one attempt less.
 inline constexpr std::chrono::milliseconds kMaxPatience{250};
+/// Time by which a request at the asking instance outlasts its place in another one's line, so that
+/// the other's answer decides.
+inline constexpr std::chrono::milliseconds kAnswerTime{20};
 /// Time for which a token that was lent may be used after its request's patience has ended.
 inline constexpr std::chrono::milliseconds kLoanTime{200};
 /// Time for which a lender counts a token as lent: longer than any borrower may use it.
@@ -62,8 +65,9 @@
 /// @brief Requests that wait for tokens of their workspaces' rates.
 ///
 /// Programs under way come before new ones, because a program that is refused half way has used its
-/// tokens for nothing; within a stage the order is that of arrival. A request whose token can't
-/// come within its patience is refused at once.
+/// tokens for nothing; within a stage the order is that of arrival. New programs leave a part of
+/// the burst to those under way. A request whose token can't come within its patience is refused at
+/// once.
 ///
 ///     AdmissionQueue queue(shares);
 ///     if (auto result = queue.Ask(now, workspace, quota, demand)) Answer(*result);
@@ -97,17 +101,16 @@
   struct Line {
     WorkspaceQuota quota;
     Queues queues;
-    /// New programs are refused before this time, since those under way lack tokens.
-    base::TimePoint scarce_until;
 
     bool Empty() const { return queues[0].empty() && queues[1].empty(); }
   };
 
-  bool Take(base::TimePoint now, const base::WorkspaceId& workspace, const Line& line, Asker asker);
+  /// Tokens that a request leaves for those that come before it.
+  double Spare(const base::WorkspaceId& workspace, const Line& line, ProgramStage stage) const;
+  bool Take(base::TimePoint now, const base::WorkspaceId& workspace, const Line& line,
+            const TokenDemand& demand);
   base::Duration WaitBehind(base::TimePoint now, const base::WorkspaceId& workspace,
-                            const Line& line, std::size_t ahead);
-  static AdmissionResult Refuse(base::TimePoint now, Line& line, ProgramStage stage,
-                                base::Duration wait);
+                            const Line& line, ProgramStage stage, std::size_t ahead);
   void ServeLine(base::TimePoint now, const base::WorkspaceId& workspace, Line& line,
                  std::vector<Decision>& out);
 
--- a/include/persimmonstair/quota/home.hpp
+++ b/include/persimmonstair/quota/home.hpp
@@ -1,7 +1,6 @@
 #ifndef PERSIMMONSTAIR_QUOTA_HOME_HPP_
 #define PERSIMMONSTAIR_QUOTA_HOME_HPP_
 
-#include <optional>
 #include <vector>
 
 #include "persimmonstair/base/ids.hpp"
@@ -9,21 +8,20 @@
 
 namespace persimmonstair::quota {
 
-/// Part of a workspace's rate that one instance, its home, holds and lends. Bursts at any instance
-/// draw on it; the rest is dealt to all and serves where the home can't be reached.
-inline constexpr double kHomePart = 0.6;
-
-/// @brief The home of a workspace by a table of shares; nothing if the table has no holder.
-std::optional<base::InstanceId> HomeOf(const base::WorkspaceId& workspace,
-                                       const std::vector<base::InstanceId>& holders);
-
-/// @brief True if an instance may use the home part under a table: it is the workspace's home by
-/// this table and by the one before, so that no other instance can still take itself for the home.
-bool HoldsHomePart(const schema::ShareTable& table, const base::WorkspaceId& workspace,
-                   const base::InstanceId& instance);
-
-/// @brief Names of a table's holders.
-std::vector<base::InstanceId> HoldersOf(const schema::ShareTable& table);
+/// @brief The homes of a workspace: in each data centre, the one holder that keeps the data
+/// centre's part of the workspace's rate. Bursts at any instance draw on it, and a data centre that
+/// is cut off still has its part.
+std::vector<schema::ShareHolder> HomesOf(const base::WorkspaceId& workspace,
+                                         const std::vector<schema::ShareHolder>& holders);
+
+/// @brief Part of a workspace's rate, 0 to 1, that an instance may use under a table.
+///
+/// It is the even part of one data centre, and only for an instance that is home by this table and
+/// by the one before, so that no other instance can still take itself for the home.
+///
+///     const double rate = quota.rate_per_s * ShareOf(table, workspace, {"i1"});
+double ShareOf(const schema::ShareTable& table, const base::WorkspaceId& workspace,
+               const base::InstanceId& instance);
 
 }  // namespace persimmonstair::quota
 
--- a/src/persimmonstair/gateway/core.hpp
+++ b/src/persimmonstair/gateway/core.hpp
@@ -35,7 +35,7 @@
         targets(store, dialect, board, pool),
         turns(executor, store, {"turns", settings.parts_of_stream}, settings.turn_cache_bytes),
         budgets(executor, store, {"budgets", settings.parts_of_stream}),
-        fleet(store, settings.instance, std::move(process), settings.peer_listen),
+        fleet(store, settings, std::move(process)),
         quota(executor, fleet, configuration) {}
 
   boost::asio::any_io_executor executor;
--- a/src/persimmonstair/gateway/quota_gate.hpp
+++ b/src/persimmonstair/gateway/quota_gate.hpp
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <random>
 
 #include "fleet_keeper.hpp"
 #include "followers.hpp"
@@ -19,9 +18,10 @@
 
 /// @brief Admits requests within their workspaces' rates.
 ///
-/// A request that finds no token waits in this instance's queue and, by a datagram, in that of its
-/// workspace's home, which holds the largest part of the rate. A datagram that is lost loses at
-/// most the token in it: it is taken out of the lender's bucket before it is sent.
+/// A request that finds no token here waits, by a datagram, in the line of its workspace's home in
+/// this data centre. If that has no token at once, the homes in other data centres are asked too. A
+/// datagram that is lost loses at most the token in it: it is taken out of the lender's bucket
+/// before it is sent.
 class QuotaGate {
  public:
   QuotaGate(const boost::asio::any_io_executor& executor, FleetKeeper& fleet,
@@ -50,8 +50,8 @@
     std::optional<quota::AdmissionResult> result;
     /// Instances asked that did not answer yet.
     std::size_t unanswered = 0;
-    /// True if one of them has the request in its queue.
-    bool queued = false;
+    /// Instances that have the request in their lines.
+    std::size_t queued = 0;
     /// When the soonest of those that refused has a token.
     base::Duration elsewhere_after = std::chrono::hours{1};
     boost::asio::steady_timer changed;
@@ -62,6 +62,7 @@
     base::WorkspaceId workspace;
     std::uint64_t request = 0;
     base::TimePoint usable_until;
+    bool queued = false;
   };
   /// A request of another instance that waits here.
   struct Remote {
@@ -70,9 +71,11 @@
     boost::asio::ip::udp::endpoint sender;
   };
 
-  boost::asio::awaitable<void> SeekHelp(std::uint64_t id, WaitingPtr waiting);
+  boost::asio::awaitable<void> SeekHelp(std::uint64_t id, WaitingPtr waiting, Lenders lenders);
   /// Waits until the asked instances have answered, or the request has its result.
-  static boost::asio::awaitable<void> AwaitAnswers(WaitingPtr waiting, base::Duration time);
+  static boost::asio::awaitable<void> AwaitAnswers(WaitingPtr waiting);
+  /// Waits for a change of the request, for some time at most.
+  static boost::asio::awaitable<void> Changed(WaitingPtr waiting, base::Duration time);
   void AskInstance(const dispatch::Endpoint& instance, std::uint64_t id, Waiting& waiting,
                    base::Duration patience);
   void Handle(const schema::QuotaMessage& message, const boost::asio::ip::udp::endpoint& sender);
@@ -80,7 +83,8 @@
   void Handle(const schema::TokenAnswer& answer);
   void Send(const schema::QuotaMessage& message, const boost::asio::ip::udp::endpoint& peer);
   void Answer(const Remote& remote, const quota::AdmissionResult& result);
-  void Decide(Waiting& waiting, const quota::AdmissionResult& result);
+  static void Decide(Waiting& waiting, const quota::AdmissionResult& result);
+  static void Note(Ask& ask, const schema::TokenAnswer& answer, Waiting& waiting);
   /// Serves the queue and sets the timer for the next time.
   void Serve();
   void ForgetOldAsks();
@@ -96,9 +100,8 @@
   std::map<std::uint64_t, Remote> remotes_;
   /// By nonce; those with the lowest numbers are the oldest.
   std::map<std::uint64_t, Ask> asks_;
-  /// Homes that did not answer are left out until then.
-  std::map<base::WorkspaceId, base::TimePoint> home_silent_until_;
-  std::minstd_rand random_{std::random_device{}()};
+  /// Workspaces whose home in this data centre did not answer, and until when it is left out.
+  std::map<base::WorkspaceId, base::TimePoint> silent_until_;
 };
 
 }  // namespace persimmonstair::gateway
