Hold acknowledgements after a pause until the log has been read

An instance was paused for longer than its lease, another one took its program over, and the log went away. The first one went on, finished the turn that it had running, copied it to peers and acknowledged it with durability peers-2, while the new owner ran the turn again. Replicate() checked the lease but not the reads that a paused instance owes, which calls of callers wait for already. Ruled out: the model of the membership (a run with consent refused to reclaimed instances broke the same rule once the log was back, before it had been read). Change: no acknowledgement without the log while reads after a pause are missing.

--- a/src/persimmonstair/programs/store_pending.cpp
+++ b/src/persimmonstair/programs/store_pending.cpp
@@ -93,7 +93,9 @@
         turn.copied_at = now.monotonic;
         out.emplace_back(programs::Replicate{{turn.record.id, schema::EncodeRecord(turn.record)}});
       }
-      if (!turn.copied_at || turn.acknowledged || !authority) continue;
+      // After a pause another instance may own the program, which only the log tells.
+      const bool may_acknowledge = authority && reads_needed == 0;
+      if (!turn.copied_at || turn.acknowledged || !may_acknowledge) continue;
       const bool enough = turn.copies.size() >= options.copies_wanted;
       if (!enough && now.monotonic - *turn.copied_at < options.copy_wait) continue;
       const std::string durability =
