--- a/src/persimmonstair/gateway/budget_keeper.cpp
+++ b/src/persimmonstair/gateway/budget_keeper.cpp
@@ -22,7 +22,7 @@
 constexpr milliseconds kSettleTime{1000};
 /// Expired records are dropped in batches this often.
 constexpr std::chrono::seconds kDropInterval{5};
-constexpr std::size_t kMaxDropsOfPass = 200;
+constexpr std::size_t kMaxDropsOfPass = 1000;
 
 KeyedRecord Encode(const schema::TokenReservation& reservation) {
   return {reservation.turn.value, schema::EncodeState(reservation)};
@@ -83,12 +83,12 @@
   state.running = false;
 }
 
-awaitable<bool> BudgetKeeper::AppendWaiting(const Partition& partition, State& state,
+awaitable<void> BudgetKeeper::AppendWaiting(const Partition& partition, State& state,
                                             std::vector<WaitingPtr>& batch) {
   base::TimePoint deadline = Now() + kSettleTime;
   if (!batch.empty()) deadline = batch.front()->deadline;
   for (const auto& one : batch) deadline = std::min(deadline, one->deadline);
-  if (!state.loaded && !co_await Load(partition, state, deadline)) co_return false;
+  if (!state.loaded && !co_await Load(partition, state, deadline)) co_return;
   std::vector<KeyedRecord> records;
   const std::vector<schema::TokenReservation> settled = std::move(state.settled);
   state.settled.clear();
@@ -100,7 +100,7 @@
   if (!offset || !co_await CatchUp(partition, state, *offset, deadline)) {
     state.settled.insert(state.settled.begin(), settled.begin(), settled.end());
     state.settled_since = Now();
-    co_return false;
+    co_return;
   }
   state.next = std::max(state.next, base::Offset{offset->value + count});
   for (const auto& one : batch) {
@@ -111,7 +111,6 @@
     written_.emplace_back(one->reservation.expires_ms,
                           std::pair{partition, one->reservation.turn.value});
   }
-  co_return true;
 }
 
 awaitable<bool> BudgetKeeper::Load(const Partition& partition, State& state,
@@ -182,16 +181,23 @@
     dropped_at = now;
     const std::int64_t now_ms = UnixMillis();
     for (auto& [partition, state] : states_) state.ledger.Expire(now_ms);
-    for (std::size_t n = 0; n < kMaxDropsOfPass && !written_.empty(); ++n) {
-      if (written_.front().first >= now_ms) break;
-      const auto [partition, key] = written_.front().second;
-      written_.pop_front();
-      const auto result =
-          co_await store_.Append(partition, OneRecord(key, std::nullopt), now + kSettleTime);
-      if (!result) {
-        diagnostics::Log(diagnostics::Level::kInfo, "expired_reservation_left",
-                         {{"error", result.error().message}});
-      }
+    co_await DropWritten(now_ms);
+  }
+}
+
+awaitable<void> BudgetKeeper::DropWritten(std::int64_t now_ms) {
+  std::map<Partition, std::vector<KeyedRecord>> drops;
+  for (std::size_t n = 0; n < kMaxDropsOfPass && !written_.empty(); ++n) {
+    if (written_.front().first >= now_ms) break;
+    const auto& [partition, key] = written_.front().second;
+    drops[partition].push_back({key, std::nullopt});
+    written_.pop_front();
+  }
+  for (auto& [partition, records] : drops) {
+    const auto result = co_await store_.Append(partition, std::move(records), Now() + kSettleTime);
+    if (!result) {
+      diagnostics::Log(diagnostics::Level::kInfo, "expired_reservations_left",
+                       {{"error", result.error().message}});
     }
   }
 }
--- a/src/persimmonstair/gateway/budget_keeper.hpp
+++ b/src/persimmonstair/gateway/budget_keeper.hpp
@@ -78,9 +78,11 @@
   /// Applies the records of others up to `end`.
   boost::asio::awaitable<bool> CatchUp(const Partition& partition, State& state, base::Offset end,
                                        base::TimePoint deadline);
-  boost::asio::awaitable<bool> AppendWaiting(const Partition& partition, State& state,
+  boost::asio::awaitable<void> AppendWaiting(const Partition& partition, State& state,
                                              std::vector<WaitingPtr>& batch);
   void Apply(State& state, const KeyedRecord& record);
+  /// Drops records that this instance wrote and that expired before `now_ms`.
+  boost::asio::awaitable<void> DropWritten(std::int64_t now_ms);
   void Start(const Partition& partition, State& state);
 
   boost::asio::any_io_executor executor_;
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -65,6 +65,9 @@
   boost::asio::awaitable<std::optional<std::string>> ReadWholeBody(HttpConnection& connection);
   void NoteError(const boost::system::error_code& ec);
   bool MayRunAgain() const;
+  /// The time left, for timers, which need some.
+  base::Duration WaitTime() const;
+  /// Time to wait for the next part of an answer.
   base::Duration AnswerTime() const;
 
   // Streams, in exchange_stream.cpp.
@@ -99,7 +102,6 @@
   dispatch::Demand demand_;
   /// Targets that may have run the request.
   std::vector<base::TargetId> ran_;
-  gateway::Dispatch dispatch_;
   HttpConnection* active_ = nullptr;
   std::string attempt_error_;
   bool attempt_reset_ = false;
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -66,10 +66,13 @@
   return repeatable && runs_ < std::max(1U, route_->attempts);
 }
 
+base::Duration Exchange::WaitTime() const {
+  return std::max<base::Duration>(TimeLeft(), milliseconds{1});
+}
+
 base::Duration Exchange::AnswerTime() const {
-  const base::Duration left = std::max<base::Duration>(TimeLeft(), milliseconds{1});
-  if (!MayRunAgain()) return left;
-  return std::min(left,
+  if (!MayRunAgain()) return WaitTime();
+  return std::min(WaitTime(),
                   std::max<base::Duration>(kSilentObjectives * route_->objective, kMinSilentTime));
 }
 
@@ -166,10 +169,9 @@
 awaitable<Exchange::Outcome> Exchange::SendTo(const dispatch::TargetEntry& target,
                                               std::unique_ptr<HttpConnection>& connection) {
   const bool repeatable = MayRunAgain();
-  auto acquired = co_await core_.pool.Acquire(
-      target, repeatable ? Freshness::kAnyIdle : Freshness::kCertain,
-      std::min<base::Duration>(std::max<base::Duration>(TimeLeft(), milliseconds{1}),
-                               kConnectTime));
+  auto acquired =
+      co_await core_.pool.Acquire(target, repeatable ? Freshness::kAnyIdle : Freshness::kCertain,
+                                  std::min<base::Duration>(WaitTime(), kConnectTime));
   if (!acquired) {
     attempt_end_ = dispatch::AttemptEnd::kUnreachable;
     attempt_error_ = acquired.error().message();
@@ -178,9 +180,9 @@
   connection = std::move(*acquired);
   if (caller_.Gone()) co_return Outcome::kNotRun;
   active_ = connection.get();
-  dispatch_ = {target.id, workspace_, TimeLeft(), body_, last_event_};
+  const gateway::Dispatch dispatch{target.id, workspace_, TimeLeft(), body_, last_event_};
   const std::string bytes =
-      SerializeRequest(core_.dialect.EncodeDispatch(request_, call_, dispatch_));
+      SerializeRequest(core_.dialect.EncodeDispatch(request_, call_, dispatch));
   if (sends_++ == 0) first_sent_at_ = Now();
   ++runs_;
   const WriteResult written = co_await connection->Write(bytes, AnswerTime());
--- a/src/persimmonstair/gateway/turn_keeper.cpp
+++ b/src/persimmonstair/gateway/turn_keeper.cpp
@@ -28,6 +28,24 @@
 /// Most rounds of reading for one chain; each reads the turns that the last one named.
 constexpr int kMaxRounds = 20;
 
+// The turns among a partition's newest records; others are logged.
+std::vector<schema::KeptTurn> KeptTurns(const Partition& partition,
+                                        const RecordSnapshot& snapshot) {
+  std::vector<schema::KeptTurn> turns;
+  for (const auto& placed : snapshot.records) {
+    if (!placed.record.value) continue;
+    auto record = schema::DecodeState(*placed.record.value);
+    auto* kept = record ? std::get_if<schema::KeptTurn>(&*record) : nullptr;
+    if (kept != nullptr) {
+      turns.push_back(std::move(*kept));
+      continue;
+    }
+    diagnostics::Log(diagnostics::Level::kWarning, "record_skipped",
+                     {{"stream", partition.stream.value}, {"key", placed.record.key}});
+  }
+  return turns;
+}
+
 }  // namespace
 
 awaitable<Result<History>> TurnKeeper::Find(base::WorkspaceId workspace, base::TurnId previous,
@@ -88,18 +106,10 @@
   }
   const std::int64_t now_ms = UnixMillis();
   bool expired = false;
-  for (const auto& placed : snapshot->records) {
-    if (!placed.record.value) continue;
-    auto record = schema::DecodeState(*placed.record.value);
-    auto* kept = record ? std::get_if<schema::KeptTurn>(&*record) : nullptr;
-    if (kept == nullptr) {
-      diagnostics::Log(diagnostics::Level::kWarning, "record_skipped",
-                       {{"stream", partition.stream.value}, {"key", placed.record.key}});
-      continue;
-    }
-    if (kept->expires_ms + kDropAgeMs < now_ms) expired = true;
-    if (std::find(turns.begin(), turns.end(), kept->turn) != turns.end()) {
-      cache_.Put(std::move(*kept));
+  for (auto& kept : KeptTurns(partition, *snapshot)) {
+    if (kept.expires_ms + kDropAgeMs < now_ms) expired = true;
+    if (std::find(turns.begin(), turns.end(), kept.turn) != turns.end()) {
+      cache_.Put(std::move(kept));
     }
   }
   if (expired) drops_.emplace_front(0, partition);
@@ -157,12 +167,9 @@
   const auto snapshot = co_await store_.Newest(partition, Now() + kDropTime);
   if (!snapshot) co_return;
   std::vector<KeyedRecord> drops;
-  for (const auto& placed : snapshot->records) {
-    if (!placed.record.value) continue;
-    const auto record = schema::DecodeState(*placed.record.value);
-    const auto* kept = record ? std::get_if<schema::KeptTurn>(&*record) : nullptr;
-    if (kept == nullptr || kept->expires_ms + kDropAgeMs >= UnixMillis()) continue;
-    drops.push_back({placed.record.key, std::nullopt});
+  for (const auto& kept : KeptTurns(partition, *snapshot)) {
+    if (kept.expires_ms + kDropAgeMs < UnixMillis())
+      drops.push_back({kept.turn.value, std::nullopt});
   }
   if (drops.empty()) co_return;
   const auto result = co_await store_.Append(partition, std::move(drops), Now() + kDropTime);
