Ask the homes of other data centres one after the other

Cause: a request without a token at its own home asked all others at once; each that had a token gave one, and all but one of them were lost. Change: the others are asked in turn, in random order, until one gives a token or a place in line.

--- a/src/persimmonstair/gateway/quota_gate.cpp
+++ b/src/persimmonstair/gateway/quota_gate.cpp
@@ -90,13 +90,16 @@
     co_await AwaitAnswers(waiting);
     if (waiting->unanswered > 0) silent_until = Now() + kSilentTime;
   }
-  if (waiting->result) co_return;
-  // Who has a place in a line here takes from others only what they have at once.
-  const bool has_place = lenders.self || waiting->queued > 0;
-  const base::Duration patience = has_place ? base::Duration{} : quota::kMaxPatience;
-  waiting->unanswered = 0;
-  for (const auto& home : lenders.far) AskInstance(home, id, *waiting, patience);
-  co_await AwaitAnswers(waiting);
+  // One after the other: a token too many would be lost.
+  std::shuffle(lenders.far.begin(), lenders.far.end(), random_);
+  for (const auto& home : lenders.far) {
+    if (waiting->result) co_return;
+    // Who has a place in a line takes from further homes only what they have at once.
+    const bool has_place = lenders.self || waiting->queued > 0;
+    waiting->unanswered = 0;
+    AskInstance(home, id, *waiting, has_place ? base::Duration{} : quota::kMaxPatience);
+    co_await AwaitAnswers(waiting);
+  }
   while (!waiting->result && waiting->queued > 0) {
     co_await Changed(waiting, kWithoutEnd);
   }
--- a/src/persimmonstair/gateway/quota_gate.hpp
+++ b/src/persimmonstair/gateway/quota_gate.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <random>
 
 #include "fleet_keeper.hpp"
 #include "followers.hpp"
@@ -102,6 +103,7 @@
   std::map<std::uint64_t, Ask> asks_;
   /// Workspaces whose home in this data centre did not answer, and until when it is left out.
   std::map<base::WorkspaceId, base::TimePoint> silent_until_;
+  std::minstd_rand random_{std::random_device{}()};
 };
 
 }  // namespace persimmonstair::gateway
