Give up places in line once a request has its token

Cause: a request that got a token from another home, or from its own share, left its place in the line of the first home; the token that it got there was lost. Change: TokenCancel withdraws the place. Test WithdrawnRequestsGetNoToken.

--- a/include/persimmonstair/quota/admission_queue.hpp
+++ b/include/persimmonstair/quota/admission_queue.hpp
@@ -85,6 +85,9 @@
   std::optional<AdmissionResult> OnNoHelp(base::TimePoint now, const base::WorkspaceId& workspace,
                                           std::uint64_t id, base::Duration elsewhere_after);
 
+  /// The request needs no token any more.
+  void Withdraw(const base::WorkspaceId& workspace, std::uint64_t id);
+
   /// Requests that got a token, or whose patience has ended.
   std::vector<Decision> Serve(base::TimePoint now);
 
--- a/include/persimmonstair/schema/quota.hpp
+++ b/include/persimmonstair/schema/quota.hpp
@@ -63,11 +63,28 @@
   Field(archive, value.retry_after_ms);
 }
 
+/// @brief Gives up a place in the queue: the request has its token or its refusal.
+struct TokenCancel {
+  /// From the request.
+  base::WorkspaceId workspace;
+  /// From the request.
+  std::uint64_t nonce = 0;
+
+  bool operator==(const TokenCancel&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, TokenCancel& value) {
+  Field(archive, value.workspace);
+  Field(archive, value.nonce);
+}
+
 /// @brief Any of the types above.
-using QuotaMessage = std::variant<TokenAsk, TokenAnswer>;
+using QuotaMessage = std::variant<TokenAsk, TokenAnswer, TokenCancel>;
 
 /// Type names in the order of the variant's alternatives.
-inline constexpr std::array<std::string_view, 2> kQuotaMessageTypes = {"TokenAsk", "TokenAnswer"};
+inline constexpr std::array<std::string_view, 3> kQuotaMessageTypes = {"TokenAsk", "TokenAnswer",
+                                                                       "TokenCancel"};
 
 }  // namespace persimmonstair::schema
 
--- a/src/persimmonstair/gateway/quota_gate.cpp
+++ b/src/persimmonstair/gateway/quota_gate.cpp
@@ -80,6 +80,7 @@
     co_await Changed(waiting, kWithoutEnd);
   }
   waiting_.erase(id);
+  if (waiting->queued > 0) LeaveLines(id);
   co_return *waiting->result;
 }
 
@@ -126,7 +127,7 @@
   if (!endpoint) return;
   ForgetOldAsks();
   const std::uint64_t nonce = next_id_++;
-  asks_[nonce] = {waiting.workspace, id, Now() + patience + quota::kLoanTime};
+  asks_[nonce] = {waiting.workspace, id, Now() + patience + quota::kLoanTime, *endpoint, false};
   ++waiting.unanswered;
   Send(schema::TokenAsk{waiting.workspace, nonce, waiting.stage == ProgramStage::kBegins,
                         static_cast<std::uint32_t>(base::ToMillis(patience))},
@@ -143,6 +144,8 @@
     Handle(*ask, sender);
   } else if (const auto* answer = std::get_if<schema::TokenAnswer>(&message)) {
     Handle(*answer);
+  } else if (const auto* cancel = std::get_if<schema::TokenCancel>(&message)) {
+    Handle(*cancel, sender);
   }
 }
 
@@ -191,6 +194,23 @@
   waiting.changed.cancel();
 }
 
+void QuotaGate::Handle(const schema::TokenCancel& cancel, const udp::endpoint& sender) {
+  const auto it = std::find_if(remotes_.begin(), remotes_.end(), [&](const auto& one) {
+    return one.second.nonce == cancel.nonce && one.second.sender == sender;
+  });
+  if (it == remotes_.end()) return;
+  queue_.Withdraw(it->second.workspace, it->first);
+  remotes_.erase(it);
+}
+
+void QuotaGate::LeaveLines(std::uint64_t request) {
+  for (auto& [nonce, ask] : asks_) {
+    if (ask.request != request || !ask.queued) continue;
+    ask.queued = false;
+    Send(schema::TokenCancel{ask.workspace, nonce}, ask.instance);
+  }
+}
+
 void QuotaGate::Answer(const Remote& remote, const AdmissionResult& result) {
   const bool granted = result.admission == Admission::kAdmitted;
   Send(schema::TokenAnswer{remote.workspace, remote.nonce, granted, false,
--- a/src/persimmonstair/gateway/quota_gate.hpp
+++ b/src/persimmonstair/gateway/quota_gate.hpp
@@ -63,6 +63,8 @@
     base::WorkspaceId workspace;
     std::uint64_t request = 0;
     base::TimePoint usable_until;
+    /// The asked instance, and whether it has the request in its line.
+    boost::asio::ip::udp::endpoint instance;
     bool queued = false;
   };
   /// A request of another instance that waits here.
@@ -82,6 +84,9 @@
   void Handle(const schema::QuotaMessage& message, const boost::asio::ip::udp::endpoint& sender);
   void Handle(const schema::TokenAsk& ask, const boost::asio::ip::udp::endpoint& sender);
   void Handle(const schema::TokenAnswer& answer);
+  void Handle(const schema::TokenCancel& cancel, const boost::asio::ip::udp::endpoint& sender);
+  /// Gives up the request's places in the lines of other instances.
+  void LeaveLines(std::uint64_t request);
   void Send(const schema::QuotaMessage& message, const boost::asio::ip::udp::endpoint& peer);
   void Answer(const Remote& remote, const quota::AdmissionResult& result);
   static void Decide(Waiting& waiting, const quota::AdmissionResult& result);
--- a/src/persimmonstair/quota/admission_queue.cpp
+++ b/src/persimmonstair/quota/admission_queue.cpp
@@ -82,6 +82,12 @@
   return std::nullopt;
 }
 
+void AdmissionQueue::Withdraw(const base::WorkspaceId& workspace, std::uint64_t id) {
+  for (auto& queue : lines_[workspace].queues) {
+    std::erase_if(queue, [id](const Waiting& one) { return one.demand.id == id; });
+  }
+}
+
 std::vector<Decision> AdmissionQueue::Serve(base::TimePoint now) {
   std::vector<Decision> out;
   for (auto& [workspace, line] : lines_) {
--- a/src/persimmonstair/quota/quota_test.cpp
+++ b/src/persimmonstair/quota/quota_test.cpp
@@ -191,6 +191,17 @@
   EXPECT_EQ(one.queue.Serve(At(milliseconds{200})).size(), 1U);
 }
 
+// Guards against a token that goes to a request which has got one elsewhere, and is lost.
+TEST(AdmissionQueueTest, WithdrawnRequestsGetNoToken) {
+  WholeRate one;
+  one.queue.Ask(At({}), kNorth, one.quota, {1, kUnderWay, Asker::kInstance, kMaxPatience});
+  one.queue.Ask(At({}), kNorth, one.quota, {2, kUnderWay, Asker::kInstance, kMaxPatience});
+  one.queue.Withdraw(kNorth, 1);
+  const auto served = one.queue.Serve(At(milliseconds{50}));
+  ASSERT_EQ(served.size(), 1U);
+  EXPECT_EQ(served[0].id, 2U);
+}
+
 // Guards against a wait without end when tokens don't come.
 TEST(AdmissionQueueTest, PatienceEnds) {
   WholeRate one;
