--- a/src/persimmonstair/gateway/quota_gate.cpp
+++ b/src/persimmonstair/gateway/quota_gate.cpp
@@ -85,53 +85,59 @@
 }
 
 asio::awaitable<void> QuotaGate::SeekHelp(std::uint64_t id, WaitingPtr waiting, Lenders lenders) {
-  base::TimePoint& silent_until = silent_until_[waiting->workspace];
-  if (lenders.near && Now() >= silent_until) {
-    AskInstance(*lenders.near, id, *waiting, quota::kMaxPatience);
-    co_await AwaitAnswers(waiting);
-    if (waiting->unanswered > 0) silent_until = Now() + kSilentTime;
-  }
-  // One after the other: a token too many would be lost.
+  // One home after the other: a token too many would be lost.
   std::shuffle(lenders.far.begin(), lenders.far.end(), random_);
+  if (lenders.near) lenders.far.insert(lenders.far.begin(), *lenders.near);
   for (const auto& home : lenders.far) {
-    if (waiting->result) co_return;
     // Who has a place in a line takes from further homes only what they have at once.
     const bool has_place = lenders.self || waiting->queued > 0;
-    waiting->unanswered = 0;
-    AskInstance(home, id, *waiting, has_place ? base::Duration{} : quota::kMaxPatience);
-    co_await AwaitAnswers(waiting);
+    const base::Duration patience = has_place ? base::Duration{} : quota::kMaxPatience;
+    co_await AskHome(home, id, waiting, patience);
+    if (waiting->result) co_return;
   }
   while (!waiting->result && waiting->queued > 0) {
     co_await Changed(waiting, kWithoutEnd);
   }
   if (waiting->result) co_return;
-  const auto result = queue_.OnNoHelp(Now(), waiting->workspace, id, waiting->elsewhere_after);
+  if (!lenders.self && !waiting->elsewhere_after) {
+    // No home can be reached, which says nothing about the rate.
+    queue_.Withdraw(waiting->workspace, id);
+    Decide(*waiting, AdmissionResult{Admission::kNoShare, {}});
+    co_return;
+  }
+  const base::Duration elsewhere_after = waiting->elsewhere_after.value_or(kWithoutEnd);
+  const auto result = queue_.OnNoHelp(Now(), waiting->workspace, id, elsewhere_after);
   if (result) Decide(*waiting, *result);
 }
 
-asio::awaitable<void> QuotaGate::Changed(WaitingPtr waiting, base::Duration time) {
-  waiting->changed.expires_after(time);
-  co_await waiting->changed.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
-asio::awaitable<void> QuotaGate::AwaitAnswers(WaitingPtr waiting) {
+asio::awaitable<void> QuotaGate::AskHome(dispatch::Endpoint home, std::uint64_t id,
+                                         WaitingPtr waiting, base::Duration patience) {
+  const auto endpoint = ToUdp(home);
+  if (!endpoint) co_return;
+  base::TimePoint& silent_until = silent_until_[*endpoint];
+  if (Now() < silent_until) co_return;
+  waiting->unanswered = 1;
+  SendAsk(*endpoint, id, *waiting, patience);
   const base::TimePoint until = Now() + quota::kAnswerTime;
   while (!waiting->result && waiting->unanswered > 0 && Now() < until) {
     co_await Changed(waiting, until - Now());
   }
+  if (!waiting->result && waiting->unanswered > 0) silent_until = Now() + kSilentTime;
 }
 
-void QuotaGate::AskInstance(const dispatch::Endpoint& instance, std::uint64_t id, Waiting& waiting,
-                            base::Duration patience) {
-  const auto endpoint = ToUdp(instance);
-  if (!endpoint) return;
+asio::awaitable<void> QuotaGate::Changed(WaitingPtr waiting, base::Duration time) {
+  waiting->changed.expires_after(time);
+  co_await waiting->changed.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void QuotaGate::SendAsk(const udp::endpoint& instance, std::uint64_t id, const Waiting& waiting,
+                        base::Duration patience) {
   ForgetOldAsks();
   const std::uint64_t nonce = next_id_++;
-  asks_[nonce] = {waiting.workspace, id, Now() + patience + quota::kLoanTime, *endpoint, false};
-  ++waiting.unanswered;
+  asks_[nonce] = {waiting.workspace, id, Now() + patience + quota::kLoanTime, instance, false};
   Send(schema::TokenAsk{waiting.workspace, nonce, waiting.stage == ProgramStage::kBegins,
                         static_cast<std::uint32_t>(base::ToMillis(patience))},
-       *endpoint);
+       instance);
 }
 
 void QuotaGate::ForgetOldAsks() {
@@ -154,14 +160,18 @@
   const auto& configuration = configuration_.Current();
   const Workspace* workspace =
       configuration ? configuration->FindWorkspaceById(ask.workspace) : nullptr;
-  if (workspace == nullptr) return Answer(remote, {Admission::kNoShare, {}});
+  if (workspace == nullptr) return;
   const std::uint64_t id = next_id_++;
   const auto patience =
       std::min<base::Duration>(milliseconds{ask.patience_ms}, quota::kMaxPatience);
   const quota::TokenDemand demand{id, ask.begins ? ProgramStage::kBegins : ProgramStage::kUnderWay,
                                   Asker::kInstance, patience};
   const auto result = queue_.Ask(Now(), workspace->id, workspace->quota, demand);
-  if (result) return Answer(remote, *result);
+  if (result) {
+    // Without shares of its own the instance can't help, and says so by its silence.
+    if (result->admission != Admission::kNoShare) Answer(remote, *result);
+    return;
+  }
   remotes_[id] = remote;
   Send(schema::TokenAnswer{ask.workspace, ask.nonce, false, true, 0}, sender);
   Serve();
@@ -188,8 +198,8 @@
   if (answer.queued) ++waiting.queued;
   ask.queued = answer.queued;
   if (!answer.granted && !answer.queued) {
-    waiting.elsewhere_after =
-        std::min<base::Duration>(waiting.elsewhere_after, milliseconds{answer.retry_after_ms});
+    const base::Duration after = milliseconds{answer.retry_after_ms};
+    waiting.elsewhere_after = std::min(after, waiting.elsewhere_after.value_or(after));
   }
   waiting.changed.cancel();
 }
--- a/src/persimmonstair/gateway/quota_gate.hpp
+++ b/src/persimmonstair/gateway/quota_gate.hpp
@@ -49,12 +49,12 @@
     base::WorkspaceId workspace;
     quota::ProgramStage stage = quota::ProgramStage::kUnderWay;
     std::optional<quota::AdmissionResult> result;
-    /// Instances asked that did not answer yet.
+    /// 1 while the instance that was asked last has not answered.
     std::size_t unanswered = 0;
     /// Instances that have the request in their lines.
     std::size_t queued = 0;
     /// When the soonest of those that refused has a token.
-    base::Duration elsewhere_after = std::chrono::hours{1};
+    std::optional<base::Duration> elsewhere_after;
     boost::asio::steady_timer changed;
   };
   using WaitingPtr = std::shared_ptr<Waiting>;
@@ -75,12 +75,13 @@
   };
 
   boost::asio::awaitable<void> SeekHelp(std::uint64_t id, WaitingPtr waiting, Lenders lenders);
-  /// Waits until the asked instances have answered, or the request has its result.
-  static boost::asio::awaitable<void> AwaitAnswers(WaitingPtr waiting);
+  /// Asks one home and waits until it has answered, or the request has its result.
+  boost::asio::awaitable<void> AskHome(dispatch::Endpoint home, std::uint64_t id,
+                                       WaitingPtr waiting, base::Duration patience);
   /// Waits for a change of the request, for some time at most.
   static boost::asio::awaitable<void> Changed(WaitingPtr waiting, base::Duration time);
-  void AskInstance(const dispatch::Endpoint& instance, std::uint64_t id, Waiting& waiting,
-                   base::Duration patience);
+  void SendAsk(const boost::asio::ip::udp::endpoint& instance, std::uint64_t id,
+               const Waiting& waiting, base::Duration patience);
   void Handle(const schema::QuotaMessage& message, const boost::asio::ip::udp::endpoint& sender);
   void Handle(const schema::TokenAsk& ask, const boost::asio::ip::udp::endpoint& sender);
   void Handle(const schema::TokenAnswer& answer);
@@ -106,8 +107,8 @@
   std::map<std::uint64_t, Remote> remotes_;
   /// By nonce; those with the lowest numbers are the oldest.
   std::map<std::uint64_t, Ask> asks_;
-  /// Workspaces whose home in this data centre did not answer, and until when it is left out.
-  std::map<base::WorkspaceId, base::TimePoint> silent_until_;
+  /// Instances that did not answer, and until when they aren't asked.
+  std::map<boost::asio::ip::udp::endpoint, base::TimePoint> silent_until_;
   std::minstd_rand random_{std::random_device{}()};
 };
 
--- a/src/persimmonstair/net/caller_connection.cpp
+++ b/src/persimmonstair/net/caller_connection.cpp
@@ -26,6 +26,14 @@
   return std::chrono::milliseconds{static_cast<std::int64_t>(value)};
 }
 
+// True if a complete header at the start of `bytes` has a line that continues the one before it.
+// The parser would join them, and what reads the request next might not (RFC 9112, 5.2).
+bool HasFoldedLine(std::string_view bytes) {
+  const std::string_view header = bytes.substr(0, bytes.find("\r\n\r\n"));
+  return header.find("\r\n ") != std::string_view::npos ||
+         header.find("\r\n\t") != std::string_view::npos;
+}
+
 constexpr std::uint32_t kRequestTimeout = 408;
 constexpr std::uint32_t kHeadersTooLarge = 431;
 
@@ -141,8 +149,14 @@
 // Returns false when more bytes are needed or the request is malformed.
 template <class Stream>
 bool CallerConnection<Stream>::ParseSome() {
+  const auto bytes = buffer_.data();
+  if (!parser_->is_header_done() &&
+      HasFoldedLine({static_cast<const char*>(bytes.data()), bytes.size()})) {
+    Refuse({ErrorCode::kInvalidRequest, "a header line is folded", {}, {}}, 0);
+    return false;
+  }
   boost::system::error_code ec;
-  const std::size_t used = parser_->put(buffer_.data(), ec);
+  const std::size_t used = parser_->put(bytes, ec);
   buffer_.consume(used);
   if (ec && ec != http::error::need_more) {
     OnMalformed(ec);
@@ -187,8 +201,12 @@
 
 template <class Stream>
 void CallerConnection<Stream>::OnRequest() {
+  const auto& message = parser_->get();
+  if (message.version() >= 11 && message.count(http::field::host) != 1) {
+    return Refuse({ErrorCode::kInvalidRequest, "the request needs one Host header", {}, {}}, 0);
+  }
   read_deadline_.Clear();
-  form_.version = parser_->get().version() >= 11 ? 11 : 10;
+  form_.version = message.version() >= 11 ? 11 : 10;
   form_.keep_alive = parser_->keep_alive();
   RawRequest raw = TakeRaw();
   parser_.reset();
--- a/src/persimmonstair/net/caller_server_test.cpp
+++ b/src/persimmonstair/net/caller_server_test.cpp
@@ -171,6 +171,25 @@
   ExpectServes();
 }
 
+// Guards against a request that this server and what stands before it understand differently
+// (RFC 9112, 3.2 and 5.2).
+TEST_F(CallerServerTest, RequestsWithoutOneHostOrWithFoldedLinesGetA400) {
+  Start();
+  const std::vector<std::string> cases = {
+      "GET /v1/programs/p.1 HTTP/1.1\r\n\r\n",
+      "GET /v1/programs/p.1 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+      "GET /v1/programs/p.1 HTTP/1.1\r\nHost: a\r\nX-Note: one\r\n two\r\n\r\n",
+      "GET /v1/programs/p.1 HTTP/1.1\r\nHost: a\r\nX-Note: one\r\n\ttwo\r\n\r\n",
+  };
+  for (const auto& bytes : cases) {
+    TestSocket client(server_->Port());
+    client.Send(bytes);
+    ExpectError(client.ReadResponse(), 400, "invalid_request");
+    EXPECT_EQ(client.ReadAll(), "");
+  }
+  ExpectServes();
+}
+
 TEST_F(CallerServerTest, OversizedHeadersAndBodiesAreRefused) {
   options_.caller.max_header_bytes = 1024;
   options_.caller.max_body_bytes = 2048;
@@ -272,7 +291,9 @@
   EXPECT_EQ(old.ReadResponse().body, "old");
   EXPECT_EQ(old.ReadAll(), "");
   TestSocket waits(server_->Port());
-  waits.Send("POST /v1/services/a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  waits.Send(
+      "POST /v1/services/a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: "
+      "2\r\n\r\n");
   EXPECT_NE(waits.ReadUntil("\r\n\r\n").find("100 Continue"), std::string::npos);
   waits.Send("ab");
   const auto request = requests_.Pop();
