Don't take instances for dead while the store is away

Cause: an instance asks only homes that reported within 5 s, and nobody can report while the store is away, so that after 5 s of an outage only homes admitted requests. Change: a failed read of the reports counts as news of all instances known.

--- a/src/persimmonstair/gateway/fleet_keeper.cpp
+++ b/src/persimmonstair/gateway/fleet_keeper.cpp
@@ -84,6 +84,10 @@
       outage_seen_ = store_.RegainedAt();
       allocator_.OnOutageEnded(Now());
     }
+    if (!reports_read) {
+      // Nobody can be heard of now, so that silence says nothing.
+      for (auto& [instance, peer] : peers_) peer.heard_at = Now();
+    }
     if (Now() - reported_at_ >= kInterval) {
       co_await Report(false, deadline);
     }
--- a/src/persimmonstair/gateway/turn_keeper.cpp
+++ b/src/persimmonstair/gateway/turn_keeper.cpp
@@ -168,8 +168,8 @@
   if (!snapshot) co_return;
   std::vector<KeyedRecord> drops;
   for (const auto& kept : KeptTurns(partition, *snapshot)) {
-    if (kept.expires_ms + kDropAgeMs < UnixMillis())
-      drops.push_back({kept.turn.value, std::nullopt});
+    if (kept.expires_ms + kDropAgeMs >= UnixMillis()) continue;
+    drops.push_back({kept.turn.value, std::nullopt});
   }
   if (drops.empty()) co_return;
   const auto result = co_await store_.Append(partition, std::move(drops), Now() + kDropTime);
--- a/src/persimmonstair/programs/programs_test.cpp
+++ b/src/persimmonstair/programs/programs_test.cpp
@@ -291,8 +291,9 @@
 }
 
 // Shows that the comparison fails when the epoch or the turn number is not checked.
-// Guards against a result that an instance acknowledges right after a pause, before the log tells it
-// that another instance has taken the program over: seed 6037, an acknowledged turn was replaced.
+// Guards against a result that an instance acknowledges right after a pause, before the log tells
+// it that another instance has taken the program over: seed 6037, an acknowledged turn was
+// replaced.
 TEST(ProgramsProperty, SeedsThatFailedBefore) {
   const auto finding = simulation::RunSeeds(6037, 1, 500);
   EXPECT_FALSE(finding) << simulation::Describe(*finding);
