--- a/src/persimmonstair/net/caller_tls_test.cpp
+++ b/src/persimmonstair/net/caller_tls_test.cpp
@@ -68,7 +68,8 @@
   client.next_layer().connect({asio::ip::make_address("127.0.0.1"), (*server)->Port()});
   client.handshake(asio::ssl::stream_base::client);
   for (int n = 0; n < 2; ++n) {
-    asio::write(client, asio::buffer(std::string("GET /v1/programs/p.1 HTTP/1.1\r\n\r\n")));
+    asio::write(client,
+                asio::buffer(std::string("GET /v1/programs/p.1 HTTP/1.1\r\nHost: a\r\n\r\n")));
     scheduler::Reply reply;
     reply.request = requests.Pop().request;
     reply.body = "over tls";
@@ -82,7 +83,7 @@
   }
 
   TestSocket plain((*server)->Port());
-  plain.Send("GET /v1/programs/p.1 HTTP/1.1\r\n\r\n");
+  plain.Send("GET /v1/programs/p.1 HTTP/1.1\r\nHost: a\r\n\r\n");
   // At most a TLS alert comes back, and no request gets through.
   EXPECT_EQ(plain.ReadAll().find("HTTP/1.1"), std::string::npos);
   EXPECT_EQ(requests.size(), 2U);
