--- a/src/persimmonstair/gateway/quota_gate.cpp
+++ b/src/persimmonstair/gateway/quota_gate.cpp
@@ -4,10 +4,8 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <vector>
 
 #include "clock.hpp"
-#include "persimmonstair/diagnostics/log.hpp"
 #include "persimmonstair/schema/quota_codec.hpp"
 
 namespace persimmonstair::gateway {
