Count calls to the store by kind and result, and log what decided a 402

Each instance now counts its calls to the store in persimmonstair_store_calls_total and writes at most one line store_calls a second, only if a call was refused, timed out or failed; request_failed states budget, settled and outstanding tokens of a 402. No logic changes.

--- a/include/persimmonstair/diagnostics/metrics.hpp
+++ b/include/persimmonstair/diagnostics/metrics.hpp
@@ -31,6 +31,8 @@
   /// Counts the end of an attempt. `result` is "done" or a
   /// scheduler::FailureKind in lower case, for example "connect_refused".
   void CountAttempt(const std::string& result);
+  /// Counts a call to the record store by its kind and result, for example "append" and "refused".
+  void CountStoreCall(const std::string& call, const std::string& result);
   /// Counts a request that was refused because half of the event queue was in use.
   void CountRingFull();
   /// Sets a gauge. The first call with a name creates it; later calls ignore `help`.
@@ -53,9 +55,11 @@
   prometheus::Family<prometheus::Counter>& answers_;
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Family<prometheus::Counter>& attempts_;
+  prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Counter& ring_full_;
   std::map<std::pair<std::string, std::string>, Series> series_;
   std::map<std::string, prometheus::Counter*> by_result_;
+  std::map<std::pair<std::string, std::string>, prometheus::Counter*> by_store_call_;
   std::map<std::string, prometheus::Gauge*> gauges_;
 };
 
--- a/src/persimmonstair/diagnostics/metrics.cpp
+++ b/src/persimmonstair/diagnostics/metrics.cpp
@@ -30,6 +30,10 @@
                     .Name("persimmonstair_attempts_total")
                     .Help("Dispatches to targets by result")
                     .Register(registry_)),
+      store_calls_(prometheus::BuildCounter()
+                       .Name("persimmonstair_store_calls_total")
+                       .Help("Calls to the record store by kind and result")
+                       .Register(registry_)),
       ring_full_(prometheus::BuildCounter()
                      .Name("persimmonstair_ring_full_total")
                      .Help("Requests refused because the event ring was full")
@@ -71,6 +75,13 @@
   counter->Increment();
 }
 
+void Metrics::CountStoreCall(const std::string& call, const std::string& result) {
+  const std::lock_guard lock(mutex_);
+  auto& counter = by_store_call_[{call, result}];
+  if (counter == nullptr) counter = &store_calls_.Add({{"call", call}, {"result", result}});
+  counter->Increment();
+}
+
 void Metrics::CountRingFull() { ring_full_.Increment(); }
 
 void Metrics::SetGauge(const std::string& name, const std::string& help, double value) {
--- a/src/persimmonstair/gateway/budget_manager.cpp
+++ b/src/persimmonstair/gateway/budget_manager.cpp
@@ -37,9 +37,9 @@
 
 }  // namespace
 
-awaitable<ReservationResult> BudgetManager::Reserve(schema::TokenReservation reservation,
-                                                    std::uint64_t budget,
-                                                    base::TimePoint deadline) {
+awaitable<ReservationOutcome> BudgetManager::Reserve(schema::TokenReservation reservation,
+                                                     std::uint64_t budget,
+                                                     base::TimePoint deadline) {
   const Partition partition = partitions_.PartitionOf(reservation.program.value);
   State& state = states_[partition];
   const auto queued = std::make_shared<QueuedReservation>(executor_);
@@ -49,7 +49,7 @@
   state.queued.push_back(queued);
   Start(partition, state);
   co_await queued->done.Wait();
-  co_return queued->reservation_result;
+  co_return queued->outcome;
 }
 
 void BudgetManager::Settle(schema::TokenReservation reservation, std::uint64_t tokens) {
@@ -74,7 +74,7 @@
     state.queued.clear();
     co_await AppendQueued(partition, state, batch);
     for (const auto& one : batch) {
-      if (one->reservation_result == ReservationResult::kStoreUnavailable) {
+      if (one->outcome.result == ReservationResult::kStoreUnavailable) {
         // The append may have taken effect. The turn is refused and generates no tokens, so the
         // reservation is settled with 0.
         Settle(one->reservation, 0);
@@ -108,8 +108,8 @@
   state.next = std::max(state.next, base::Offset{offset->value + count});
   for (const auto& one : batch) {
     const bool fits = state.ledger.Fits(one->reservation, one->budget);
-    one->reservation_result =
-        fits ? ReservationResult::kGranted : ReservationResult::kBudgetExhausted;
+    one->outcome.usage = state.ledger.Usage(one->reservation.workspace, one->reservation.program);
+    one->outcome.result = fits ? ReservationResult::kGranted : ReservationResult::kBudgetExhausted;
     state.ledger.Apply(one->reservation);
     if (!fits) Settle(one->reservation, 0);
     own_records_.emplace_back(one->reservation.expires_ms,
--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -23,6 +23,13 @@
   kStoreUnavailable,
 };
 
+/// @brief How a reservation ended, and the usage of the budget that decided it.
+struct ReservationOutcome {
+  ReservationResult result = ReservationResult::kStoreUnavailable;
+  /// Usage before the reservation; zero if the store did not acknowledge it.
+  turns::TokenUsage usage;
+};
+
 /// @brief Reserves tokens of programs' budgets in the store before they are returned to callers.
 ///
 /// All instances read the reservations of a program in the order of the store's log. A reservation
@@ -38,8 +45,9 @@
       : executor_(executor), store_(store), partitions_(std::move(budgets)) {}
 
   /// Reserves `reservation.tokens`, the maximum number of tokens that the turn may return.
-  boost::asio::awaitable<ReservationResult> Reserve(schema::TokenReservation reservation,
-                                                    std::uint64_t budget, base::TimePoint deadline);
+  boost::asio::awaitable<ReservationOutcome> Reserve(schema::TokenReservation reservation,
+                                                     std::uint64_t budget,
+                                                     base::TimePoint deadline);
 
   /// Records that the turn ended after it returned `tokens`. The record is written later.
   void Settle(schema::TokenReservation reservation, std::uint64_t tokens);
@@ -57,7 +65,7 @@
     schema::TokenReservation reservation;
     std::uint64_t budget = 0;
     base::TimePoint deadline;
-    ReservationResult reservation_result = ReservationResult::kStoreUnavailable;
+    ReservationOutcome outcome;
     OneShotEvent done;
   };
   using QueuedReservationPtr = std::shared_ptr<QueuedReservation>;
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -151,12 +151,13 @@
       metadata_.program,    workspace_, {metadata_.request_id},
       metadata_.max_tokens, false,      UnixMillis() + BudgetManager::kReservationRetentionMs};
   const base::TimePoint deadline = std::min(expires_at_, Now() + kReservationTimeout);
-  const ReservationResult grant =
+  const ReservationOutcome outcome =
       co_await context_.budgets.Reserve(reservation, *metadata_.token_budget, deadline);
-  if (grant == ReservationResult::kBudgetExhausted) {
+  if (outcome.result == ReservationResult::kBudgetExhausted) {
+    denied_usage_ = outcome.usage;
     co_return Deny(ErrorCode::kBudgetExhausted, "the program's token budget is exhausted");
   }
-  if (grant == ReservationResult::kStoreUnavailable) {
+  if (outcome.result == ReservationResult::kStoreUnavailable) {
     co_return Deny(ErrorCode::kLogUnavailable,
                    "the program's token budget can't be charged at present", kShortRetryAfter);
   }
@@ -211,6 +212,12 @@
     line["first_event_ms"] = base::ToMillis(first_event_at_ - arrived_at_);
     line["tokens"] = tokens_;
   }
+  if (denied_usage_) {
+    line["budget"] = *metadata_.token_budget;
+    line["max_tokens"] = metadata_.max_tokens;
+    line["budget_settled"] = denied_usage_->settled;
+    line["budget_outstanding"] = denied_usage_->outstanding;
+  }
   if (configuration_ && !served) {
     line["config_age_ms"] = base::ToMillis(Now() - context_.configuration.ConfirmedAt());
   }
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -106,6 +106,8 @@
   std::vector<base::TurnId> ancestors_;
   /// Reservation of the turn's maximum number of tokens; settled when the turn ends.
   std::optional<schema::TokenReservation> reservation_;
+  /// Usage of the budget that refused the turn.
+  std::optional<turns::TokenUsage> denied_usage_;
 
   dispatch::TargetCriteria criteria_;
   /// Targets that may have run the request.
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -29,6 +29,7 @@
 namespace {
 
 constexpr milliseconds kMaintenanceInterval{500};
+constexpr milliseconds kStoreSummaryInterval{1000};
 constexpr milliseconds kAcceptPause{20};
 /// Time from the start of a stop until the listening socket is closed. The platform checks
 /// readiness once a second and redirects callers after two failed checks.
@@ -94,6 +95,14 @@
     }
   }
 
+  awaitable<void> LogStoreCalls() {
+    for (;;) {
+      co_await Sleep(kStoreSummaryInterval);
+      const auto summary = context.store.Counts().TakeSummary();
+      if (summary) Log(Level::kWarning, "store_calls", *summary);
+    }
+  }
+
   InfoResponse Metrics() {
     const auto& configuration = context.configuration.Current();
     const auto gauge = [this](const char* name, const char* help, double value) {
@@ -170,6 +179,7 @@
   impl.Spawn(impl.context.turns.DropExpired());
   impl.Spawn(impl.context.budgets.DropExpired());
   impl.Spawn(impl.RunMaintenance());
+  impl.Spawn(impl.LogStoreCalls());
   impl.Spawn(impl.Accept());
   impl.Spawn(ServeInfo(*impl.readiness, [&impl](std::string_view path) {
     if (path != impl.context.settings.readiness_path) return InfoResponse{404, ""};
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -28,7 +28,7 @@
       : executor(executor_used),
         settings(std::move(settings_used)),
         codec(codec_used),
-        store(records),
+        store(records, metrics),
         configuration(store, codec),
         target_registry(settings.data_centre),
         pool(executor),
@@ -41,6 +41,7 @@
   boost::asio::any_io_executor executor;
   GatewaySettings settings;
   const PlatformCodec& codec;
+  diagnostics::Metrics metrics;
   RetryingRecordStore store;
   ConfigurationFollower configuration;
   dispatch::TargetRegistry target_registry;
@@ -51,7 +52,6 @@
   FleetRegistry fleet;
   QuotaLimiter quota;
   RecentPrograms programs;
-  diagnostics::Metrics metrics;
   /// Set by a planned stop; responses then ask callers to open new connections.
   bool stopping = false;
   /// Requests that were read at least in part and not yet answered.
--- a/src/persimmonstair/gateway/retrying_record_store.cpp
+++ b/src/persimmonstair/gateway/retrying_record_store.cpp
@@ -64,11 +64,11 @@
 }
 
 template <class T>
-const Result<T>& RetryingRecordStore::TrackReachability(const Result<T>& result,
-                                                        base::TimePoint sent_at,
-                                                        base::Duration waited) {
+const Result<T>& RetryingRecordStore::TrackResult(StoreCall call, const Result<T>& result,
+                                                  base::TimePoint sent_at, base::Duration waited) {
   const bool answered = result || result.error().code == ErrorCode::kConflict ||
                         result.error().code == ErrorCode::kNotFound;
+  counts_.Add(call, result ? StoreCallResult::kOk : ToStoreCallResult(result.error().code));
   if (answered) {
     OnSuccess(std::max(base::Duration{0}, Now() - sent_at - waited));
   } else {
@@ -78,13 +78,14 @@
 }
 
 template <class T, class Send>
-awaitable<Result<T>> RetryingRecordStore::CallWithRetry(base::TimePoint deadline, Send send) {
+awaitable<Result<T>> RetryingRecordStore::CallWithRetry(StoreCall call, base::TimePoint deadline,
+                                                        Send send) {
   for (int attempt = 0;; ++attempt) {
     const base::TimePoint now = Now();
     if (attempt > 0 && now >= deadline) break;
     const base::Duration left = std::max<base::Duration>(milliseconds{1}, deadline - now);
     Result<T> result = co_await send(std::min(left, Timeout(attempt)));
-    TrackReachability(result, now, {});
+    TrackResult(call, result, now, {});
     if (result || result.error().code == ErrorCode::kNotFound) co_return result;
     if (result.error().code == ErrorCode::kInvalidRequest) co_return result;
     if (result.error().code != ErrorCode::kTimeout) co_await Sleep(kRefusedPause);
@@ -97,9 +98,10 @@
 awaitable<Result<base::Offset>> RetryingRecordStore::Append(Partition partition,
                                                             std::vector<KeyedRecord> records,
                                                             base::TimePoint deadline) {
-  co_return co_await CallWithRetry<base::Offset>(deadline, [&](base::Duration timeout) {
-    return store_.Append(partition, records, timeout, std::nullopt);
-  });
+  co_return co_await CallWithRetry<base::Offset>(
+      StoreCall::kAppend, deadline, [&](base::Duration timeout) {
+        return store_.Append(partition, records, timeout, std::nullopt);
+      });
 }
 
 awaitable<Result<base::Offset>> RetryingRecordStore::AppendIf(Partition partition,
@@ -107,27 +109,29 @@
                                                               base::Offset expected) {
   const base::TimePoint sent_at = Now();
   const auto result = co_await store_.Append(partition, records, Timeout(1), expected);
-  co_return TrackReachability(result, sent_at, {});
+  co_return TrackResult(StoreCall::kAppend, result, sent_at, {});
 }
 
 awaitable<Result<RecordSnapshot>> RetryingRecordStore::ReadNewest(Partition partition,
                                                                   base::TimePoint deadline) {
   co_return co_await CallWithRetry<RecordSnapshot>(
-      deadline, [&](base::Duration timeout) { return store_.ReadNewest(partition, timeout); });
+      StoreCall::kReadNewest, deadline,
+      [&](base::Duration timeout) { return store_.ReadNewest(partition, timeout); });
 }
 
 awaitable<Result<RecordBatch>> RetryingRecordStore::Read(Partition partition, base::Offset from,
                                                          base::TimePoint deadline) {
-  co_return co_await CallWithRetry<RecordBatch>(deadline, [&](base::Duration timeout) {
-    return store_.Read(partition, from, {{}, timeout});
-  });
+  co_return co_await CallWithRetry<RecordBatch>(
+      StoreCall::kRead, deadline, [&](base::Duration timeout) {
+        return store_.Read(partition, from, {{}, timeout});
+      });
 }
 
 awaitable<Result<RecordBatch>> RetryingRecordStore::Poll(Partition partition, base::Offset from,
                                                          base::Duration wait) {
   const base::TimePoint sent_at = Now();
   const auto result = co_await store_.Read(partition, from, {wait, wait + Timeout(1)});
-  co_return TrackReachability(result, sent_at, wait);
+  co_return TrackResult(StoreCall::kRead, result, sent_at, wait);
 }
 
 }  // namespace persimmonstair::gateway
--- a/src/persimmonstair/gateway/retrying_record_store.hpp
+++ b/src/persimmonstair/gateway/retrying_record_store.hpp
@@ -5,6 +5,7 @@
 
 #include "persimmonstair/base/time.hpp"
 #include "persimmonstair/gateway/record_store.hpp"
+#include "store_call_counts.hpp"
 
 namespace persimmonstair::gateway {
 
@@ -14,7 +15,8 @@
 /// Records are identified by their key, so an append whose answer was lost can be repeated.
 class RetryingRecordStore {
  public:
-  explicit RetryingRecordStore(RecordStore& store) : store_(store) {}
+  RetryingRecordStore(RecordStore& store, diagnostics::Metrics& metrics)
+      : store_(store), counts_(metrics) {}
 
   /// Returns the offset of the first record of the acknowledged append. Unacknowledged attempts may
   /// have left earlier copies. Fails with kLogUnavailable and the verdict kMayHaveRun if no attempt
@@ -45,22 +47,26 @@
   bool Failing() const { return failing_; }
   /// Time at which the store last became reachable again; zero if it was never unreachable.
   base::TimePoint RecoveredAt() const { return recovered_at_; }
+  /// Counts of all calls, repeated ones included.
+  StoreCallCounts& Counts() { return counts_; }
 
  private:
   /// Timeout of one attempt (0 for the first), from the smoothed latency.
   base::Duration Timeout(int attempt) const;
-  /// Updates the reachability and the smoothed latency by the result of a call, and returns the
-  /// result. `waited` is the time for which the call asked the store to wait for a record; it
+  /// Counts the call, updates the reachability and the smoothed latency by its result, and returns
+  /// the result. `waited` is the time for which the call asked the store to wait for a record; it
   /// doesn't count as latency.
   template <class T>
-  const base::Result<T>& TrackReachability(const base::Result<T>& result, base::TimePoint sent_at,
-                                           base::Duration waited);
+  const base::Result<T>& TrackResult(StoreCall call, const base::Result<T>& result,
+                                     base::TimePoint sent_at, base::Duration waited);
   void OnSuccess(base::Duration took);
   void OnFailure(const base::Error& error);
   template <class T, class Send>
-  boost::asio::awaitable<base::Result<T>> CallWithRetry(base::TimePoint deadline, Send send);
+  boost::asio::awaitable<base::Result<T>> CallWithRetry(StoreCall call, base::TimePoint deadline,
+                                                        Send send);
 
   RecordStore& store_;
+  StoreCallCounts counts_;
   bool failing_ = false;
   bool reported_unreachable_ = false;
   base::TimePoint failing_since_;
