Close a caller's connection right after a response with Connection: close

What callers saw: the connection stayed open after such a response until the idle timeout plus 1 s, and each held a descriptor. Cause: g++ 12 evaluates a co_await in the condition of a while loop even if the operands before it in the && are false. CallerConnection::Run waited there for the next request of a connection that was to be closed. A program of 20 lines shows it at -O0 and -O2; conditions of if statements are not affected, and no other loop has a co_await in its condition. Found by the test on endless answers, which took 21 s a case. Change: the wait is a statement of its own. Test: ConnectionEndsAfterTheResponseIfTheCallerAsksForIt failed before (31.7 s, no end of the connection) and passes now.

--- a/src/persimmonstair/gateway/caller_connection.cpp
+++ b/src/persimmonstair/gateway/caller_connection.cpp
@@ -84,7 +84,8 @@
 
 asio::awaitable<void> CallerConnection::Run() {
   const auto self = shared_from_this();
-  while (keep_alive_ && !disconnected_ && co_await WaitForRequest()) {
+  while (keep_alive_ && !disconnected_) {
+    if (!co_await WaitForRequest()) break;
     idle_ = false;
     ++context_.open_requests;
     const bool served = co_await ServeRequest();
