Cut off targets that send bytes without end

What happened: an unfinished chunk header, trailers and an unfinished event were collected in memory without a limit, until the deadline or the memory limit; the time for a piece of a body began anew with each read; an interim response (1xx) was handed to the caller as the answer. Change: a connection keeps at most 128 KB that its parser can't use, an event at most 1 MB, a read of a body has one timeout, a stream and a buffered body end at the deadline, and at most 3 interim responses are skipped. An event is searched for its end only where new bytes came.

--- a/src/persimmonstair/gateway/event_splitter.cpp
+++ b/src/persimmonstair/gateway/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include "event_splitter.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace persimmonstair::gateway {
@@ -29,9 +30,14 @@
   return event;
 }
 
-// Length of the first event including the empty line that ends it; npos if it isn't complete.
-std::size_t EventLength(std::string_view text) {
-  for (auto at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+// Longest end of an event, a line feed and an empty line.
+constexpr std::size_t kMaxEndBytes = 3;
+
+// Length of the first event including the empty line that ends it, which is searched for from
+// `from` on; npos if the event isn't complete.
+std::size_t EventLength(std::string_view text, std::size_t from) {
+  for (auto at = text.find('\n', from); at != std::string_view::npos;
+       at = text.find('\n', at + 1)) {
     const std::string_view next = text.substr(at + 1);
     if (next.starts_with("\n")) return at + 2;
     if (next.starts_with("\r\n")) return at + 3;
@@ -45,10 +51,14 @@
   rest_ += bytes;
   std::vector<StreamEvent> events;
   for (;;) {
-    const auto length = EventLength(rest_);
-    if (length == std::string_view::npos) return events;
+    const auto length = EventLength(rest_, searched_);
+    if (length == std::string_view::npos) {
+      searched_ = rest_.size() - std::min(rest_.size(), kMaxEndBytes - 1);
+      return events;
+    }
     events.push_back(ParseEvent(rest_.substr(0, length)));
     rest_.erase(0, length);
+    searched_ = 0;
   }
 }
 
--- a/src/persimmonstair/gateway/event_splitter.hpp
+++ b/src/persimmonstair/gateway/event_splitter.hpp
@@ -1,6 +1,7 @@
 #ifndef PERSIMMONSTAIR_SRC_GATEWAY_EVENT_SPLITTER_HPP_
 #define PERSIMMONSTAIR_SRC_GATEWAY_EVENT_SPLITTER_HPP_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,13 +25,20 @@
 ///     for (StreamEvent& event : splitter.Feed(bytes)) Forward(event.bytes);
 class EventSplitter {
  public:
+  /// Size limit of one event, in bytes.
+  static constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20U;
+
   /// Adds received bytes and returns the events that they complete.
   std::vector<StreamEvent> Feed(std::string_view bytes);
   /// Bytes after the last complete event.
   const std::string& Rest() const { return rest_; }
+  /// True if the incomplete event exceeds kMaxEventBytes.
+  bool TooLarge() const { return rest_.size() > kMaxEventBytes; }
 
  private:
   std::string rest_;
+  /// Bytes at the start of `rest_` that contain no end of an event.
+  std::size_t searched_ = 0;
 };
 
 }  // namespace persimmonstair::gateway
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -34,7 +34,10 @@
 constexpr milliseconds kMinTimeLeft{5};
 constexpr milliseconds kOverloadRetryAfter{150};
 constexpr milliseconds kNoTargetRetryAfter{300};
-/// Responses to other requests that are skipped on a connection before the attempt fails.
+/// Lower statuses are those of interim responses, which the response follows.
+constexpr unsigned kFirstFinalStatus = 200;
+/// Interim responses and responses to other requests that are skipped on a connection before the
+/// attempt fails.
 constexpr int kMaxMismatchedResponses = 3;
 /// Maximum size of a response body that is buffered in memory.
 constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{8} << 20U;
@@ -230,13 +233,14 @@
       RecordError(head.error());
       co_return std::nullopt;
     }
+    if (head->status < kFirstFinalStatus) continue;
     ResponseMetadata reply = context_.codec.DecodeResponse(std::move(*head));
     if (reply.request_id.empty() || reply.request_id == metadata_.request_id) co_return reply;
     Log(Level::kWarning, "foreign_answer",
         {{"request", metadata_.request_id}, {"answers", reply.request_id}});
     if (!co_await ReadFullBody(connection)) co_return std::nullopt;
   }
-  attempt_error_ = "the target sent only responses to other requests";
+  attempt_error_ = "the target sent only interim responses and responses to other requests";
   co_return std::nullopt;
 }
 
@@ -256,8 +260,9 @@
       co_return std::nullopt;
     }
     if (piece.end) co_return body;
-    if (body.size() > kMaxBufferedBodyBytes) {
-      attempt_error_ = "the response body is too large";
+    if (body.size() > kMaxBufferedBodyBytes || TimeLeft() <= base::Duration{0}) {
+      attempt_error_ =
+          body.size() > kMaxBufferedBodyBytes ? "the response body is too large" : "timeout";
       co_return std::nullopt;
     }
   }
--- a/src/persimmonstair/gateway/exchange_stream.cpp
+++ b/src/persimmonstair/gateway/exchange_stream.cpp
@@ -52,6 +52,10 @@
       co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
     }
     if (piece.end) break;
+    if (splitter_.TooLarge() || TimeLeft() <= base::Duration{0}) {
+      attempt_error_ = splitter_.TooLarge() ? "an event is too large" : "timeout";
+      co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
+    }
   }
   if (!framed && !splitter_.Rest().empty()) {
     attempt_error_ = "the stream ended inside an event";
--- a/src/persimmonstair/gateway/http_connection.cpp
+++ b/src/persimmonstair/gateway/http_connection.cpp
@@ -29,6 +29,9 @@
 constexpr std::uint32_t kMaxHeaderBytes = 64U << 10U;
 constexpr std::string_view kTimeoutName = "timeout=";
 constexpr std::size_t kPieceBytes = 16U << 10U;
+/// Limit of received bytes that the parser can't use yet, for example of an unfinished chunk
+/// header.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{2} * kMaxHeaderBytes;
 
 HttpHead CopyHead(const Parser::value_type& message) {
   HttpHead head{message.result_int(), std::string(message.reason()), {}};
@@ -54,7 +57,7 @@
   explicit Impl(const asio::any_io_executor& executor) : stream(executor) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   std::optional<Parser> parser;
   std::array<char, kPieceBytes> piece{};
   base::Duration keep_alive_timeout{0};
@@ -104,12 +107,12 @@
     piece.error = asio::error::not_connected;
     co_return piece;
   }
+  impl.stream.expires_after(timeout);
   while (!impl.parser->is_done() && piece.data.empty()) {
     auto& body = impl.parser->get().body();
     body.data = impl.piece.data();
     body.size = impl.piece.size();
     body.more = true;
-    impl.stream.expires_after(timeout);
     auto [ec, n] = co_await http::async_read_some(impl.stream, impl.buffer, *impl.parser, kTuple);
     piece.data.append(impl.piece.data(), impl.piece.size() - body.size);
     if (ec == http::error::need_buffer) ec = {};
