Repeat refused store calls after growing, random pauses

Each waiting call came again every 40 ms, so the refused calls grew with instances x waiting calls. Change: the mean pause doubles from 40 to 320 ms and varies by half, so that instances don't return together.

--- a/src/persimmonstair/gateway/retrying_record_store.cpp
+++ b/src/persimmonstair/gateway/retrying_record_store.cpp
@@ -22,8 +22,10 @@
 constexpr milliseconds kMaxTimeout{1200};
 /// Timeout of a first attempt as a multiple of the smoothed latency.
 constexpr int kTimeoutFactor = 4;
-/// Pause before a refused call is repeated, because refused calls load the store too.
-constexpr milliseconds kRefusedPause{40};
+/// Bounds of the mean pause before a refused call is repeated. It doubles with each refusal,
+/// because refused calls load the store too.
+constexpr milliseconds kMinRefusedPause{40};
+constexpr milliseconds kMaxRefusedPause{320};
 /// Time without a success, while calls fail, after which the store counts as unreachable.
 constexpr milliseconds kUnreachableAfter{400};
 
@@ -39,6 +41,13 @@
   return std::min<base::Duration>(kMaxTimeout, first * (1 << std::min(attempt, 3)));
 }
 
+base::Duration RetryingRecordStore::RefusedPause(int attempt) {
+  const base::Duration mean =
+      std::min<base::Duration>(kMaxRefusedPause, kMinRefusedPause * (1 << std::min(attempt, 3)));
+  std::uniform_int_distribution<base::Duration::rep> pause(mean.count() / 2, mean.count() * 3 / 2);
+  return base::Duration{pause(random_)};
+}
+
 void RetryingRecordStore::OnSuccess(base::Duration took) {
   smoothed_latency_ = (smoothed_latency_ * 7 + took) / 8;
   if (!failing_) return;
@@ -88,7 +97,7 @@
     TrackResult(call, result, now, {});
     if (result || result.error().code == ErrorCode::kNotFound) co_return result;
     if (result.error().code == ErrorCode::kInvalidRequest) co_return result;
-    if (result.error().code != ErrorCode::kTimeout) co_await Sleep(kRefusedPause);
+    if (result.error().code != ErrorCode::kTimeout) co_await Sleep(RefusedPause(attempt));
   }
   co_return Fail(ErrorCode::kLogUnavailable,
                  "record store: no successful answer before the deadline",
--- a/src/persimmonstair/gateway/retrying_record_store.hpp
+++ b/src/persimmonstair/gateway/retrying_record_store.hpp
@@ -1,6 +1,7 @@
 #ifndef PERSIMMONSTAIR_SRC_GATEWAY_RETRYING_RECORD_STORE_HPP_
 #define PERSIMMONSTAIR_SRC_GATEWAY_RETRYING_RECORD_STORE_HPP_
 
+#include <random>
 #include <vector>
 
 #include "persimmonstair/base/time.hpp"
@@ -53,6 +54,8 @@
  private:
   /// Timeout of one attempt (0 for the first), from the smoothed latency.
   base::Duration Timeout(int attempt) const;
+  /// Pause after attempt `attempt` was refused. Random, so that instances don't return together.
+  base::Duration RefusedPause(int attempt);
   /// Counts the call, updates the reachability and the smoothed latency by its result, and returns
   /// the result. `waited` is the time for which the call asked the store to wait for a record; it
   /// doesn't count as latency.
@@ -73,6 +76,7 @@
   base::TimePoint recovered_at_;
   /// Exponentially smoothed latency of answered calls.
   base::Duration smoothed_latency_ = std::chrono::milliseconds{10};
+  std::minstd_rand random_{std::random_device{}()};
 };
 
 }  // namespace persimmonstair::gateway
