Let a budget coordinator write a partition's reservations for all instances

Cause: a turn's reservation and its settlement were two appends of its instance, each followed by a read, because another instance had written to the partition. Group commit worked inside an instance only, over 640 partitions, so nothing was ever grouped: calls grew with turns and reads with instances. The bursts took the fleet beyond the store's 1,500 appends a second; refused calls came again, refused turns too, and their reservations filled the budgets, so the overload outlived the bursts. Class of fault: metastable overload of a shared service, by work that doesn't amortise as the fleet grows. Change: each of the few partitions has a budget coordinator, the best reachable instance by rendezvous hashing over the share table. Other instances send it reservations and settlements by datagram; it writes them together, at most once in an interval at which all partitions use a third of the store's writing calls. So calls grow with neither instances nor turns. The order of the partition still decides: an instance whose coordinators don't answer, decline (no store, stopping) or that has none writes itself, under a new name, after settling the unanswered reservation with 0. A batch waits as long as its most patient member, each caller only until its own deadline. The datagram socket of the quota limiter is now PeerSocket; quota.json is entry_peer.json, with four more messages. Reservations of the old layout are not read: a budget begins anew over an upgrade. Test: ReservationsOfManyInstancesShareAppends needed 6 appends for 6 turns before, more than the 3 that it allows; it passes now. BudgetsHoldWhenInstancesDie guards the fallback.

--- a/include/persimmonstair/gateway/settings.hpp
+++ b/include/persimmonstair/gateway/settings.hpp
@@ -27,10 +27,16 @@
   dispatch::Endpoint peer_listen;
   /// Number of partitions in each stream of the store.
   std::uint32_t parts_of_stream = 8;
+  /// Write calls a second that the store accepts from all instances together.
+  double store_writes_per_s = 800;
   /// Size limit of the cache of stored turns, in bytes.
   std::size_t turn_cache_bytes = std::size_t{24} << 20U;
   /// Time that the platform leaves between the stop signal and killing the process.
   base::Duration stop_grace_period = std::chrono::seconds{8};
+  /// Maximum time for a reservation of tokens, which usually takes one append to the store.
+  base::Duration reservation_timeout = std::chrono::seconds{1};
+  /// Time after which another instance that did not answer a message is sent it again.
+  base::Duration peer_answer_timeout = std::chrono::milliseconds{30};
 };
 
 }  // namespace persimmonstair::gateway
--- a/src/persimmonstair/gateway/budget_manager.cpp
+++ b/src/persimmonstair/gateway/budget_manager.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <iterator>
 #include <utility>
 
 #include "persimmonstair/diagnostics/log.hpp"
@@ -43,22 +44,26 @@
   const Partition partition = partitions_.PartitionOf(reservation.program.value);
   State& state = states_[partition];
   const auto queued = std::make_shared<QueuedReservation>(executor_);
+  queued->outcome.reservation = reservation;
   queued->reservation = std::move(reservation);
   queued->budget = budget;
   queued->deadline = deadline;
   state.queued.push_back(queued);
   Start(partition, state);
-  co_await queued->done.Wait();
+  co_await queued->done.WaitUntil(deadline);
+  queued->abandoned = !queued->done.IsSet();
+  if (queued->abandoned) queued->outcome.result = ReservationResult::kStoreUnavailable;
   co_return queued->outcome;
 }
 
-void BudgetManager::Settle(schema::TokenReservation reservation, std::uint64_t tokens) {
+void BudgetManager::Settle(schema::TokenReservation reservation, std::uint64_t tokens,
+                           std::function<void()> written) {
   const Partition partition = partitions_.PartitionOf(reservation.program.value);
   State& state = states_[partition];
   const auto ended = Settled(std::move(reservation), tokens);
   state.ledger.Apply(ended);
   if (state.settled.empty()) state.settled_since = Now();
-  state.settled.push_back(ended);
+  state.settled.push_back({ended, std::move(written)});
 }
 
 void BudgetManager::Start(const Partition& partition, State& state) {
@@ -70,11 +75,16 @@
 awaitable<void> BudgetManager::Run(Partition partition) {
   State& state = states_[partition];
   while (!state.queued.empty() || !state.settled.empty()) {
+    if (const base::Duration wait = state.next_append_at - Now(); wait > base::Duration{0}) {
+      co_await Sleep(wait);
+    }
+    state.next_append_at = Now() + append_interval_;
+    std::erase_if(state.queued, [](const auto& one) { return one->abandoned; });
     std::vector<QueuedReservationPtr> batch(state.queued.begin(), state.queued.end());
     state.queued.clear();
     co_await AppendQueued(partition, state, batch);
     for (const auto& one : batch) {
-      if (one->outcome.result == ReservationResult::kStoreUnavailable) {
+      if (one->abandoned || one->outcome.result == ReservationResult::kStoreUnavailable) {
         // The append may have taken effect. The turn is refused and generates no tokens, so the
         // reservation is settled with 0.
         Settle(one->reservation, 0);
@@ -89,22 +99,24 @@
 awaitable<void> BudgetManager::AppendQueued(const Partition& partition, State& state,
                                             std::vector<QueuedReservationPtr>& batch) {
   base::TimePoint deadline = Now() + kSettleTimeout;
-  if (!batch.empty()) deadline = batch.front()->deadline;
-  for (const auto& one : batch) deadline = std::min(deadline, one->deadline);
+  for (const auto& one : batch) deadline = std::max(deadline, one->deadline);
   if (!state.loaded && !co_await Load(partition, state, deadline)) co_return;
   std::vector<KeyedRecord> records;
-  const std::vector<schema::TokenReservation> settled = std::move(state.settled);
-  state.settled.clear();
+  std::vector<QueuedSettlement> settled = std::exchange(state.settled, {});
   records.reserve(settled.size() + batch.size());
-  for (const auto& one : settled) records.push_back(Encode(one));
+  for (const auto& one : settled) records.push_back(Encode(one.reservation));
   for (const auto& one : batch) records.push_back(Encode(one->reservation));
   const std::uint64_t count = records.size();
   const auto offset = co_await store_.Append(partition, std::move(records), deadline);
   if (!offset || !co_await CatchUp(partition, state, *offset, deadline)) {
-    state.settled.insert(state.settled.begin(), settled.begin(), settled.end());
+    std::move(state.settled.begin(), state.settled.end(), std::back_inserter(settled));
+    state.settled = std::move(settled);
     state.settled_since = Now();
     co_return;
   }
+  for (const auto& one : settled) {
+    if (one.written) one.written();
+  }
   state.next = std::max(state.next, base::Offset{offset->value + count});
   for (const auto& one : batch) {
     const bool fits = state.ledger.Fits(one->reservation, one->budget);
--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -1,7 +1,9 @@
 #ifndef PERSIMMONSTAIR_SRC_GATEWAY_BUDGET_MANAGER_HPP_
 #define PERSIMMONSTAIR_SRC_GATEWAY_BUDGET_MANAGER_HPP_
 
+#include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -28,11 +30,14 @@
   ReservationResult result = ReservationResult::kStoreUnavailable;
   /// Usage before the reservation; zero if the store did not acknowledge it.
   turns::TokenUsage usage;
+  /// The reservation to settle when the turn ends.
+  schema::TokenReservation reservation;
 };
 
 /// @brief Reserves tokens of programs' budgets in the store before they are returned to callers.
 ///
-/// All instances read the reservations of a program in the order of the store's log. A reservation
+/// Reservations of a partition that arrive within the append interval are written together. All
+/// instances read the reservations of a program in the order of the store's log. A reservation
 /// is granted only if it fits into the budget together with all earlier ones.
 class BudgetManager {
  public:
@@ -40,17 +45,28 @@
   /// resume within the retention time of its turns.
   static constexpr std::int64_t kReservationRetentionMs = 180'000;
 
+  /// Writes to each partition at most once in `append_interval`.
   BudgetManager(const boost::asio::any_io_executor& executor, RetryingRecordStore& store,
-                Partitioning budgets)
-      : executor_(executor), store_(store), partitions_(std::move(budgets)) {}
+                Partitioning budgets, base::Duration append_interval)
+      : executor_(executor),
+        store_(store),
+        partitions_(std::move(budgets)),
+        append_interval_(append_interval) {}
+
+  /// Returns the partition that holds the program's reservations.
+  Partition PartitionOf(const base::ProgramId& program) const {
+    return partitions_.PartitionOf(program.value);
+  }
 
   /// Reserves `reservation.tokens`, the maximum number of tokens that the turn may return.
   boost::asio::awaitable<ReservationOutcome> Reserve(schema::TokenReservation reservation,
                                                      std::uint64_t budget,
                                                      base::TimePoint deadline);
 
-  /// Records that the turn ended after it returned `tokens`. The record is written later.
-  void Settle(schema::TokenReservation reservation, std::uint64_t tokens);
+  /// Records that the turn ended after it returned `tokens`. The record is written later; `written`
+  /// is called once the store has acknowledged it.
+  void Settle(schema::TokenReservation reservation, std::uint64_t tokens,
+              std::function<void()> written = nullptr);
 
   /// Writes all pending settlements; used by a planned stop.
   boost::asio::awaitable<void> Flush(base::TimePoint deadline);
@@ -66,9 +82,16 @@
     std::uint64_t budget = 0;
     base::TimePoint deadline;
     ReservationOutcome outcome;
+    /// True once nobody waits for the outcome.
+    bool abandoned = false;
     OneShotEvent done;
   };
   using QueuedReservationPtr = std::shared_ptr<QueuedReservation>;
+  /// A settled reservation that is not yet written.
+  struct QueuedSettlement {
+    schema::TokenReservation reservation;
+    std::function<void()> written;
+  };
   /// State of one partition.
   struct State {
     turns::TokenLedger ledger;
@@ -78,8 +101,10 @@
     bool running = false;
     std::deque<QueuedReservationPtr> queued;
     /// Settled reservations to write, with the next reservation or after kSettleDelay.
-    std::vector<schema::TokenReservation> settled;
+    std::vector<QueuedSettlement> settled;
     base::TimePoint settled_since;
+    /// Time from which the next append may be sent.
+    base::TimePoint next_append_at;
   };
 
   /// Appends queued reservations and settlements until there are none.
@@ -99,6 +124,7 @@
   boost::asio::any_io_executor executor_;
   RetryingRecordStore& store_;
   Partitioning partitions_;
+  base::Duration append_interval_;
   std::map<Partition, State> states_;
   /// Expiry time in Unix milliseconds, partition and key of each record that this instance wrote.
   std::deque<std::pair<std::int64_t, std::pair<Partition, std::string>>> own_records_;
--- a/src/persimmonstair/gateway/clock.hpp
+++ b/src/persimmonstair/gateway/clock.hpp
@@ -52,6 +52,13 @@
     }
   }
 
+  /// Waits until the event is set, at most until `deadline`. Only one coroutine may wait like this.
+  boost::asio::awaitable<void> WaitUntil(base::TimePoint deadline) {
+    if (set_) co_return;
+    timer_.expires_after(deadline - Now());
+    co_await timer_.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+  }
+
  private:
   boost::asio::steady_timer timer_;
   bool set_ = false;
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -25,8 +25,6 @@
 constexpr milliseconds kStoreRetry{250};
 /// A configuration that was last confirmed longer ago may lack new routes and keys.
 constexpr milliseconds kMaxConfigurationAge{1500};
-/// Maximum time for a reservation, which usually takes one append to the store.
-constexpr milliseconds kReservationTimeout{1000};
 
 Error Deny(ErrorCode code, std::string message, base::Duration retry_after = {}) {
   return Error{code, std::move(message), Verdict::kNotRun, retry_after};
@@ -150,7 +148,8 @@
   const schema::TokenReservation reservation{
       metadata_.program,    workspace_, {metadata_.request_id},
       metadata_.max_tokens, false,      UnixMillis() + BudgetManager::kReservationRetentionMs};
-  const base::TimePoint deadline = std::min(expires_at_, Now() + kReservationTimeout);
+  const base::TimePoint deadline =
+      std::min(expires_at_, Now() + context_.settings.reservation_timeout);
   const ReservationOutcome outcome =
       co_await context_.budgets.Reserve(reservation, *metadata_.token_budget, deadline);
   if (outcome.result == ReservationResult::kBudgetExhausted) {
@@ -161,7 +160,7 @@
     co_return Deny(ErrorCode::kLogUnavailable,
                    "the program's token budget can't be charged at present", kShortRetryAfter);
   }
-  reservation_ = reservation;
+  reservation_ = outcome.reservation;
   co_return std::nullopt;
 }
 
--- a/src/persimmonstair/gateway/fleet_registry.cpp
+++ b/src/persimmonstair/gateway/fleet_registry.cpp
@@ -1,9 +1,11 @@
 #include "fleet_registry.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
 #include "clock.hpp"
+#include "persimmonstair/base/rendezvous.hpp"
 #include "persimmonstair/diagnostics/log.hpp"
 #include "persimmonstair/gateway/settings_load.hpp"
 #include "persimmonstair/quota/coordinator.hpp"
@@ -24,6 +26,8 @@
 constexpr milliseconds kCallTimeout{900};
 /// Time without a report after which an instance isn't asked for tokens.
 constexpr milliseconds kPeerTimeout{5000};
+/// Number of instances that are asked to write a reservation before this instance writes it itself.
+constexpr std::size_t kMaxBudgetCoordinators = 3;
 constexpr std::int64_t kCrashRetentionMs = 120'000;
 
 constexpr char kTableKey[] = "table";
@@ -32,6 +36,22 @@
   return "crash/" + std::to_string(report.fingerprint) + "/" + report.target.value;
 }
 
+// Returns the holders in the order of their rendezvous weights for the partition, largest first.
+std::vector<base::InstanceId> Rank(const Partition& partition,
+                                   const std::vector<schema::ShareHolder>& holders) {
+  const std::string key = partition.stream.value + "/" + std::to_string(partition.part);
+  std::vector<std::pair<std::uint64_t, base::InstanceId>> weighted;
+  weighted.reserve(holders.size());
+  for (const auto& holder : holders) {
+    weighted.emplace_back(base::RendezvousWeight(key, holder.instance.value), holder.instance);
+  }
+  std::sort(weighted.rbegin(), weighted.rend());
+  std::vector<base::InstanceId> ranked;
+  ranked.reserve(weighted.size());
+  for (auto& one : weighted) ranked.push_back(std::move(one.second));
+  return ranked;
+}
+
 }  // namespace
 
 FleetRegistry::FleetRegistry(RetryingRecordStore& store, const GatewaySettings& settings,
@@ -68,6 +88,24 @@
   return reachable;
 }
 
+std::vector<dispatch::Endpoint> FleetRegistry::BudgetCoordinators(const Partition& partition) {
+  const schema::ShareTable& table = allocator_.Table();
+  if (ranking_round_ != table.round) ranking_.clear();
+  ranking_round_ = table.round;
+  auto it = ranking_.find(partition);
+  if (it == ranking_.end()) it = ranking_.emplace(partition, Rank(partition, table.holders)).first;
+  const base::TimePoint now = Now();
+  std::vector<dispatch::Endpoint> coordinators;
+  for (const auto& instance : it->second) {
+    if (instance == instance_ || coordinators.size() == kMaxBudgetCoordinators) break;
+    const auto peer = peers_.find(instance);
+    const bool recently_heard =
+        peer != peers_.end() && now - peer->second.last_heard_at < kPeerTimeout;
+    if (recently_heard) coordinators.push_back(peer->second.endpoint);
+  }
+  return coordinators;
+}
+
 void FleetRegistry::UpdatePeer(const schema::ShareReport& report) {
   const auto endpoint = ParseEndpoint(report.peer);
   if (report.stopping || !endpoint) {
--- a/src/persimmonstair/gateway/fleet_registry.hpp
+++ b/src/persimmonstair/gateway/fleet_registry.hpp
@@ -50,6 +50,10 @@
   /// Returns the coordinators of the workspace that reported recently.
   ReachableCoordinators FindCoordinators(const base::WorkspaceId& workspace);
 
+  /// Returns the instances that may write the reservations of the partition for this one, best
+  /// first. Empty if this instance writes them, or if there is no share table yet.
+  std::vector<dispatch::Endpoint> BudgetCoordinators(const Partition& partition);
+
   /// Records that a target failed while it ran a request. Other instances learn of it with the next
   /// report.
   void ReportCrash(std::uint64_t fingerprint, const base::TargetId& target);
@@ -94,6 +98,10 @@
     base::TimePoint last_heard_at;
   };
   std::map<base::InstanceId, Peer> peers_;
+  /// Holders by partition, best first by rendezvous hashing; valid for the table of
+  /// `ranking_round_`.
+  std::map<Partition, std::vector<base::InstanceId>> ranking_;
+  std::uint64_t ranking_round_ = 0;
   /// Cache of coordinators by workspace, valid for the table of `coordinators_round_`.
   std::unordered_map<base::WorkspaceId, std::vector<schema::ShareHolder>> coordinators_;
   std::uint64_t coordinators_round_ = 0;
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -127,6 +127,7 @@
   awaitable<void> Stop(std::function<void()> stopped) {
     const base::TimePoint begun_at = Now();
     context.stopping = true;
+    context.budget_coordinator.Stop();
     Log(Level::kInfo, "stop_begun", {{"open_requests", context.open_requests}});
     co_await Sleep(kStopAcceptTime);
     callers->close();
@@ -171,13 +172,13 @@
   if (auto result = listen(impl.callers, settings.listen); !result) return result;
   if (auto result = listen(impl.readiness, settings.readiness_listen); !result) return result;
   if (auto result = listen(impl.metrics, settings.metrics_listen); !result) return result;
-  if (auto result = impl.context.quota.Listen(settings.peer_listen); !result) return result;
-  impl.Spawn(impl.context.quota.Run());
+  if (auto result = impl.context.peers.Listen(settings.peer_listen); !result) return result;
+  impl.Spawn(impl.context.peers.Run());
   impl.Spawn(impl.context.configuration.Run());
   impl.Spawn(impl.context.targets.Run());
   impl.Spawn(impl.context.fleet.Run());
   impl.Spawn(impl.context.turns.DropExpired());
-  impl.Spawn(impl.context.budgets.DropExpired());
+  impl.Spawn(impl.context.budget_manager.DropExpired());
   impl.Spawn(impl.RunMaintenance());
   impl.Spawn(impl.LogStoreCalls());
   impl.Spawn(impl.Accept());
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -5,10 +5,13 @@
 #include <cstdint>
 #include <string>
 
+#include "budget_client.hpp"
+#include "budget_coordinator.hpp"
 #include "budget_manager.hpp"
 #include "fleet_registry.hpp"
 #include "followers.hpp"
 #include "partitions.hpp"
+#include "peer_socket.hpp"
 #include "persimmonstair/diagnostics/metrics.hpp"
 #include "persimmonstair/dispatch/target_registry.hpp"
 #include "persimmonstair/gateway/platform_codec.hpp"
@@ -21,6 +24,18 @@
 
 namespace persimmonstair::gateway {
 
+/// Part of the store's write calls that reservations of budgets may use.
+inline constexpr double kBudgetWriteShare = 1.0 / 3;
+
+/// @brief Returns the interval between two appends to a partition of reservations at which all
+/// partitions together use kBudgetWriteShare of the store's write calls.
+inline base::Duration BudgetAppendInterval(const GatewaySettings& settings) {
+  const double partitions = kBudgetStreams * settings.parts_of_stream;
+  const std::chrono::duration<double> interval{partitions /
+                                               (kBudgetWriteShare * settings.store_writes_per_s)};
+  return std::chrono::duration_cast<base::Duration>(interval);
+}
+
 /// @brief State and services of an entry instance that all its requests share.
 struct GatewayContext {
   GatewayContext(const boost::asio::any_io_executor& executor_used, GatewaySettings settings_used,
@@ -33,10 +48,15 @@
         target_registry(settings.data_centre),
         pool(executor),
         targets(store, codec, target_registry, pool),
-        turns(executor, store, {"turns", settings.parts_of_stream}, settings.turn_cache_bytes),
-        budgets(executor, store, {"budgets", settings.parts_of_stream}),
+        turns(executor, store, {"turns", kTurnStreams, settings.parts_of_stream},
+              settings.turn_cache_bytes),
         fleet(store, settings, std::move(process)),
-        quota(executor, fleet, configuration) {}
+        peers(executor),
+        quota(executor, peers, fleet, configuration),
+        budget_manager(executor, store, {"budgets", kBudgetStreams, settings.parts_of_stream},
+                       BudgetAppendInterval(settings)),
+        budget_coordinator(executor, peers, budget_manager, store, settings.reservation_timeout),
+        budgets(executor, peers, fleet, budget_manager, settings.peer_answer_timeout) {}
 
   boost::asio::any_io_executor executor;
   GatewaySettings settings;
@@ -48,9 +68,12 @@
   TargetConnectionPool pool;
   TargetFollower targets;
   TurnStore turns;
-  BudgetManager budgets;
   FleetRegistry fleet;
+  PeerSocket peers;
   QuotaLimiter quota;
+  BudgetManager budget_manager;
+  BudgetCoordinator budget_coordinator;
+  BudgetClient budgets;
   RecentPrograms programs;
   /// Set by a planned stop; responses then ask callers to open new connections.
   bool stopping = false;
--- a/src/persimmonstair/gateway/quota_limiter.cpp
+++ b/src/persimmonstair/gateway/quota_limiter.cpp
@@ -2,16 +2,13 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "clock.hpp"
-#include "persimmonstair/schema/quota_codec.hpp"
 
 namespace persimmonstair::gateway {
 
 namespace asio = boost::asio;
-using asio::ip::udp;
 using boost::system::error_code;
 using quota::Admission;
 using quota::AdmissionResult;
@@ -26,36 +23,18 @@
 
 constexpr std::chrono::hours kNoTimeout{24};
 
-std::optional<udp::endpoint> ToUdp(const dispatch::Endpoint& endpoint) {
-  error_code ec;
-  const auto address = asio::ip::make_address(endpoint.address, ec);
-  if (ec) return std::nullopt;
-  return udp::endpoint(address, endpoint.port);
-}
-
 }  // namespace
 
-base::Result<void> QuotaLimiter::Listen(const dispatch::Endpoint& endpoint) {
-  const auto local = ToUdp(endpoint);
-  error_code ec = asio::error::invalid_argument;
-  if (local) socket_.open(local->protocol(), ec);
-  if (!ec) socket_.bind(*local, ec);
-  if (!ec) return {};
-  return base::Fail(base::ErrorCode::kInvalidRequest, "can't use UDP " + endpoint.address + ":" +
-                                                          std::to_string(endpoint.port) + ": " +
-                                                          ec.message());
-}
-
-asio::awaitable<void> QuotaLimiter::Run() {
-  for (;;) {
-    udp::endpoint sender;
-    const auto [ec, n] = co_await socket_.async_receive_from(asio::buffer(buffer_), sender,
-                                                             asio::as_tuple(asio::use_awaitable));
-    // The error refers to an earlier datagram that was not delivered; the socket stays usable.
-    if (ec) continue;
-    const auto message = schema::DecodeQuota({buffer_.data(), n});
-    if (message) Handle(*message, sender);
-  }
+QuotaLimiter::QuotaLimiter(const asio::any_io_executor& executor, PeerSocket& socket,
+                           FleetRegistry& fleet, const ConfigurationFollower& configuration)
+    : socket_(socket),
+      timer_(executor),
+      fleet_(fleet),
+      configuration_(configuration),
+      queue_(fleet.Shares()) {
+  socket_.OnMessage([this](const schema::EntryPeerMessage& message, const PeerEndpoint& sender) {
+    Handle(message, sender);
+  });
 }
 
 asio::awaitable<AdmissionResult> QuotaLimiter::Admit(const Workspace& workspace,
@@ -69,7 +48,7 @@
       quota::kMaxTokenWait + quota::kAnswerTimeout};
   const auto result = queue_.Ask(Now(), workspace.id, workspace.quota, demand);
   if (result) co_return *result;
-  const auto waiting = std::make_shared<QueuedRequest>(socket_.get_executor());
+  const auto waiting = std::make_shared<QueuedRequest>(timer_.get_executor());
   waiting->workspace = workspace.id;
   waiting->stage = stage;
   waiting_requests_[id] = waiting;
@@ -116,7 +95,7 @@
 asio::awaitable<void> QuotaLimiter::AskCoordinator(dispatch::Endpoint coordinator, std::uint64_t id,
                                                    QueuedRequestPtr waiting,
                                                    base::Duration max_wait) {
-  const auto endpoint = ToUdp(coordinator);
+  const auto endpoint = ToPeerEndpoint(coordinator);
   if (!endpoint) co_return;
   base::TimePoint& backoff_until = backoff_until_[*endpoint];
   if (Now() < backoff_until) co_return;
@@ -134,14 +113,14 @@
   co_await waiting->changed.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-void QuotaLimiter::SendAsk(const udp::endpoint& instance, std::uint64_t id,
+void QuotaLimiter::SendAsk(const PeerEndpoint& instance, std::uint64_t id,
                            const QueuedRequest& waiting, base::Duration max_wait) {
   DropExpiredAsks();
   const std::uint64_t nonce = next_id_++;
   asks_[nonce] = {waiting.workspace, id, Now() + max_wait + quota::kLoanGrace, instance, false};
-  Send(schema::TokenAsk{waiting.workspace, nonce, waiting.stage == ProgramStage::kBegins,
-                        static_cast<std::uint32_t>(base::ToMillis(max_wait))},
-       instance);
+  socket_.Send(schema::TokenAsk{waiting.workspace, nonce, waiting.stage == ProgramStage::kBegins,
+                                static_cast<std::uint32_t>(base::ToMillis(max_wait))},
+               instance);
 }
 
 void QuotaLimiter::DropExpiredAsks() {
@@ -149,7 +128,7 @@
   while (!asks_.empty() && asks_.begin()->second.usable_until <= now) asks_.erase(asks_.begin());
 }
 
-void QuotaLimiter::Handle(const schema::QuotaMessage& message, const udp::endpoint& sender) {
+void QuotaLimiter::Handle(const schema::EntryPeerMessage& message, const PeerEndpoint& sender) {
   if (const auto* ask = std::get_if<schema::TokenAsk>(&message)) {
     Handle(*ask, sender);
   } else if (const auto* answer = std::get_if<schema::TokenAnswer>(&message)) {
@@ -159,7 +138,7 @@
   }
 }
 
-void QuotaLimiter::Handle(const schema::TokenAsk& ask, const udp::endpoint& sender) {
+void QuotaLimiter::Handle(const schema::TokenAsk& ask, const PeerEndpoint& sender) {
   const RemoteRequest remote{ask.workspace, ask.nonce, sender};
   const auto& configuration = configuration_.Current();
   const Workspace* workspace =
@@ -177,7 +156,7 @@
     return;
   }
   remote_requests_[id] = remote;
-  Send(schema::TokenAnswer{ask.workspace, ask.nonce, false, true, 0}, sender);
+  socket_.Send(schema::TokenAnswer{ask.workspace, ask.nonce, false, true, 0}, sender);
   Serve();
 }
 
@@ -209,7 +188,7 @@
   waiting.changed.cancel();
 }
 
-void QuotaLimiter::Handle(const schema::TokenCancel& cancel, const udp::endpoint& sender) {
+void QuotaLimiter::Handle(const schema::TokenCancel& cancel, const PeerEndpoint& sender) {
   const auto it =
       std::find_if(remote_requests_.begin(), remote_requests_.end(), [&](const auto& one) {
         return one.second.nonce == cancel.nonce && one.second.sender == sender;
@@ -223,22 +202,15 @@
   for (auto& [nonce, ask] : asks_) {
     if (ask.request != request || !ask.queued) continue;
     ask.queued = false;
-    Send(schema::TokenCancel{ask.workspace, nonce}, ask.instance);
+    socket_.Send(schema::TokenCancel{ask.workspace, nonce}, ask.instance);
   }
 }
 
 void QuotaLimiter::SendAnswer(const RemoteRequest& remote, const AdmissionResult& result) {
   const bool granted = result.admission == Admission::kAdmitted;
-  Send(schema::TokenAnswer{remote.workspace, remote.nonce, granted, false,
-                           static_cast<std::uint32_t>(base::ToMillis(result.retry_after))},
-       remote.sender);
-}
-
-void QuotaLimiter::Send(const schema::QuotaMessage& message, const udp::endpoint& peer) {
-  const auto bytes = std::make_shared<std::string>(schema::EncodeQuota(message));
-  socket_.async_send_to(asio::buffer(*bytes), peer, [bytes](error_code /*ec*/, std::size_t /*n*/) {
-    // A failed send is treated like a lost datagram, which the protocol tolerates.
-  });
+  socket_.Send(schema::TokenAnswer{remote.workspace, remote.nonce, granted, false,
+                                   static_cast<std::uint32_t>(base::ToMillis(result.retry_after))},
+               remote.sender);
 }
 
 void QuotaLimiter::SetResult(QueuedRequest& waiting, const AdmissionResult& result) {
--- a/src/persimmonstair/gateway/quota_limiter.hpp
+++ b/src/persimmonstair/gateway/quota_limiter.hpp
@@ -1,9 +1,7 @@
 #ifndef PERSIMMONSTAIR_SRC_GATEWAY_QUOTA_LIMITER_HPP_
 #define PERSIMMONSTAIR_SRC_GATEWAY_QUOTA_LIMITER_HPP_
 
-#include <array>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <map>
@@ -12,8 +10,9 @@
 
 #include "fleet_registry.hpp"
 #include "followers.hpp"
+#include "peer_socket.hpp"
 #include "persimmonstair/quota/admission_queue.hpp"
-#include "persimmonstair/schema/quota.hpp"
+#include "persimmonstair/schema/entry_peer.hpp"
 
 namespace persimmonstair::gateway {
 
@@ -25,19 +24,8 @@
 /// out of its bucket before it sends it, so a lost datagram loses at most one token.
 class QuotaLimiter {
  public:
-  QuotaLimiter(const boost::asio::any_io_executor& executor, FleetRegistry& fleet,
-               const ConfigurationFollower& configuration)
-      : socket_(executor),
-        timer_(executor),
-        fleet_(fleet),
-        configuration_(configuration),
-        queue_(fleet.Shares()) {}
-
-  /// Opens the UDP socket for other instances.
-  base::Result<void> Listen(const dispatch::Endpoint& endpoint);
-
-  /// Handles the datagrams of other instances; never returns.
-  boost::asio::awaitable<void> Run();
+  QuotaLimiter(const boost::asio::any_io_executor& executor, PeerSocket& socket,
+               FleetRegistry& fleet, const ConfigurationFollower& configuration);
 
   /// Takes a token for one request. Waits for at most kMaxTokenWait if there is none.
   boost::asio::awaitable<quota::AdmissionResult> Admit(const Workspace& workspace,
@@ -65,7 +53,7 @@
     std::uint64_t request = 0;
     base::TimePoint usable_until;
     /// Instance that was asked.
-    boost::asio::ip::udp::endpoint instance;
+    PeerEndpoint instance;
     /// True if that instance has queued the request.
     bool queued = false;
   };
@@ -73,7 +61,7 @@
   struct RemoteRequest {
     base::WorkspaceId workspace;
     std::uint64_t nonce = 0;
-    boost::asio::ip::udp::endpoint sender;
+    PeerEndpoint sender;
   };
 
   /// Asks the reachable coordinators one after the other. If none of them grants a token, the
@@ -86,15 +74,14 @@
                                               QueuedRequestPtr waiting, base::Duration max_wait);
   /// Waits until the request changes, for at most `time`.
   static boost::asio::awaitable<void> WaitForChange(QueuedRequestPtr waiting, base::Duration time);
-  void SendAsk(const boost::asio::ip::udp::endpoint& instance, std::uint64_t id,
-               const QueuedRequest& waiting, base::Duration max_wait);
-  void Handle(const schema::QuotaMessage& message, const boost::asio::ip::udp::endpoint& sender);
-  void Handle(const schema::TokenAsk& ask, const boost::asio::ip::udp::endpoint& sender);
+  void SendAsk(const PeerEndpoint& instance, std::uint64_t id, const QueuedRequest& waiting,
+               base::Duration max_wait);
+  void Handle(const schema::EntryPeerMessage& message, const PeerEndpoint& sender);
+  void Handle(const schema::TokenAsk& ask, const PeerEndpoint& sender);
   void Handle(const schema::TokenAnswer& answer);
-  void Handle(const schema::TokenCancel& cancel, const boost::asio::ip::udp::endpoint& sender);
+  void Handle(const schema::TokenCancel& cancel, const PeerEndpoint& sender);
   /// Withdraws the request from the queues of other instances.
   void CancelQueuedAsks(std::uint64_t request);
-  void Send(const schema::QuotaMessage& message, const boost::asio::ip::udp::endpoint& peer);
   void SendAnswer(const RemoteRequest& remote, const quota::AdmissionResult& result);
   static void SetResult(QueuedRequest& waiting, const quota::AdmissionResult& result);
   static void RecordAnswer(Ask& ask, const schema::TokenAnswer& answer, QueuedRequest& waiting);
@@ -102,19 +89,18 @@
   void Serve();
   void DropExpiredAsks();
 
-  boost::asio::ip::udp::socket socket_;
+  PeerSocket& socket_;
   boost::asio::steady_timer timer_;
   FleetRegistry& fleet_;
   const ConfigurationFollower& configuration_;
   quota::AdmissionQueue queue_;
-  std::array<char, 2048> buffer_{};
   std::uint64_t next_id_ = 1;
   std::map<std::uint64_t, QueuedRequestPtr> waiting_requests_;
   std::map<std::uint64_t, RemoteRequest> remote_requests_;
   /// By nonce. Nonces increase, so the first entries are the oldest.
   std::map<std::uint64_t, Ask> asks_;
   /// Instances that did not answer, and the time until which they aren't asked again.
-  std::map<boost::asio::ip::udp::endpoint, base::TimePoint> backoff_until_;
+  std::map<PeerEndpoint, base::TimePoint> backoff_until_;
   std::minstd_rand random_{std::random_device{}()};
 };
 
--- a/src/persimmonstair/gateway/settings_load.cpp
+++ b/src/persimmonstair/gateway/settings_load.cpp
@@ -31,6 +31,8 @@
   endpoint("store", settings.store);
   require(settings.parts_of_stream >= 1 && settings.parts_of_stream <= 1024,
           "parts_of_stream: 1 to 1024");
+  require(settings.store_writes_per_s >= 10 && settings.store_writes_per_s <= 1'000'000,
+          "store_writes_per_s: 10 to 1000000");
   require(settings.turn_cache_mb >= 1 && settings.turn_cache_mb <= 4096,
           "turn_cache_mb: 1 to 4096");
   require(settings.stop_ms >= 2000 && settings.stop_ms <= 600'000, "stop_ms: 2000 to 600000");
@@ -93,6 +95,7 @@
   out.metrics_listen = *ParseEndpoint(settings.metrics_listen);
   out.peer_listen = *ParseEndpoint(settings.peer_listen);
   out.parts_of_stream = settings.parts_of_stream;
+  out.store_writes_per_s = settings.store_writes_per_s;
   out.turn_cache_bytes = std::size_t{settings.turn_cache_mb} << 20U;
   out.stop_grace_period = std::chrono::milliseconds{settings.stop_ms};
   return out;
--- a/src/persimmonstair/schema/codec.cpp
+++ b/src/persimmonstair/schema/codec.cpp
@@ -8,7 +8,7 @@
 #include <streambuf>
 #include <utility>
 
-#include "persimmonstair/schema/quota_codec.hpp"
+#include "persimmonstair/schema/entry_peer_codec.hpp"
 
 namespace persimmonstair::schema {
 namespace {
@@ -112,10 +112,10 @@
   return DecodeBinary<StateRecord>(bytes, "state record");
 }
 
-std::string EncodeQuota(const QuotaMessage& message) { return EncodeBinary(message); }
+std::string EncodeEntryPeer(const EntryPeerMessage& message) { return EncodeBinary(message); }
 
-base::Result<QuotaMessage> DecodeQuota(std::string_view bytes) {
-  return DecodeBinary<QuotaMessage>(bytes, "quota message");
+base::Result<EntryPeerMessage> DecodeEntryPeer(std::string_view bytes) {
+  return DecodeBinary<EntryPeerMessage>(bytes, "message between entry instances");
 }
 
 }  // namespace persimmonstair::schema
