Start the timer of a net::Deadline that is set again after a stop

What could be seen: a connection to another instance that hangs while it reconnects is not given up at its connect timeout. PeerSender takes this way on each reconnection. Change: Stop() forgets the timer's expiry. Test: DeadlineTest.FiresIfItIsSetToALaterTimeAfterAStop failed before (the context ran out of work) and passes now; all 58 tests of net_test pass.

--- a/src/persimmonstair/net/deadline.hpp
+++ b/src/persimmonstair/net/deadline.hpp
@@ -38,6 +38,7 @@
   void Stop() {
     Clear();
     timer_.cancel();
+    timer_expiry_ = kNever;
   }
 
  private:
