Take over the later expiry of a cached turn that is read again

Change: Put takes over a later expiry; the rest of a record never changes. Test: ARecordThatIsReadAgainTakesOverItsLaterExpiry failed before.

--- a/include/persimmonstair/turns/turn_cache.hpp
+++ b/include/persimmonstair/turns/turn_cache.hpp
@@ -44,7 +44,7 @@
   /// `max_bytes` limits the total size of inputs and outputs.
   explicit TurnCache(std::size_t max_bytes) : max_bytes_(max_bytes) {}
 
-  /// Adds a record unless its turn is cached already. Evicts the least recently used records while
+  /// Adds a record. If its turn is cached already, only a later expiry is taken over. Evicts the least recently used records while
   /// the size limit is exceeded, but never the new one.
   void Put(schema::KeptTurn record);
 
--- a/src/persimmonstair/turns/turn_cache.cpp
+++ b/src/persimmonstair/turns/turn_cache.cpp
@@ -14,7 +14,10 @@
 }  // namespace
 
 void TurnCache::Put(schema::KeptTurn record) {
-  if (by_turn_.contains(record.turn)) return;
+  if (const auto known = by_turn_.find(record.turn); known != by_turn_.end()) {
+    known->second->expires_ms = std::max(known->second->expires_ms, record.expires_ms);
+    return;
+  }
   bytes_ += BytesOf(record);
   recent_.push_front(std::move(record));
   by_turn_[recent_.front().turn] = recent_.begin();
--- a/src/persimmonstair/turns/turns_test.cpp
+++ b/src/persimmonstair/turns/turns_test.cpp
@@ -45,6 +45,20 @@
   EXPECT_TRUE(chain.history.empty());
 }
 
+// Guards against a turn that counts as missing, and is reported as not found, after another instance
+// extended it and it was read again.
+TEST(TurnCacheTest, ARecordThatIsReadAgainTakesOverItsLaterExpiry) {
+  TurnCache cache(1 << 20);
+  cache.Put(Turn("a", {}));
+  EXPECT_FALSE(cache.Find({"north"}, {"a"}, kExpires + 1).missing.empty());
+  schema::KeptTurn extended = Turn("a", {});
+  extended.expires_ms = 2 * kExpires;
+  cache.Put(extended);
+  EXPECT_TRUE(cache.Find({"north"}, {"a"}, kExpires + 1).missing.empty());
+  cache.Put(Turn("a", {}));
+  EXPECT_TRUE(cache.Find({"north"}, {"a"}, kExpires + 1).missing.empty());
+}
+
 // Guards against chains that are cut off at kMaxListedAncestors.
 TEST(TurnCacheTest, LongChainsContinueBeyondTheListedAncestors) {
   TurnCache cache(1 << 20);
