--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds kShortRetryAfter{60};
 /// Retry-After if the store is unavailable: the usual time until it answers again.
 constexpr milliseconds kStoreRetry{250};
+/// The request id is the key of a turn's records, whose length the store limits to 255 bytes.
+constexpr std::size_t kMaxRequestIdBytes = 240;
 /// A configuration that was last confirmed longer ago may lack new routes and keys.
 constexpr milliseconds kMaxConfigurationAge{1500};
 
@@ -74,6 +76,9 @@
   if (metadata_.host.empty() || metadata_.request_id.empty()) {
     return Deny(ErrorCode::kInvalidRequest, "the request has no Host header or no request id");
   }
+  if (metadata_.request_id.size() > kMaxRequestIdBytes) {
+    return Deny(ErrorCode::kInvalidRequest, "the request id is too long");
+  }
   route_ = configuration_->FindRoute(metadata_.host, metadata_.path);
   const bool fresh = Now() - context_.configuration.ConfirmedAt() < kMaxConfigurationAge;
   if (route_ == nullptr) {
--- a/src/persimmonstair/turns/turns_test.cpp
+++ b/src/persimmonstair/turns/turns_test.cpp
@@ -45,8 +45,8 @@
   EXPECT_TRUE(chain.history.empty());
 }
 
-// Guards against a turn that counts as missing, and is reported as not found, after another instance
-// extended it and it was read again.
+// Guards against a turn that counts as missing, and is reported as not found, after another
+// instance extended it and it was read again.
 TEST(TurnCacheTest, ARecordThatIsReadAgainTakesOverItsLaterExpiry) {
   TurnCache cache(1 << 20);
   cache.Put(Turn("a", {}));
