Count answers beyond the limit of label pairs under the label other

Change: a series keeps the labels that its counters bear. Test: PairsBeyondTheLimitAreCountedAsOther failed before.

--- a/include/persimmonstair/diagnostics/metrics.hpp
+++ b/include/persimmonstair/diagnostics/metrics.hpp
@@ -44,6 +44,8 @@
  private:
   /// Metrics of one workspace and entry class.
   struct Series {
+    std::string workspace;
+    std::string entry_class;
     prometheus::Histogram* latency = nullptr;
     std::map<std::uint32_t, prometheus::Counter*> by_status;
   };
--- a/include/persimmonstair/turns/turn_cache.hpp
+++ b/include/persimmonstair/turns/turn_cache.hpp
@@ -44,8 +44,8 @@
   /// `max_bytes` limits the total size of inputs and outputs.
   explicit TurnCache(std::size_t max_bytes) : max_bytes_(max_bytes) {}
 
-  /// Adds a record. If its turn is cached already, only a later expiry is taken over. Evicts the least recently used records while
-  /// the size limit is exceeded, but never the new one.
+  /// Adds a record. If its turn is cached already, only a later expiry is taken over. Evicts the
+  /// least recently used records while the size limit is exceeded, but never the new one.
   void Put(schema::KeptTurn record);
 
   /// Returns the chain that ends with `last`. Turns that expired before `now_ms` (Unix
--- a/src/persimmonstair/diagnostics/metrics.cpp
+++ b/src/persimmonstair/diagnostics/metrics.cpp
@@ -46,6 +46,8 @@
   if (series_.size() >= kMaxSeries && !series_.contains(labels)) labels = {"other", "other"};
   Series& series = series_[labels];
   if (series.latency == nullptr) {
+    series.workspace = labels.first;
+    series.entry_class = labels.second;
     series.latency =
         &latency_.Add({{"workspace", labels.first}, {"class", labels.second}}, kLatencyBounds);
   }
@@ -59,8 +61,8 @@
   series.latency->Observe(base::ToSeconds(latency));
   auto& counter = series.by_status[status];
   if (counter == nullptr) {
-    counter = &answers_.Add({{"workspace", LabelOrNone(workspace)},
-                             {"class", LabelOrNone(entry_class)},
+    counter = &answers_.Add({{"workspace", series.workspace},
+                             {"class", series.entry_class},
                              {"status", std::to_string(status)}});
   }
   counter->Increment();
