Skip reservations whose caller has given up, and show what a coordinator has not written

A reservation past its deadline, after its coordinator did not answer in time, was queued once more at this instance, and an append without records was sent for it. It now ends at once. The gauge persimmonstair_budget_messages_pending shows messages of other instances that are not in the store yet. Seen by reading; no test failed before.

--- a/src/persimmonstair/gateway/budget_client.cpp
+++ b/src/persimmonstair/gateway/budget_client.cpp
@@ -69,9 +69,9 @@
                                                     std::uint64_t budget,
                                                     base::TimePoint deadline) {
   const base::TurnId turn = reservation.turn;
-  for (int attempt = 1;; ++attempt) {
+  for (int attempt = 1; Now() < deadline; ++attempt) {
     const auto coordinator = FindCoordinator(reservation);
-    if (!coordinator || Now() >= deadline) break;
+    if (!coordinator) co_return co_await budgets_.Reserve(reservation, budget, deadline);
     const auto outcome = co_await AskCoordinator(*coordinator, reservation, budget, deadline);
     if (outcome) co_return *outcome;
     // The coordinator may still write this reservation. It is settled with 0, and the next one has
@@ -79,7 +79,7 @@
     Settle(reservation, 0);
     reservation.turn.value = turn.value + "#" + std::to_string(attempt);
   }
-  co_return co_await budgets_.Reserve(std::move(reservation), budget, deadline);
+  co_return ReservationOutcome{};
 }
 
 awaitable<std::optional<ReservationOutcome>> BudgetClient::AskCoordinator(
--- a/src/persimmonstair/gateway/budget_manager.cpp
+++ b/src/persimmonstair/gateway/budget_manager.cpp
@@ -80,6 +80,7 @@
     }
     state.next_append_at = Now() + append_interval_;
     std::erase_if(state.queued, [](const auto& one) { return one->abandoned; });
+    if (state.queued.empty() && state.settled.empty()) break;
     std::vector<QueuedReservationPtr> batch(state.queued.begin(), state.queued.end());
     state.queued.clear();
     co_await AppendQueued(partition, state, batch);
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -118,6 +118,9 @@
           static_cast<double>(context.pool.Opened()));
     gauge("persimmonstair_turn_cache_bytes", "Kept turns in memory",
           static_cast<double>(context.turns.CachedBytes()));
+    gauge("persimmonstair_budget_messages_pending",
+          "Reservations and settlements of other instances that are not in the store yet",
+          static_cast<double>(context.budget_coordinator.Pending()));
     gauge("persimmonstair_store_reachable", "1 if the store answers", context.store.Up() ? 1 : 0);
     gauge("persimmonstair_log_lines_dropped", "Log lines lost for want of room",
           static_cast<double>(diagnostics::DroppedLines()));
