--- a/src/persimmonstair/gateway/budget_client.cpp
+++ b/src/persimmonstair/gateway/budget_client.cpp
@@ -71,7 +71,9 @@
   const base::TurnId turn = reservation.turn;
   for (int attempt = 1; Now() < deadline; ++attempt) {
     const auto coordinator = FindCoordinator(reservation);
-    if (!coordinator) co_return co_await budgets_.Reserve(reservation, budget, deadline);
+    if (!coordinator) {
+      co_return co_await budgets_.Reserve(reservation, budget, deadline);
+    }
     const auto outcome = co_await AskCoordinator(*coordinator, reservation, budget, deadline);
     if (outcome) co_return *outcome;
     // The coordinator may still write this reservation. It is settled with 0, and the next one has
