Log and count the rate limits that targets name

Responses' limits are decoded, the registry keeps each target's last statement (by the time at which the answered request was sent, so that a late response brings nothing back), a change is logged, the line of a request counts attempts at limited targets, and a gauge shows how many targets name a limit. No decision depends on it yet.

--- a/include/persimmonstair/dispatch/target_registry.hpp
+++ b/include/persimmonstair/dispatch/target_registry.hpp
@@ -10,6 +10,7 @@
 
 #include "persimmonstair/base/ids.hpp"
 #include "persimmonstair/base/time.hpp"
+#include "persimmonstair/dispatch/rate_statement.hpp"
 
 namespace persimmonstair::dispatch {
 
@@ -111,6 +112,14 @@
   void EndAttempt(base::TimePoint now, const base::TargetId& id, AttemptResult result,
                   const std::optional<ReportedLoad>& load);
 
+  /// Applies a target's statement about its rate. Ignores it if the target is unknown, has started
+  /// again since, or has made a later statement. Returns true if a limit began, changed or ended.
+  bool ApplyRateStatement(const base::TargetId& id, const RateStatement& statement);
+  /// Returns the last statement of the target, if it has made one.
+  std::optional<RateStatement> LastRateStatement(const base::TargetId& id) const;
+  /// Number of targets whose last statement names a limit.
+  std::size_t LimitedTargets() const;
+
   /// Returns null if the target is unknown.
   const TargetEntry* Find(const base::TargetId& id) const;
   std::size_t size() const { return targets_.size(); }
@@ -129,6 +138,8 @@
     base::TimePoint avoid_until;
     /// Exponential moving average of the fraction of attempts that failed, 0 to 1.
     double failure_rate = 0;
+    /// Last statement about the rate that the target takes; empty if there is none.
+    std::optional<RateStatement> rate;
     /// Prompt parts and affinity values sent to the target, with the time of their last use.
     std::unordered_map<std::string, base::TimePoint> last_used;
   };
--- a/include/persimmonstair/gateway/platform_codec.hpp
+++ b/include/persimmonstair/gateway/platform_codec.hpp
@@ -69,6 +69,11 @@
   bool encoded = false;
   /// Load that the target reports; empty if the response has no valid load.
   std::optional<dispatch::ReportedLoad> load;
+  /// Requests per second that the target takes from all instances together; empty if it names no
+  /// limit.
+  std::optional<double> rate_limit_per_s;
+  /// The target names a rate limit that isn't a finite, non-negative number.
+  bool rate_limit_unreadable = false;
 };
 
 /// @brief Encodes and decodes the names and formats of one platform, which its callers, targets and
--- a/src/persimmonstair/dispatch/dispatch_test.cpp
+++ b/src/persimmonstair/dispatch/dispatch_test.cpp
@@ -127,5 +127,26 @@
   EXPECT_EQ(registry.Choose(At({}), {kEngines, {}, {}, {}})->id.value, "t1");
 }
 
+// Guards against a limit that ended and that a late response, or a response of the target's earlier
+// process, brings back.
+TEST_F(TargetRegistryTest, LaterRateStatementsWin) {
+  const auto limited = [this](double per_s, int as_of_s, std::int64_t started_ms = 1) {
+    return registry_.ApplyRateStatement({"t1"}, {per_s, At(seconds{as_of_s}), started_ms});
+  };
+  EXPECT_TRUE(limited(5, 1));
+  EXPECT_FALSE(limited(5, 2));
+  EXPECT_TRUE(registry_.ApplyRateStatement({"t1"}, {std::nullopt, At(seconds{4}), 1}));
+  EXPECT_FALSE(limited(5, 3));
+  EXPECT_EQ(registry_.LimitedTargets(), 0U);
+  EXPECT_TRUE(limited(7, 5));
+  EXPECT_EQ(registry_.LimitedTargets(), 1U);
+  TargetEntry restarted = Entry("t1");
+  restarted.started_ms = 2;
+  registry_.Upsert(At(seconds{6}), restarted);
+  EXPECT_EQ(registry_.LimitedTargets(), 0U);
+  EXPECT_FALSE(limited(5, 7, 1));
+  EXPECT_FALSE(registry_.ApplyRateStatement({"unknown"}, {5.0, At(seconds{8}), 1}));
+}
+
 }  // namespace
 }  // namespace persimmonstair::dispatch
--- a/src/persimmonstair/dispatch/target_registry.cpp
+++ b/src/persimmonstair/dispatch/target_registry.cpp
@@ -44,6 +44,7 @@
     target.load_known = false;
     target.failure_rate = 0;
     target.avoid_until = now;
+    target.rate.reset();
   }
   target.entry = entry;
 }
@@ -146,6 +147,28 @@
   target.failure_rate += kFailureRateWeight * ((broke ? 1.0 : 0.0) - target.failure_rate);
 }
 
+bool TargetRegistry::ApplyRateStatement(const base::TargetId& id, const RateStatement& statement) {
+  const auto it = targets_.find(id);
+  if (it == targets_.end()) return false;
+  Target& target = it->second;
+  if (statement.started_ms != target.entry.started_ms) return false;
+  if (target.rate && statement.as_of < target.rate->as_of) return false;
+  const std::optional<double> before = target.rate ? target.rate->limit_per_s : std::nullopt;
+  target.rate = statement;
+  return before != statement.limit_per_s;
+}
+
+std::optional<RateStatement> TargetRegistry::LastRateStatement(const base::TargetId& id) const {
+  const auto it = targets_.find(id);
+  return it == targets_.end() ? std::nullopt : it->second.rate;
+}
+
+std::size_t TargetRegistry::LimitedTargets() const {
+  return static_cast<std::size_t>(std::count_if(
+      targets_.begin(), targets_.end(),
+      [](const auto& one) { return one.second.rate && one.second.rate->limit_per_s; }));
+}
+
 const TargetEntry* TargetRegistry::Find(const base::TargetId& id) const {
   const auto it = targets_.find(id);
   return it == targets_.end() ? nullptr : &it->second.entry;
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -211,6 +211,7 @@
                       {"ms", base::ToMillis(took)}};
   if (!end_reason_.empty()) line["reason"] = end_reason_;
   if (caller_.Disconnected()) line["caller_gone"] = true;
+  if (limited_sends_ > 0) line["limited_sends"] = limited_sends_;
   if (sends_ > 0) line["before_send_ms"] = base::ToMillis(first_sent_at_ - arrived_at_);
   if (stream_started_) {
     line["first_event_ms"] = base::ToMillis(first_event_at_ - arrived_at_);
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -68,6 +68,10 @@
   boost::asio::awaitable<Outcome> RelayFullResponse(HttpConnection& connection,
                                                     ResponseMetadata response);
   boost::asio::awaitable<std::optional<std::string>> ReadFullBody(HttpConnection& connection);
+  /// Applies what a response of the target says about the rate of requests that it takes.
+  void ApplyRateStatement(const dispatch::TargetEntry& target, const ResponseMetadata& response);
+  /// Counts an attempt that is sent now.
+  void CountSend(const dispatch::TargetEntry& target);
   void RecordError(const boost::system::error_code& ec);
   bool MayRetry() const;
   /// Time left until the deadline, at least 1 ms, because timers need a positive duration.
@@ -122,7 +126,10 @@
   std::uint32_t runs_ = 0;
   /// Attempts in which the request was sent.
   std::uint32_t sends_ = 0;
+  /// Attempts that were sent to a target after it had named a rate limit.
+  std::uint32_t limited_sends_ = 0;
   base::TimePoint first_sent_at_;
+  base::TimePoint last_sent_at_;
   /// Error response of a target, forwarded to the caller if no other attempt follows.
   std::optional<std::pair<HttpHead, std::string>> pending_failure_;
 
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -192,8 +192,7 @@
                                               last_event_};
   const std::string bytes =
       SerializeRequest(context_.codec.EncodeTargetRequest(request_, metadata_, forwarding));
-  if (sends_++ == 0) first_sent_at_ = Now();
-  ++runs_;
+  CountSend(target);
   const WriteResult written = co_await connection->Write(bytes, ResponseTimeout());
   if (written.error) {
     attempt_error_ = written.error.message();
@@ -205,6 +204,7 @@
   auto response = co_await ReadMatchingHead(*connection);
   if (!response) co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
   reported_load_ = response->load;
+  ApplyRateStatement(target, *response);
   if (response->not_run || response->misdirected) {
     --runs_;
     attempt_result_ = response->misdirected ? dispatch::AttemptResult::kUnreachable
@@ -244,6 +244,31 @@
   co_return std::nullopt;
 }
 
+void Exchange::CountSend(const dispatch::TargetEntry& target) {
+  last_sent_at_ = Now();
+  if (sends_++ == 0) first_sent_at_ = last_sent_at_;
+  ++runs_;
+  const auto rate = context_.target_registry.LastRateStatement(target.id);
+  if (rate && rate->limit_per_s) ++limited_sends_;
+}
+
+void Exchange::ApplyRateStatement(const dispatch::TargetEntry& target,
+                                  const ResponseMetadata& response) {
+  if (response.rate_limit_unreadable) {
+    Log(Level::kWarning, "target_rate_limit_unreadable",
+        {{"request", metadata_.request_id}, {"target", target.id.value}});
+    return;
+  }
+  const dispatch::RateStatement statement{response.rate_limit_per_s, last_sent_at_,
+                                          target.started_ms};
+  if (!context_.target_registry.ApplyRateStatement(target.id, statement)) return;
+  nlohmann::json line{{"target", target.id.value},
+                      {"request", metadata_.request_id},
+                      {"as_of_ms_ago", base::ToMillis(Now() - last_sent_at_)}};
+  if (statement.limit_per_s) line["limit_per_s"] = *statement.limit_per_s;
+  Log(Level::kInfo, "target_rate_limit_changed", line);
+}
+
 void Exchange::RecordError(const boost::system::error_code& ec) {
   const bool timeout = ec == boost::beast::error::timeout;
   attempt_error_ = timeout ? "timeout" : ec.message();
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -114,6 +114,8 @@
           static_cast<double>(context.open_requests));
     gauge("persimmonstair_targets", "Targets in the list",
           static_cast<double>(context.target_registry.size()));
+    gauge("persimmonstair_targets_rate_limited", "Targets that name a rate limit",
+          static_cast<double>(context.target_registry.LimitedTargets()));
     gauge("persimmonstair_target_connections_opened", "Connections opened to targets",
           static_cast<double>(context.pool.Opened()));
     gauge("persimmonstair_turn_cache_bytes", "Kept turns in memory",
