Divide the rates that targets name between all instances

Cause: no instance read the limit. Evidence: 94 to 162 requests a second went to engines whose limits allow 45, from instances that had heard the limits.

A rate coordinator, an instance of the target's data centre, now hands out the tokens of a target's rate; requests wait in its admission queue, which workspaces' rates use too, for up to 250 ms, programs under way first. The choice of a target counts the wait, so that others take what a limited one can't. Without an answer, each instance uses a fixed part of half the rate, so the sum stays within one and a half times the limit. What no target takes in time is refused at once with the time until it can be. It works because a token is taken before each send, repeats included, from one bucket for the fleet.

--- a/include/persimmonstair/dispatch/target_registry.hpp
+++ b/include/persimmonstair/dispatch/target_registry.hpp
@@ -60,6 +60,8 @@
   std::vector<PromptPart> prompt;
   /// Requests with the same affinity value run faster at the same target; may be empty.
   std::string affinity;
+  /// Excludes the targets that name a rate limit.
+  bool only_unlimited = false;
 };
 
 /// @brief How an attempt to run a request at a target ended.
@@ -117,6 +119,16 @@
   bool ApplyRateStatement(const base::TargetId& id, const RateStatement& statement);
   /// Returns the last statement of the target, if it has made one.
   std::optional<RateStatement> LastRateStatement(const base::TargetId& id) const;
+  /// Records when the target's rate is expected to allow another request. Choose() counts the time
+  /// until then as delay.
+  void ExpectToken(const base::TargetId& id, base::TimePoint at);
+  /// Returns the time until the target's rate is expected to allow a request; 0 without a limit.
+  base::Duration TokenWait(base::TimePoint now, const base::TargetId& id) const;
+  /// Returns the time that a request sent to the target would wait for a slot and for the target's
+  /// rate; 0 if the target is unknown.
+  base::Duration QueueDelay(base::TimePoint now, const base::TargetId& id) const;
+  /// True if a target of the service names a limit.
+  bool HasLimitedTarget(const base::ServiceId& service) const;
   /// Number of targets whose last statement names a limit.
   std::size_t LimitedTargets() const;
 
@@ -140,10 +152,17 @@
     double failure_rate = 0;
     /// Last statement about the rate that the target takes; empty if there is none.
     std::optional<RateStatement> rate;
+    /// Time at which its rate is expected to allow another request; used only with a limit.
+    base::TimePoint token_at;
     /// Prompt parts and affinity values sent to the target, with the time of their last use.
     std::unordered_map<std::string, base::TimePoint> last_used;
   };
 
+  static base::Duration WaitForToken(base::TimePoint now, const Target& target);
+  /// Requests at the target as far as known, its own instance's and others'.
+  static double Load(base::TimePoint now, const Target& target);
+  /// Number of requests for which the target has no slot if it gets one more.
+  static double Excess(base::TimePoint now, const Target& target);
   /// Expected delay in milliseconds if the request is sent to the target.
   double Cost(base::TimePoint now, const Target& target, const TargetCriteria& criteria) const;
   /// Sets the time of last use of the request's prompt parts and affinity value.
--- a/include/persimmonstair/gateway/configuration.hpp
+++ b/include/persimmonstair/gateway/configuration.hpp
@@ -73,7 +73,7 @@
   base::WorkspaceId id;
   /// API keys whose requests belong to the workspace.
   std::vector<std::string> keys;
-  quota::WorkspaceQuota quota;
+  quota::RateLimit quota;
 };
 
 /// @brief Limits on the size of a request and on the time a caller may take to send it.
--- a/include/persimmonstair/quota/admission_queue.hpp
+++ b/include/persimmonstair/quota/admission_queue.hpp
@@ -2,6 +2,7 @@
 #define PERSIMMONSTAIR_QUOTA_ADMISSION_QUEUE_HPP_
 
 #include <array>
+#include <concepts>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -11,6 +12,8 @@
 #include "persimmonstair/base/ids.hpp"
 #include "persimmonstair/base/time.hpp"
 #include "persimmonstair/quota/local_shares.hpp"
+#include "persimmonstair/quota/rate_limit.hpp"
+#include "persimmonstair/quota/target_tokens.hpp"
 
 namespace persimmonstair::quota {
 
@@ -72,7 +75,21 @@
   AdmissionResult result;
 };
 
-/// @brief Queues requests that wait for tokens of their workspaces' rates.
+/// @brief The tokens that an AdmissionQueue hands out, by key. LocalShares and TargetTokens are
+/// sources of tokens.
+template <class T, class Key>
+concept TokenSource = requires(T tokens, base::TimePoint now, const Key& key,
+                               const RateLimit& limit) {
+  { tokens.HasLease(now) } -> std::same_as<bool>;
+  { tokens.Share(key) } -> std::same_as<double>;
+  { tokens.TakeOwn(now, key, limit, 1.0) } -> std::same_as<bool>;
+  { tokens.TakeBorrowed(now, key) } -> std::same_as<bool>;
+  { tokens.LendOne(now, key, limit, 1.0, now) } -> std::same_as<bool>;
+  { tokens.TimeUntilAvailable(now, key, limit, 1.0) } -> std::same_as<base::Duration>;
+};
+
+/// @brief Queues requests that wait for tokens of a rate. `Key` names the rate: a workspace or a
+/// target.
 ///
 /// Requests of programs under way are served before those that begin a program, because the work of
 /// a program that is refused halfway is lost. Within a stage the order is first come, first
@@ -82,24 +99,24 @@
 ///     AdmissionQueue queue(shares);
 ///     if (auto result = queue.Ask(now, workspace, quota, demand)) Answer(*result);
 ///     for (const Decision& one : queue.Serve(now)) Answer(one.id, one.result);
-class AdmissionQueue {
+template <class Key, TokenSource<Key> Tokens>
+class BasicAdmissionQueue {
  public:
-  explicit AdmissionQueue(LocalShares& shares) : shares_(shares) {}
+  explicit BasicAdmissionQueue(Tokens& tokens) : tokens_(tokens) {}
 
   /// Requests a token. Returns the result, or nothing if the request is queued; Serve() then
   /// returns its result.
-  std::optional<AdmissionResult> Ask(base::TimePoint now, const base::WorkspaceId& workspace,
-                                     const WorkspaceQuota& quota, const TokenDemand& demand);
+  std::optional<AdmissionResult> Ask(base::TimePoint now, const Key& key, const RateLimit& limit,
+                                     const TokenDemand& demand);
 
   /// Tells the queue that no other instance lends a token for the request. The request stays queued
-  /// only if the local share will have a token in time. Otherwise it is refused; the result states
+  /// only if the source will have a token in time. Otherwise it is refused; the result states
   /// the time until this instance or another one has a token, whichever is sooner.
-  std::optional<AdmissionResult> OnNoRemoteToken(base::TimePoint now,
-                                                 const base::WorkspaceId& workspace,
+  std::optional<AdmissionResult> OnNoRemoteToken(base::TimePoint now, const Key& key,
                                                  std::uint64_t id, base::Duration peer_retry_after);
 
   /// Removes a request that no longer needs a token; does nothing if it isn't queued.
-  void Withdraw(const base::WorkspaceId& workspace, std::uint64_t id);
+  void Withdraw(const Key& key, std::uint64_t id);
 
   /// Returns the requests that got a token or reached their maximum wait, and removes them.
   std::vector<Decision> Serve(base::TimePoint now);
@@ -116,33 +133,36 @@
   };
   /// One queue for programs under way and one for programs that begin, in the order of service.
   using Queues = std::array<std::deque<QueuedRequest>, 2>;
-  /// Queued requests of one workspace.
-  struct WorkspaceQueue {
-    WorkspaceQuota quota;
+  /// Queued requests of one key.
+  struct KeyQueue {
+    RateLimit limit;
     Queues queues;
 
     bool Empty() const { return queues[0].empty() && queues[1].empty(); }
   };
 
   /// Returns the number of tokens that must remain in the bucket when a request takes one.
-  double MinRemaining(const base::WorkspaceId& workspace, const WorkspaceQueue& workspace_queue,
-                      ProgramStage stage) const;
+  double MinRemaining(const Key& key, const KeyQueue& key_queue, ProgramStage stage) const;
   /// Takes a token for the request, or lends one if another instance asks. Returns false if there
   /// is none.
-  bool Take(base::TimePoint now, const base::WorkspaceId& workspace,
-            const WorkspaceQueue& workspace_queue, const TokenDemand& demand);
-  /// Estimates the time until the local share has a token for a request that has `ahead` requests
+  bool Take(base::TimePoint now, const Key& key, const KeyQueue& key_queue,
+            const TokenDemand& demand);
+  /// Estimates the time until the source has a token for a request that has `ahead` requests
   /// before it in the queue.
-  base::Duration EstimateWait(base::TimePoint now, const base::WorkspaceId& workspace,
-                              const WorkspaceQueue& workspace_queue, ProgramStage stage,
-                              std::size_t ahead);
-  void ServeWorkspace(base::TimePoint now, const base::WorkspaceId& workspace,
-                      WorkspaceQueue& workspace_queue, std::vector<Decision>& out);
-
-  LocalShares& shares_;
-  std::unordered_map<base::WorkspaceId, WorkspaceQueue> workspace_queues_;
+  base::Duration EstimateWait(base::TimePoint now, const Key& key, const KeyQueue& key_queue,
+                              ProgramStage stage, std::size_t ahead);
+  void ServeKey(base::TimePoint now, const Key& key, KeyQueue& key_queue,
+                std::vector<Decision>& out);
+
+  Tokens& tokens_;
+  std::unordered_map<Key, KeyQueue> key_queues_;
 };
 
+/// Queue for tokens of the workspaces' rates.
+using AdmissionQueue = BasicAdmissionQueue<base::WorkspaceId, LocalShares>;
+/// Queue for tokens of the targets' rates.
+using TargetAdmissionQueue = BasicAdmissionQueue<base::TargetId, TargetTokens>;
+
 }  // namespace persimmonstair::quota
 
 #endif  // PERSIMMONSTAIR_QUOTA_ADMISSION_QUEUE_HPP_
--- a/include/persimmonstair/quota/local_shares.hpp
+++ b/include/persimmonstair/quota/local_shares.hpp
@@ -8,6 +8,7 @@
 #include "persimmonstair/base/ids.hpp"
 #include "persimmonstair/base/time.hpp"
 #include "persimmonstair/limits/bucket.hpp"
+#include "persimmonstair/quota/rate_limit.hpp"
 #include "persimmonstair/schema/state.hpp"
 
 namespace persimmonstair::quota {
@@ -16,13 +17,6 @@
 /// longest store outage during which requests must still be served.
 inline constexpr std::chrono::seconds kShareLease{13};
 
-/// @brief Rate and burst of a workspace, summed over all instances. A rate of 0 means no limit.
-struct WorkspaceQuota {
-  double rate_per_s = 0;
-  /// Requests that may be admitted at once.
-  double burst = 0;
-};
-
 /// @brief The shares of the workspaces' rates that one instance holds, and the tokens that it
 /// borrowed.
 ///
@@ -51,21 +45,21 @@
 
   /// Takes one token of the local share if at least `min_remaining` tokens remain after it. Returns
   /// false if there are too few or if there is no lease.
-  bool TakeOwn(base::TimePoint now, const base::WorkspaceId& workspace, const WorkspaceQuota& quota,
+  bool TakeOwn(base::TimePoint now, const base::WorkspaceId& workspace, const RateLimit& quota,
                double min_remaining);
   /// Takes one borrowed token; returns false if there is none.
   bool TakeBorrowed(base::TimePoint now, const base::WorkspaceId& workspace);
 
   /// Returns the time until the local share has `tokens`, or 1 h if it never will.
   base::Duration TimeUntilAvailable(base::TimePoint now, const base::WorkspaceId& workspace,
-                                    const WorkspaceQuota& quota, double tokens);
+                                    const RateLimit& quota, double tokens);
 
   /// Adds tokens that another instance lent. They expire at `until`.
   void Borrow(base::TimePoint now, const base::WorkspaceId& workspace, double tokens,
               base::TimePoint until);
 
   /// Like TakeOwn(), but lends the token to another instance until `until`.
-  bool LendOne(base::TimePoint now, const base::WorkspaceId& workspace, const WorkspaceQuota& quota,
+  bool LendOne(base::TimePoint now, const base::WorkspaceId& workspace, const RateLimit& quota,
                double min_remaining, base::TimePoint until);
 
   /// Round of the share table in use; 0 before the first.
@@ -91,8 +85,8 @@
   };
 
   /// Sets the bucket's limits by the current share and returns the tokens in it.
-  double Refill(base::TimePoint now, const base::WorkspaceId& workspace,
-                const WorkspaceQuota& quota, WorkspaceUse& use) const;
+  double Refill(base::TimePoint now, const base::WorkspaceId& workspace, const RateLimit& quota,
+                WorkspaceUse& use) const;
 
   base::InstanceId instance_;
   schema::ShareTable table_;
--- a/include/persimmonstair/schema/entry_peer.hpp
+++ b/include/persimmonstair/schema/entry_peer.hpp
@@ -81,6 +81,86 @@
   Field(archive, value.nonce);
 }
 
+/// @brief Asks the coordinator of a target's rate for one token for a request, and passes on what
+/// the target last stated.
+struct TargetTokenAsk {
+  /// Target whose rate is used.
+  base::TargetId target;
+  /// Number that matches the answers to this request.
+  std::uint64_t nonce = 0;
+  /// Start time of the target in Unix milliseconds.
+  std::int64_t started_ms = 0;
+  /// Requests per second that the target takes from all instances together.
+  double limit_per_s = 0;
+  /// Time since the request was sent whose response named the limit, in milliseconds.
+  std::uint32_t age_ms = 0;
+  /// True if the request starts a program.
+  bool begins = false;
+  /// Longest time that the request stays queued, in milliseconds.
+  std::uint32_t patience_ms = 0;
+
+  bool operator==(const TargetTokenAsk&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, TargetTokenAsk& value) {
+  Field(archive, value.target);
+  Field(archive, value.nonce);
+  Field(archive, value.started_ms);
+  Field(archive, value.limit_per_s);
+  Field(archive, value.age_ms);
+  Field(archive, value.begins);
+  Field(archive, value.patience_ms);
+}
+
+/// @brief Answer to TargetTokenAsk: a token, a place in the coordinator's queue, or a refusal.
+struct TargetTokenAnswer {
+  /// Copied from the request.
+  std::uint64_t nonce = 0;
+  /// True if the request may be sent now.
+  bool granted = false;
+  /// True if the request is queued; another answer follows within its `patience_ms`.
+  bool queued = false;
+  /// Time until a token for another request is expected, in milliseconds.
+  std::uint32_t wait_ms = 0;
+
+  bool operator==(const TargetTokenAnswer&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, TargetTokenAnswer& value) {
+  Field(archive, value.nonce);
+  Field(archive, value.granted);
+  Field(archive, value.queued);
+  Field(archive, value.wait_ms);
+}
+
+/// @brief Tells the coordinator of a target's rate, and by it all instances, that a limit began or
+/// ended.
+struct TargetRateNotice {
+  /// Target that made the statement.
+  base::TargetId target;
+  /// Start time of the target in Unix milliseconds.
+  std::int64_t started_ms = 0;
+  /// True if the target names a limit.
+  bool limited = false;
+  /// Requests per second that the target takes from all instances together; 0 without a limit.
+  double limit_per_s = 0;
+  /// Time since the request was sent whose response made the statement, in milliseconds.
+  std::uint32_t age_ms = 0;
+
+  bool operator==(const TargetRateNotice&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, TargetRateNotice& value) {
+  Field(archive, value.target);
+  Field(archive, value.started_ms);
+  Field(archive, value.limited);
+  Field(archive, value.limit_per_s);
+  Field(archive, value.age_ms);
+}
+
 /// @brief Asks the budget coordinator of a program to reserve tokens. Sent again while there is no
 /// answer.
 struct ReservationAsk {
@@ -191,13 +271,15 @@
 }
 
 /// @brief Any of the types above.
-using EntryPeerMessage = std::variant<TokenAsk, TokenAnswer, TokenCancel, ReservationAsk,
+using EntryPeerMessage = std::variant<TokenAsk, TokenAnswer, TokenCancel, TargetTokenAsk,
+                                      TargetTokenAnswer, TargetRateNotice, ReservationAsk,
                                       ReservationAnswer, SettlementNotice, SettlementAck>;
 
 /// Type names in the order of the variant's alternatives.
-inline constexpr std::array<std::string_view, 7> kEntryPeerMessageTypes = {
-    "TokenAsk",          "TokenAnswer",      "TokenCancel",  "ReservationAsk",
-    "ReservationAnswer", "SettlementNotice", "SettlementAck"};
+inline constexpr std::array<std::string_view, 10> kEntryPeerMessageTypes = {
+    "TokenAsk",          "TokenAnswer",      "TokenCancel",    "TargetTokenAsk",
+    "TargetTokenAnswer", "TargetRateNotice", "ReservationAsk", "ReservationAnswer",
+    "SettlementNotice",  "SettlementAck"};
 
 }  // namespace persimmonstair::schema
 
--- a/src/persimmonstair/diagnostics/metrics.cpp
+++ b/src/persimmonstair/diagnostics/metrics.cpp
@@ -34,6 +34,10 @@
                        .Name("persimmonstair_store_calls_total")
                        .Help("Calls to the record store by kind and result")
                        .Register(registry_)),
+      target_tokens_(prometheus::BuildCounter()
+                         .Name("persimmonstair_target_tokens_total")
+                         .Help("Tokens of targets' rates by result and by who decided")
+                         .Register(registry_)),
       ring_full_(prometheus::BuildCounter()
                      .Name("persimmonstair_ring_full_total")
                      .Help("Requests refused because the event ring was full")
@@ -84,6 +88,11 @@
   counter->Increment();
 }
 
+void Metrics::CountTargetToken(const std::string& result, const std::string& source) {
+  const std::lock_guard lock(mutex_);
+  target_tokens_.Add({{"result", result}, {"source", source}}).Increment();
+}
+
 void Metrics::CountRingFull() { ring_full_.Increment(); }
 
 void Metrics::SetGauge(const std::string& name, const std::string& help, double value) {
--- a/src/persimmonstair/dispatch/dispatch_test.cpp
+++ b/src/persimmonstair/dispatch/dispatch_test.cpp
@@ -148,5 +148,20 @@
   EXPECT_FALSE(registry_.ApplyRateStatement({"unknown"}, {5.0, At(seconds{8}), 1}));
 }
 
+// Guards against overrunning a limited target while another one is free, and against waiting for
+// its rate once the limit has ended.
+TEST_F(TargetRegistryTest, CountsTheWaitForTheRateOfALimitedTarget) {
+  registry_.ApplyRateStatement({"t1"}, {10.0, At({}), 1});
+  registry_.ExpectToken({"t1"}, At(milliseconds{200}));
+  EXPECT_EQ(Choose(), "t2");
+  EXPECT_EQ(registry_.TokenWait(At(milliseconds{50}), {"t1"}), milliseconds{150});
+  TargetCriteria unlimited{kEngines, {}, {}, {}, true};
+  unlimited.skip = {{"t2"}};
+  EXPECT_EQ(Choose(unlimited), "");
+  registry_.ApplyRateStatement({"t1"}, {std::nullopt, At(milliseconds{50}), 1});
+  EXPECT_EQ(registry_.TokenWait(At(milliseconds{50}), {"t1"}), milliseconds{0});
+  EXPECT_EQ(Choose(unlimited), "t1");
+}
+
 }  // namespace
 }  // namespace persimmonstair::dispatch
--- a/src/persimmonstair/dispatch/target_registry.cpp
+++ b/src/persimmonstair/dispatch/target_registry.cpp
@@ -29,6 +29,8 @@
 constexpr double kRetryMs = 400;
 /// For a target that is being avoided. Large enough that it is chosen only if all targets are.
 constexpr double kAvoidMs = 100'000;
+/// For each second until a target's rate allows another request.
+constexpr double kMsPerSecond = 1000;
 /// For prefilling one prompt token that the target hasn't cached.
 constexpr double kPromptTokenMs = 1.0 / 200;
 /// For a plain service's target that didn't handle the affinity value recently.
@@ -45,6 +47,7 @@
     target.failure_rate = 0;
     target.avoid_until = now;
     target.rate.reset();
+    target.token_at = now;
   }
   target.entry = entry;
 }
@@ -58,18 +61,24 @@
   return ids;
 }
 
+double TargetRegistry::Load(base::TimePoint now, const Target& target) {
+  if (!target.load_known) return target.in_flight;
+  const double age = base::ToSeconds(now - target.load_at);
+  return target.in_flight + target.other_load * std::max(0.0, 1 - age / kLoadDecaySeconds);
+}
+
+double TargetRegistry::Excess(base::TimePoint now, const Target& target) {
+  const double slots = std::max(1U, target.entry.slots);
+  return std::max(0.0, Load(now, target) + 1 - slots);
+}
+
 double TargetRegistry::Cost(base::TimePoint now, const Target& target,
                             const TargetCriteria& criteria) const {
-  double load = target.in_flight;
-  if (target.load_known) {
-    const double age = base::ToSeconds(now - target.load_at);
-    load += target.other_load * std::max(0.0, 1 - age / kLoadDecaySeconds);
-  }
-  const double slots = std::max(1U, target.entry.slots);
-  double cost = kRunningRequestMs * load + kQueuedRequestMs * std::max(0.0, load + 1 - slots);
+  double cost = kRunningRequestMs * Load(now, target) + kQueuedRequestMs * Excess(now, target);
   if (target.entry.data_centre != local_data_centre_) cost += kRemoteDataCentreMs;
   cost += kRetryMs * target.failure_rate;
   if (now < target.avoid_until) cost += kAvoidMs;
+  cost += kMsPerSecond * base::ToSeconds(WaitForToken(now, target));
   bool prefix_cached = true;
   for (const auto& part : criteria.prompt) {
     prefix_cached = prefix_cached && target.last_used.contains(part.id);
@@ -86,6 +95,7 @@
   for (const auto& [id, target] : targets_) {
     if (target.entry.service != criteria.service || target.entry.draining) continue;
     if (std::find(criteria.skip.begin(), criteria.skip.end(), id) != criteria.skip.end()) continue;
+    if (criteria.only_unlimited && target.rate && target.rate->limit_per_s) continue;
     const double cost = Cost(now, target, criteria);
     if (cost >= best_cost) continue;
     best = &target;
@@ -163,6 +173,34 @@
   return it == targets_.end() ? std::nullopt : it->second.rate;
 }
 
+void TargetRegistry::ExpectToken(const base::TargetId& id, base::TimePoint at) {
+  const auto it = targets_.find(id);
+  if (it != targets_.end()) it->second.token_at = at;
+}
+
+base::Duration TargetRegistry::WaitForToken(base::TimePoint now, const Target& target) {
+  if (!target.rate || !target.rate->limit_per_s) return {};
+  return std::max<base::Duration>(target.token_at - now, {});
+}
+
+base::Duration TargetRegistry::TokenWait(base::TimePoint now, const base::TargetId& id) const {
+  const auto it = targets_.find(id);
+  return it == targets_.end() ? base::Duration{} : WaitForToken(now, it->second);
+}
+
+base::Duration TargetRegistry::QueueDelay(base::TimePoint now, const base::TargetId& id) const {
+  const auto it = targets_.find(id);
+  if (it == targets_.end()) return {};
+  const std::chrono::duration<double, std::milli> slot{kQueuedRequestMs * Excess(now, it->second)};
+  return std::chrono::duration_cast<base::Duration>(slot) + WaitForToken(now, it->second);
+}
+
+bool TargetRegistry::HasLimitedTarget(const base::ServiceId& service) const {
+  return std::any_of(targets_.begin(), targets_.end(), [&service](const auto& one) {
+    return one.second.entry.service == service && one.second.rate && one.second.rate->limit_per_s;
+  });
+}
+
 std::size_t TargetRegistry::LimitedTargets() const {
   return static_cast<std::size_t>(std::count_if(
       targets_.begin(), targets_.end(),
--- a/src/persimmonstair/gateway/budget_client.cpp
+++ b/src/persimmonstair/gateway/budget_client.cpp
@@ -5,11 +5,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <random>
 #include <string>
 #include <utility>
 
 #include "clock.hpp"
+#include "nonce.hpp"
 #include "persimmonstair/diagnostics/log.hpp"
 
 namespace persimmonstair::gateway {
@@ -29,11 +29,6 @@
 constexpr milliseconds kSettlementTimeout{700};
 constexpr int kSettlementAttempts = 2;
 
-std::uint64_t RandomNonce() {
-  std::random_device random;
-  return (std::uint64_t{random()} << 32U) | random();
-}
-
 /// Longest names in a reservation that is sent to another instance, in bytes in all. Longer ones
 /// may not fit into a datagram.
 constexpr std::size_t kMaxNameBytes = 1000;
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -113,9 +113,9 @@
 }
 
 awaitable<std::optional<Error>> Exchange::ChargeQuota() {
+  stage_ = context_.programs.Stage(Now(), *route_, metadata_);
   if (quota_workspace_ == nullptr) co_return std::nullopt;
-  const quota::ProgramStage stage = context_.programs.Stage(Now(), *route_, metadata_);
-  const quota::AdmissionResult result = co_await context_.quota.Admit(*quota_workspace_, stage);
+  const quota::AdmissionResult result = co_await context_.quota.Admit(*quota_workspace_, stage_);
   if (result.admission == quota::Admission::kAdmitted) {
     context_.programs.OnAdmitted(Now(), metadata_.program);
     co_return std::nullopt;
@@ -211,7 +211,9 @@
                       {"ms", base::ToMillis(took)}};
   if (!end_reason_.empty()) line["reason"] = end_reason_;
   if (caller_.Disconnected()) line["caller_gone"] = true;
+  if (!last_target_.empty()) line["target"] = last_target_.value;
   if (limited_sends_ > 0) line["limited_sends"] = limited_sends_;
+  if (refused_tokens_ > 0) line["refused_target_tokens"] = refused_tokens_;
   if (sends_ > 0) line["before_send_ms"] = base::ToMillis(first_sent_at_ - arrived_at_);
   if (stream_started_) {
     line["first_event_ms"] = base::ToMillis(first_event_at_ - arrived_at_);
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -57,9 +57,25 @@
   boost::asio::awaitable<std::optional<base::Error>> ReserveTokens();
   void PrepareCriteria();
 
+  // Choice of a target, in exchange_choice.cpp.
+  /// Returns a target that the request may be sent to now, and has taken a token of its rate if it
+  /// names a limit. Otherwise answers the caller and returns nothing.
+  boost::asio::awaitable<std::optional<dispatch::TargetEntry>> ChooseTarget();
+  /// Returns the best target. After some refused tokens, targets without a limit come first.
+  std::optional<dispatch::TargetEntry> FindTarget(int refused_tokens);
+  /// Time for which the request may still wait for capacity at a target.
+  base::Duration QueueTimeLeft() const;
+  /// True if the request begins a program and the targets' limits leave too little for it.
+  bool DefersProgram(const dispatch::TargetEntry& target) const;
+  /// Time for which the request may still wait for a token of a target's rate.
+  base::Duration TokenTimeLeft() const;
+  /// True if too little time is left for another attempt.
+  bool IsLate() const;
+  /// Error for a request that no target takes.
+  base::Error NoCapacity() const;
+
   // Attempts, in exchange_attempts.cpp.
   boost::asio::awaitable<void> Dispatch();
-  boost::asio::awaitable<std::optional<dispatch::TargetEntry>> ChooseTarget();
   boost::asio::awaitable<Outcome> Attempt(const dispatch::TargetEntry& target);
   boost::asio::awaitable<Outcome> SendTo(const dispatch::TargetEntry& target,
                                          std::unique_ptr<HttpConnection>& connection);
@@ -105,6 +121,7 @@
   /// Hash of path, workspace and body, by which crash reports identify the request.
   std::uint64_t fingerprint_ = 0;
 
+  quota::ProgramStage stage_ = quota::ProgramStage::kUnderWay;
   /// History and the caller's body; empty to forward the caller's body alone.
   std::optional<std::string> forwarded_body_;
   std::vector<base::TurnId> ancestors_;
@@ -128,8 +145,12 @@
   std::uint32_t sends_ = 0;
   /// Attempts that were sent to a target after it had named a rate limit.
   std::uint32_t limited_sends_ = 0;
+  /// Tokens of targets' rates that were refused.
+  std::uint32_t refused_tokens_ = 0;
   base::TimePoint first_sent_at_;
   base::TimePoint last_sent_at_;
+  /// Target of the last attempt.
+  base::TargetId last_target_;
   /// Error response of a target, forwarded to the caller if no other attempt follows.
   std::optional<std::pair<HttpHead, std::string>> pending_failure_;
 
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -22,18 +22,10 @@
 /// Maximum time to open a connection. A retransmission after a lost packet takes seconds, so
 /// another target is faster.
 constexpr milliseconds kConnectTimeout{250};
-/// Pause before targets that rejected a request for lack of capacity are tried again.
-constexpr milliseconds kRejectedRetryPause{15};
-/// Maximum time that a request waits for target capacity, in multiples of the route's objective.
-constexpr int kMaxQueueObjectives = 2;
 /// Time without response after which an idempotent or resumable request goes to another target, in
 /// multiples of the route's objective, and its minimum.
 constexpr int kResponseTimeoutObjectives = 3;
 constexpr milliseconds kMinResponseTimeout{600};
-/// With less time left, no response would reach the caller before its deadline.
-constexpr milliseconds kMinTimeLeft{5};
-constexpr milliseconds kOverloadRetryAfter{150};
-constexpr milliseconds kNoTargetRetryAfter{300};
 /// Lower statuses are those of interim responses, which the response follows.
 constexpr unsigned kFirstFinalStatus = 200;
 /// Interim responses and responses to other requests that are skipped on a connection before the
@@ -97,7 +89,7 @@
     if (outcome == Outcome::kNotRun) continue;
     may_have_run_.push_back(target->id);
     if (attempt_reset_) context_.fleet.ReportCrash(fingerprint_, target->id);
-    if (MayRetry() && !context_.fleet.IsPoison(fingerprint_) && TimeLeft() > kMinTimeLeft) continue;
+    if (MayRetry() && !context_.fleet.IsPoison(fingerprint_) && !IsLate()) continue;
     if (pending_failure_) {
       status_ = pending_failure_->first.status;
       end_reason_ = "the target responded with an error";
@@ -105,7 +97,7 @@
                                std::move(pending_failure_->second));
       co_return;
     }
-    const bool late = TimeLeft() <= kMinTimeLeft;
+    const bool late = IsLate();
     Error error{late ? ErrorCode::kTimeout : ErrorCode::kTargetFailed,
                 "target " + target->id.value + ": " + attempt_error_,
                 Verdict::kMayHaveRun,
@@ -115,35 +107,6 @@
   }
 }
 
-awaitable<std::optional<dispatch::TargetEntry>> Exchange::ChooseTarget() {
-  for (;;) {
-    const bool not_run = runs_ == 0 && !stream_started_;
-    Error error{not_run ? ErrorCode::kOverloaded : ErrorCode::kTargetFailed, "",
-                not_run ? Verdict::kNotRun : Verdict::kMayHaveRun, kOverloadRetryAfter};
-    if (caller_.Disconnected()) {
-      end_reason_ = "the caller disconnected";
-      co_return std::nullopt;
-    }
-    if (TimeLeft() <= kMinTimeLeft) {
-      error.message = "no target was available before the deadline";
-      if (!not_run) error.code = ErrorCode::kTimeout;
-    } else if (auto target = context_.target_registry.Choose(Now(), criteria_)) {
-      co_return target;
-    } else if (!context_.target_registry.HasAvailableTarget(criteria_.service)) {
-      error.message = "service " + criteria_.service.value + " has no available target";
-      error.retry_after = kNoTargetRetryAfter;
-    } else if (Now() - arrived_at_ > kMaxQueueObjectives * route_->latency_objective) {
-      error.message = "all targets rejected the request";
-    } else {
-      criteria_.skip = may_have_run_;
-      co_await Sleep(kRejectedRetryPause);
-      continue;
-    }
-    co_await Fail(std::move(error));
-    co_return std::nullopt;
-  }
-}
-
 awaitable<Exchange::Outcome> Exchange::Attempt(const dispatch::TargetEntry& target) {
   attempt_result_ = dispatch::AttemptResult::kBroken;
   attempt_error_.clear();
@@ -246,6 +209,7 @@
 
 void Exchange::CountSend(const dispatch::TargetEntry& target) {
   last_sent_at_ = Now();
+  last_target_ = target.id;
   if (sends_++ == 0) first_sent_at_ = last_sent_at_;
   ++runs_;
   const auto rate = context_.target_registry.LastRateStatement(target.id);
@@ -259,14 +223,9 @@
         {{"request", metadata_.request_id}, {"target", target.id.value}});
     return;
   }
-  const dispatch::RateStatement statement{response.rate_limit_per_s, last_sent_at_,
-                                          target.started_ms};
-  if (!context_.target_registry.ApplyRateStatement(target.id, statement)) return;
-  nlohmann::json line{{"target", target.id.value},
-                      {"request", metadata_.request_id},
-                      {"as_of_ms_ago", base::ToMillis(Now() - last_sent_at_)}};
-  if (statement.limit_per_s) line["limit_per_s"] = *statement.limit_per_s;
-  Log(Level::kInfo, "target_rate_limit_changed", line);
+  context_.target_limits.OnResponse(target.id,
+                                    {response.rate_limit_per_s, last_sent_at_, target.started_ms},
+                                    metadata_.request_id);
 }
 
 void Exchange::RecordError(const boost::system::error_code& ec) {
--- /dev/null
+++ b/src/persimmonstair/gateway/exchange_choice.cpp
@@ -0,0 +1,112 @@
+#include <algorithm>
+
+#include "caller_connection.hpp"
+#include "clock.hpp"
+#include "exchange.hpp"
+
+namespace persimmonstair::gateway {
+namespace {
+
+using base::Error;
+using base::ErrorCode;
+using base::Verdict;
+using boost::asio::awaitable;
+using std::chrono::milliseconds;
+
+/// Pause before targets that rejected a request for lack of capacity are tried again.
+constexpr milliseconds kRejectedRetryPause{15};
+/// Maximum time that a request waits for target capacity, in multiples of the route's objective.
+constexpr int kMaxQueueObjectives = 2;
+/// With less time left, no response would reach the caller before its deadline.
+constexpr milliseconds kMinTimeLeft{5};
+constexpr milliseconds kOverloadRetryAfter{150};
+constexpr milliseconds kNoTargetRetryAfter{300};
+/// Delay of its first request up to which a program may begin, in multiples of the route's
+/// objective. Beyond it, the programs under way need all that limited targets take.
+constexpr double kMaxDelayOfNewProgram = 0.5;
+constexpr milliseconds kDeferredProgramRetryAfter{300};
+/// Refused tokens after which targets without a rate limit come first. Each one costs a round trip.
+constexpr int kMaxRefusedTokens = 3;
+
+}  // namespace
+
+bool Exchange::IsLate() const { return TimeLeft() <= kMinTimeLeft; }
+
+base::Duration Exchange::QueueTimeLeft() const {
+  const base::Duration queue_time = kMaxQueueObjectives * route_->latency_objective;
+  return std::min(arrived_at_ + queue_time - Now(), TimeLeft() - kMinTimeLeft);
+}
+
+Error Exchange::NoCapacity() const {
+  const bool not_run = runs_ == 0 && !stream_started_;
+  return Error{not_run ? ErrorCode::kOverloaded : ErrorCode::kTargetFailed, "",
+               not_run ? Verdict::kNotRun : Verdict::kMayHaveRun, kOverloadRetryAfter};
+}
+
+std::optional<dispatch::TargetEntry> Exchange::FindTarget(int refused_tokens) {
+  const base::TimePoint now = Now();
+  const auto best = context_.target_registry.Choose(now, criteria_);
+  if (!best) return best;
+  const base::Duration wait = context_.target_registry.TokenWait(now, best->id);
+  if (wait <= TokenTimeLeft() && refused_tokens < kMaxRefusedTokens) return best;
+  dispatch::TargetCriteria unlimited = criteria_;
+  unlimited.only_unlimited = true;
+  const auto other = context_.target_registry.Choose(now, unlimited);
+  return other ? other : best;
+}
+
+bool Exchange::DefersProgram(const dispatch::TargetEntry& target) const {
+  const bool begins = stage_ == quota::ProgramStage::kBegins && runs_ == 0;
+  if (!begins || !context_.target_registry.HasLimitedTarget(criteria_.service)) return false;
+  return context_.target_registry.QueueDelay(Now(), target.id) >
+         kMaxDelayOfNewProgram * route_->latency_objective;
+}
+
+base::Duration Exchange::TokenTimeLeft() const {
+  return std::clamp<base::Duration>(QueueTimeLeft(), {}, TargetLimiter::kMaxWait);
+}
+
+awaitable<std::optional<dispatch::TargetEntry>> Exchange::ChooseTarget() {
+  for (int refused_tokens = 0;;) {
+    if (caller_.Disconnected()) {
+      end_reason_ = "the caller disconnected";
+      co_return std::nullopt;
+    }
+    Error error = NoCapacity();
+    if (IsLate()) {
+      error.message = "no target was available before the deadline";
+      if (error.verdict != Verdict::kNotRun) error.code = ErrorCode::kTimeout;
+    } else if (auto target = FindTarget(refused_tokens)) {
+      const base::Duration wait = context_.target_registry.TokenWait(Now(), target->id);
+      const base::Duration left = TokenTimeLeft();
+      if (DefersProgram(*target)) {
+        error.message = "the rate limits of the targets leave no room for another program";
+        error.retry_after = std::max<base::Duration>(wait, kDeferredProgramRetryAfter);
+      } else if (wait <= left) {
+        const bool queues = wait > base::Duration{0} || refused_tokens >= kMaxRefusedTokens;
+        const auto token =
+            co_await context_.target_limits.Take(*target, stage_, queues ? left : base::Duration{});
+        if (token.admission == quota::Admission::kAdmitted) co_return target;
+        ++refused_tokens;
+        ++refused_tokens_;
+        continue;
+      } else {
+        error.message = "the rate limits of the targets allow no request in time";
+        error.retry_after = wait;
+      }
+    } else if (!context_.target_registry.HasAvailableTarget(criteria_.service)) {
+      error.message = "service " + criteria_.service.value + " has no available target";
+      error.retry_after = kNoTargetRetryAfter;
+    } else if (Now() - arrived_at_ > kMaxQueueObjectives * route_->latency_objective) {
+      error.message = "all targets rejected the request";
+    } else {
+      criteria_.skip = may_have_run_;
+      co_await Sleep(kRejectedRetryPause);
+      continue;
+    }
+    co_await Fail(std::move(error));
+    co_return std::nullopt;
+  }
+}
+
+}  // namespace persimmonstair::gateway
--- a/src/persimmonstair/gateway/fleet_registry.cpp
+++ b/src/persimmonstair/gateway/fleet_registry.cpp
@@ -106,6 +106,40 @@
   return coordinators;
 }
 
+bool FleetRegistry::IsLive(const base::InstanceId& instance) const {
+  if (instance == instance_) return true;
+  const auto peer = peers_.find(instance);
+  return peer != peers_.end() && Now() - peer->second.last_heard_at < kPeerTimeout;
+}
+
+TargetCoordinator FleetRegistry::FindTargetCoordinator(const dispatch::TargetEntry& target) const {
+  const schema::ShareTable& table = allocator_.Table();
+  TargetCoordinator coordinator;
+  coordinator.instances = table.holders.size();
+  std::vector<base::InstanceId> near;
+  std::vector<base::InstanceId> all;
+  for (const auto& holder : table.holders) {
+    if (!IsLive(holder.instance)) continue;
+    all.push_back(holder.instance);
+    if (holder.data_centre == target.data_centre) near.push_back(holder.instance);
+  }
+  if (all.empty()) return coordinator;
+  const auto picked =
+      base::RendezvousPick(target.id.value, near.empty() ? all : near,
+                           [](const base::InstanceId& instance) { return instance.value; });
+  coordinator.is_self = picked == instance_;
+  if (!coordinator.is_self) coordinator.endpoint = peers_.at(picked).endpoint;
+  return coordinator;
+}
+
+std::vector<dispatch::Endpoint> FleetRegistry::RecentPeers() const {
+  std::vector<dispatch::Endpoint> recent;
+  for (const auto& [instance, peer] : peers_) {
+    if (instance != instance_ && IsLive(instance)) recent.push_back(peer.endpoint);
+  }
+  return recent;
+}
+
 void FleetRegistry::UpdatePeer(const schema::ShareReport& report) {
   const auto endpoint = ParseEndpoint(report.peer);
   if (report.stopping || !endpoint) {
--- a/src/persimmonstair/gateway/fleet_registry.hpp
+++ b/src/persimmonstair/gateway/fleet_registry.hpp
@@ -30,6 +30,16 @@
   bool is_coordinator = false;
 };
 
+/// @brief The coordinator of a target's rate, as this instance sees it.
+struct TargetCoordinator {
+  /// True if this instance is the coordinator.
+  bool is_self = false;
+  /// Its address; empty if this instance is the coordinator or none is known.
+  std::optional<dispatch::Endpoint> endpoint;
+  /// Number of instances in the share table; 0 if there is no table yet.
+  std::size_t instances = 0;
+};
+
 /// @brief Exchanges state between the instances through the record store: share reports, share
 /// tables and reports of requests that crash targets.
 ///
@@ -54,6 +64,13 @@
   /// first. Empty if this instance writes them, or if there is no share table yet.
   std::vector<dispatch::Endpoint> BudgetCoordinators(const Partition& partition);
 
+  /// Returns the coordinator of the target's rate: the instance, first in the target's data centre,
+  /// that hands out the tokens of the rate for all instances. Who reaches the target mostly reaches
+  /// that data centre too, so a data centre that is cut off keeps the rates of its targets.
+  TargetCoordinator FindTargetCoordinator(const dispatch::TargetEntry& target) const;
+  /// Returns the instances that reported recently, without this one.
+  std::vector<dispatch::Endpoint> RecentPeers() const;
+
   /// Records that a target failed while it ran a request. Other instances learn of it with the next
   /// report.
   void ReportCrash(std::uint64_t fingerprint, const base::TargetId& target);
@@ -79,6 +96,8 @@
   boost::asio::awaitable<void> Report(bool stopping, base::TimePoint deadline);
   boost::asio::awaitable<void> WriteTable();
   void Apply(const KeyedRecord& record);
+  /// True if the instance reported recently or is this one.
+  bool IsLive(const base::InstanceId& instance) const;
   void UpdatePeer(const schema::ShareReport& report);
   void ExpireCrashes();
 
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -91,6 +91,7 @@
       co_await Sleep(kMaintenanceInterval);
       context.pool.CloseIdle();
       context.programs.Expire(Now());
+      context.target_limits.DropUnused();
       connections.remove_if([](const auto& one) { return one.expired(); });
     }
   }
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -21,6 +21,7 @@
 #include "recent_programs.hpp"
 #include "retrying_record_store.hpp"
 #include "target_connection_pool.hpp"
+#include "target_limiter.hpp"
 #include "turn_store.hpp"
 
 namespace persimmonstair::gateway {
@@ -42,6 +43,7 @@
         fleet(store, settings, std::move(process)),
         peers(executor),
         quota(executor, peers, fleet, configuration),
+        target_limits(executor, peers, fleet, target_registry, metrics),
         budget_layout(MakeBudgetLayout(settings.parts_of_stream, settings.store_writes_per_s)),
         budget_manager(executor, store, {"budgets", kBudgetStreams, budget_layout.partitions},
                        budget_layout.append_interval),
@@ -61,6 +63,7 @@
   FleetRegistry fleet;
   PeerSocket peers;
   QuotaLimiter quota;
+  TargetLimiter target_limits;
   BudgetLayout budget_layout;
   BudgetManager budget_manager;
   BudgetCoordinator budget_coordinator;
--- a/src/persimmonstair/quota/local_shares.cpp
+++ b/src/persimmonstair/quota/local_shares.cpp
@@ -36,7 +36,7 @@
 }
 
 bool LocalShares::TakeOwn(base::TimePoint now, const base::WorkspaceId& workspace,
-                          const WorkspaceQuota& quota, double min_remaining) {
+                          const RateLimit& quota, double min_remaining) {
   if (!HasLease(now)) return false;
   WorkspaceUse& use = workspace_uses_[workspace];
   if (Refill(now, workspace, quota, use) < 1 + min_remaining) return false;
@@ -56,7 +56,7 @@
 
 base::Duration LocalShares::TimeUntilAvailable(base::TimePoint now,
                                                const base::WorkspaceId& workspace,
-                                               const WorkspaceQuota& quota, double tokens) {
+                                               const RateLimit& quota, double tokens) {
   if (!HasLease(now)) return kNever;
   WorkspaceUse& use = workspace_uses_[workspace];
   const double missing = tokens - Refill(now, workspace, quota, use);
@@ -67,7 +67,7 @@
 }
 
 double LocalShares::Refill(base::TimePoint now, const base::WorkspaceId& workspace,
-                           const WorkspaceQuota& quota, WorkspaceUse& use) const {
+                           const RateLimit& quota, WorkspaceUse& use) const {
   if (use.share_round != table_.round) {
     use.share = Share(workspace);
     use.share_round = table_.round;
@@ -88,8 +88,7 @@
 }
 
 bool LocalShares::LendOne(base::TimePoint now, const base::WorkspaceId& workspace,
-                          const WorkspaceQuota& quota, double min_remaining,
-                          base::TimePoint until) {
+                          const RateLimit& quota, double min_remaining, base::TimePoint until) {
   if (!HasLease(now)) return false;
   WorkspaceUse& use = workspace_uses_[workspace];
   if (Refill(now, workspace, quota, use) < 1 + min_remaining) return false;
--- a/src/persimmonstair/quota/quota_test.cpp
+++ b/src/persimmonstair/quota/quota_test.cpp
@@ -28,7 +28,7 @@
 constexpr TokenDemand kNoWait{1, kUnderWay, TokenRequester::kLocalCaller, {}};
 
 // Submits a request that is never queued, because its maximum wait is 0.
-AdmissionResult Admit(LocalShares& local_shares, base::TimePoint now, const WorkspaceQuota& quota) {
+AdmissionResult Admit(LocalShares& local_shares, base::TimePoint now, const RateLimit& quota) {
   return AdmissionQueue(local_shares).Ask(now, kNorth, quota, kNoWait).value();
 }
 
@@ -45,7 +45,7 @@
 // have used the same tokens just before, and against admission without a valid lease.
 TEST(LocalSharesTest, StartsEmptyAndNeedsALease) {
   LocalShares local_shares({"a"});
-  const WorkspaceQuota quota{100, 100};
+  const RateLimit quota{100, 100};
   EXPECT_EQ(Admit(local_shares, At({}), quota).admission, Admission::kNoShare);
   local_shares.Apply(kOnlyA);
   local_shares.OnReportStored(At({}));
@@ -59,7 +59,7 @@
   LocalShares local_shares({"a"});
   local_shares.Apply(kOnlyA);
   local_shares.OnReportStored(At({}));
-  const WorkspaceQuota quota{10, 10};
+  const RateLimit quota{10, 10};
   const AdmissionResult refused = Admit(local_shares, At({}), quota);
   EXPECT_EQ(refused.retry_after, milliseconds{100});
   EXPECT_EQ(Admit(local_shares, At(refused.retry_after), quota).admission, Admission::kAdmitted);
@@ -68,7 +68,7 @@
 // Guards against a burst at one instance that is refused while other instances have unused tokens
 // of the workspace, and against lent tokens that are used twice.
 TEST(LocalSharesTest, LoansMoveTokensToTheBusyInstance) {
-  const WorkspaceQuota quota{20, 20};
+  const RateLimit quota{20, 20};
   LocalShares lender({"a"});
   LocalShares borrower({"b"});
   for (LocalShares* local_shares : {&lender, &borrower}) {
@@ -100,7 +100,7 @@
     shares.TimeUntilAvailable(At({}), kNorth, quota, 1);
   }
 
-  WorkspaceQuota quota{20, 20};
+  RateLimit quota{20, 20};
   LocalShares shares{{"a"}};
   AdmissionQueue queue{shares};
 };
@@ -262,7 +262,7 @@
 // Guards against borrowed tokens that are used after their expiry, when the lender may already have
 // used them itself or lent them to another instance.
 TEST(LocalSharesTest, BorrowedTokensExpire) {
-  const WorkspaceQuota quota{1, 1};
+  const RateLimit quota{1, 1};
   LocalShares local_shares({"a"});
   local_shares.Apply(kOnlyA);
   local_shares.OnReportStored(At({}));
@@ -393,5 +393,36 @@
   EXPECT_FALSE(allocator.NextTable(later, {"a"}));
 }
 
+// Guards against a coordinator that hands out more than a target takes, and against a target that
+// is left idle below its limit while requests wait.
+TEST(TargetAdmissionQueueTest, HandsOutTheWholeRateAndNoMore) {
+  const base::TargetId target{"t1"};
+  constexpr double kRatePerS = 6;
+  constexpr int kSeconds = 20;
+  TargetTokens tokens;
+  TargetAdmissionQueue queue(tokens);
+  int granted = 0;
+  std::uint64_t id = 0;
+  for (int ms = 0; ms < kSeconds * 1000; ms += 10) {
+    const base::TimePoint now = At(milliseconds{ms});
+    const TokenDemand demand{++id, kUnderWay, TokenRequester::kPeerInstance, milliseconds{250}};
+    const auto result = queue.Ask(now, target, TargetRate(kRatePerS), demand);
+    granted += result && result->admission == Admission::kAdmitted ? 1 : 0;
+    for (const Decision& one : queue.Serve(now)) {
+      granted += one.result.admission == Admission::kAdmitted ? 1 : 0;
+    }
+  }
+  EXPECT_LE(granted, kRatePerS * kSeconds + 1);
+  EXPECT_GE(granted, kRatePerS * kSeconds - 3);
+}
+
+// Guards against a target that names a limit of 0 and is never asked again, although only its
+// responses show that the limit has ended, and against limits without bound.
+TEST(TargetTokensTest, BoundsTheRate) {
+  EXPECT_GT(TargetRate(0).rate_per_s, 0);
+  EXPECT_GE(TargetRate(0).burst, 1);
+  EXPECT_LE(TargetRate(1e300).rate_per_s, 1e6);
+}
+
 }  // namespace
 }  // namespace persimmonstair::quota
