Log the software versions of targets and the attempts that callers resume

A request's line holds the version that began its stream, that of its last target, and what it takes up. No choice depends on it yet.

--- a/include/persimmonstair/base/ids.hpp
+++ b/include/persimmonstair/base/ids.hpp
@@ -43,6 +43,8 @@
 using ModelId = StringId<struct ModelTag>;
 /// Identifies a group of targets that serve the same requests.
 using ServiceId = StringId<struct ServiceTag>;
+/// Version of the software that a target runs. Versions have no order.
+using SoftwareVersion = StringId<struct SoftwareVersionTag>;
 /// Identifies one turn of a program in the whole fleet; chosen by the caller.
 using TurnId = StringId<struct TurnTag>;
 /// Name of a log stream, for example "control".
--- a/include/persimmonstair/dispatch/target_registry.hpp
+++ b/include/persimmonstair/dispatch/target_registry.hpp
@@ -33,6 +33,8 @@
   /// Start time in Unix milliseconds. A new value under the same id means that the target restarted
   /// and that its cached prompts are gone.
   std::int64_t started_ms = 0;
+  /// Streams that one version began can't be continued by another.
+  base::SoftwareVersion version;
 };
 
 /// @brief Load that a target reports in its responses.
--- a/include/persimmonstair/gateway/platform_codec.hpp
+++ b/include/persimmonstair/gateway/platform_codec.hpp
@@ -37,6 +37,11 @@
   std::uint64_t max_tokens = 0;
   /// Turn that this one continues; empty for the first turn of a conversation.
   base::TurnId previous_turn;
+  /// Id of the last event that the caller has of a stream which this request takes up; empty for a
+  /// new stream.
+  std::string last_event;
+  /// Request of this caller that brought the first event of that stream; empty if not stated.
+  base::TurnId resumed_attempt;
   /// Parts of the prompt in order; empty if the request doesn't state them.
   std::vector<dispatch::PromptPart> prompt;
   /// Affinity key: id of the object that the request concerns; empty if there is none.
--- a/src/persimmonstair/dispatch/dispatch_test.cpp
+++ b/src/persimmonstair/dispatch/dispatch_test.cpp
@@ -16,7 +16,7 @@
 const base::ServiceId kEngines{"engines"};
 
 TargetEntry Entry(const std::string& id, const std::string& data_centre = "a") {
-  return {{id}, kEngines, {"10.0.0.1", 80}, {data_centre}, 8, false, 1};
+  return {{id}, kEngines, {"10.0.0.1", 80}, {data_centre}, 8, false, 1, {"v1"}};
 }
 
 base::TimePoint At(base::Duration since_start) { return base::TimePoint{seconds{1} + since_start}; }
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -211,7 +211,15 @@
                       {"ms", base::ToMillis(took)}};
   if (!end_reason_.empty()) line["reason"] = end_reason_;
   if (caller_.Disconnected()) line["caller_gone"] = true;
-  if (!last_target_.empty()) line["target"] = last_target_.value;
+  if (!last_target_.empty()) {
+    line["target"] = last_target_.value;
+    line["target_version"] = last_version_.value;
+  }
+  if (!began_at_.empty()) line["began_at_version"] = began_at_.value;
+  if (!metadata_.last_event.empty()) {
+    line["last_event"] = metadata_.last_event;
+    line["resumes"] = metadata_.resumed_attempt.value;
+  }
   if (limited_sends_ > 0) line["limited_sends"] = limited_sends_;
   if (refused_tokens_ > 0) line["refused_target_tokens"] = refused_tokens_;
   if (sends_ > 0) line["before_send_ms"] = base::ToMillis(first_sent_at_ - arrived_at_);
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -151,6 +151,10 @@
   base::TimePoint last_sent_at_;
   /// Target of the last attempt.
   base::TargetId last_target_;
+  /// Software version of the target that sent the first event of the stream.
+  base::SoftwareVersion began_at_;
+  /// Software version of the target of the last attempt.
+  base::SoftwareVersion last_version_;
   /// Error response of a target, forwarded to the caller if no other attempt follows.
   std::optional<std::pair<HttpHead, std::string>> pending_failure_;
 
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -210,6 +210,7 @@
 void Exchange::CountSend(const dispatch::TargetEntry& target) {
   last_sent_at_ = Now();
   last_target_ = target.id;
+  last_version_ = target.version;
   if (sends_++ == 0) first_sent_at_ = last_sent_at_;
   ++runs_;
   const auto rate = context_.target_registry.LastRateStatement(target.id);
--- a/src/persimmonstair/gateway/exchange_stream.cpp
+++ b/src/persimmonstair/gateway/exchange_stream.cpp
@@ -89,6 +89,7 @@
 
 awaitable<bool> Exchange::BeginStream(ResponseMetadata& response) {
   stream_started_ = true;
+  began_at_ = last_version_;
   status_ = response.head.status;
   first_event_at_ = Now();
   co_return co_await caller_.StartStream(response.head);
