Append the messages about targets' rates to the list of message types

A message's type is its place in the list. The new types stood before those about reservations, so instances of the previous version would have taken a reservation for something else while both versions run. Seen by reading; a datagram of an unknown type is dropped.

--- a/include/persimmonstair/schema/entry_peer.hpp
+++ b/include/persimmonstair/schema/entry_peer.hpp
@@ -271,15 +271,14 @@
 }
 
 /// @brief Any of the types above.
-using EntryPeerMessage = std::variant<TokenAsk, TokenAnswer, TokenCancel, TargetTokenAsk,
-                                      TargetTokenAnswer, TargetRateNotice, ReservationAsk,
-                                      ReservationAnswer, SettlementNotice, SettlementAck>;
+using EntryPeerMessage = std::variant<TokenAsk, TokenAnswer, TokenCancel, ReservationAsk,
+                                      ReservationAnswer, SettlementNotice, SettlementAck,
+                                      TargetTokenAsk, TargetTokenAnswer, TargetRateNotice>;
 
 /// Type names in the order of the variant's alternatives.
 inline constexpr std::array<std::string_view, 10> kEntryPeerMessageTypes = {
-    "TokenAsk",          "TokenAnswer",      "TokenCancel",    "TargetTokenAsk",
-    "TargetTokenAnswer", "TargetRateNotice", "ReservationAsk", "ReservationAnswer",
-    "SettlementNotice",  "SettlementAck"};
+    "TokenAsk",         "TokenAnswer",   "TokenCancel",    "ReservationAsk",    "ReservationAnswer",
+    "SettlementNotice", "SettlementAck", "TargetTokenAsk", "TargetTokenAnswer", "TargetRateNotice"};
 
 }  // namespace persimmonstair::schema
 
