Continue streams only at the software version that began them

Cause: nobody knew the version that began a stream, neither the choice of a target nor a take-up at this or another instance, nor anyone after a kill.

A new stream that may be resumed fixes its version before its tokens are reserved. The version is stored as a record of its own in the same append, before the request is sent, so there is no further append. A take-up names its first attempt in the message that reserves its tokens, and the answer holds the version, so there is no further read. All attempts go to targets of that version. What is unknown, or has no target of its version left, is refused as not run. A stream that no other target can go on with breaks off at once, so that its caller comes sooner; it waited for twice the objective before.

It works because the record is in the store before the first event exists, and the order of the partition shows it to every later take-up.

--- a/include/persimmonstair/dispatch/target_registry.hpp
+++ b/include/persimmonstair/dispatch/target_registry.hpp
@@ -64,6 +64,8 @@
   std::string affinity;
   /// Excludes the targets that name a rate limit.
   bool only_unlimited = false;
+  /// Software version that the target must have; empty if any will do.
+  base::SoftwareVersion version{};
 };
 
 /// @brief How an attempt to run a request at a target ended.
@@ -109,6 +111,9 @@
   /// Returns true if any target of the service isn't draining.
   bool HasAvailableTarget(const base::ServiceId& service) const;
 
+  /// Returns true if any target meets the criteria, whether or not it is avoided now.
+  bool HasTargetFor(const TargetCriteria& criteria) const;
+
   /// Counts a started attempt and remembers the prompt and affinity value sent with it.
   void BeginAttempt(base::TimePoint now, const base::TargetId& id, const TargetCriteria& criteria);
   /// Updates the target's load and failure rate. After kRejected, kUnreachable and kBroken, the
@@ -167,6 +172,8 @@
   static double Excess(base::TimePoint now, const Target& target);
   /// Expected delay in milliseconds if the request is sent to the target.
   double Cost(base::TimePoint now, const Target& target, const TargetCriteria& criteria) const;
+  /// True if the target may be chosen by the criteria.
+  static bool Meets(const Target& target, const TargetCriteria& criteria);
   /// Sets the time of last use of the request's prompt parts and affinity value.
   void RecordUse(base::TimePoint now, Target& target, const TargetCriteria& criteria);
 
--- a/include/persimmonstair/schema/entry_peer.hpp
+++ b/include/persimmonstair/schema/entry_peer.hpp
@@ -176,8 +176,18 @@
   std::uint64_t tokens = 0;
   /// Unix time in milliseconds after which the reservation may be dropped.
   std::int64_t expires_ms = 0;
+  /// False if the turn has no budget, so that only `version` and `resumed_attempt` count.
+  bool budgeted = false;
   /// Tokens that all turns of the program may deliver.
   std::uint64_t budget = 0;
+  /// Caller's attempt whose stream begins; empty if no version is to be recorded.
+  base::TurnId attempt;
+  /// Software version of the targets at which that stream begins.
+  base::SoftwareVersion version;
+  /// Unix time in milliseconds after which the version's record may be dropped.
+  std::int64_t version_expires_ms = 0;
+  /// Attempt whose version is asked for; empty for none.
+  base::TurnId resumed_attempt;
   /// Longest time that the reservation may take, in milliseconds.
   std::uint32_t wait_ms = 0;
 
@@ -192,7 +202,12 @@
   Field(archive, value.turn);
   Field(archive, value.tokens);
   Field(archive, value.expires_ms);
+  Field(archive, value.budgeted);
   Field(archive, value.budget);
+  Field(archive, value.attempt);
+  Field(archive, value.version);
+  Field(archive, value.version_expires_ms);
+  Field(archive, value.resumed_attempt);
   Field(archive, value.wait_ms);
 }
 
@@ -213,6 +228,8 @@
   std::uint64_t settled = 0;
   /// Tokens that its running turns may deliver.
   std::uint64_t outstanding = 0;
+  /// Software version at which the stream of `resumed_attempt` began; empty if unknown.
+  base::SoftwareVersion resumed_version;
 
   bool operator==(const ReservationAnswer&) const = default;
 };
@@ -226,6 +243,7 @@
   Field(archive, value.exhausted);
   Field(archive, value.settled);
   Field(archive, value.outstanding);
+  Field(archive, value.resumed_version);
 }
 
 /// @brief Tells the budget coordinator of a program that a turn has ended. Sent again until it is
--- a/include/persimmonstair/schema/state.hpp
+++ b/include/persimmonstair/schema/state.hpp
@@ -73,6 +73,32 @@
   Field(archive, value.expires_ms);
 }
 
+/// @brief Software version of the targets at which a stream began. Only targets of this version may
+/// continue it.
+struct StreamBegin {
+  /// Workspace that owns the stream.
+  base::WorkspaceId workspace;
+  /// Program that the stream belongs to; empty if there is none.
+  base::ProgramId program;
+  /// Caller's attempt that brought the first event.
+  base::TurnId attempt;
+  /// Version of the targets.
+  base::SoftwareVersion version;
+  /// Unix time in milliseconds after which the record may be dropped.
+  std::int64_t expires_ms = 0;
+
+  bool operator==(const StreamBegin&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, StreamBegin& value) {
+  Field(archive, value.workspace);
+  Field(archive, value.program);
+  Field(archive, value.attempt);
+  Field(archive, value.version);
+  Field(archive, value.expires_ms);
+}
+
 /// @brief Report of an instance that may hold shares of the workspaces' rates, and of the shares
 /// that it uses.
 struct ShareReport {
@@ -157,11 +183,12 @@
 }
 
 /// @brief Any of the types above.
-using StateRecord = std::variant<KeptTurn, TokenReservation, ShareReport, ShareTable, CrashReport>;
+using StateRecord =
+    std::variant<KeptTurn, TokenReservation, ShareReport, ShareTable, CrashReport, StreamBegin>;
 
 /// Type names in the order of the variant's alternatives.
-inline constexpr std::array<std::string_view, 5> kStateRecordTypes = {
-    "KeptTurn", "TokenReservation", "ShareReport", "ShareTable", "CrashReport"};
+inline constexpr std::array<std::string_view, 6> kStateRecordTypes = {
+    "KeptTurn", "TokenReservation", "ShareReport", "ShareTable", "CrashReport", "StreamBegin"};
 
 }  // namespace persimmonstair::schema
 
--- a/src/persimmonstair/dispatch/target_registry.cpp
+++ b/src/persimmonstair/dispatch/target_registry.cpp
@@ -88,14 +88,25 @@
   return cost;
 }
 
+bool TargetRegistry::Meets(const Target& target, const TargetCriteria& criteria) {
+  const TargetEntry& entry = target.entry;
+  if (entry.service != criteria.service || entry.draining) return false;
+  if (!criteria.version.empty() && entry.version != criteria.version) return false;
+  if (criteria.only_unlimited && target.rate && target.rate->limit_per_s) return false;
+  return std::find(criteria.skip.begin(), criteria.skip.end(), entry.id) == criteria.skip.end();
+}
+
+bool TargetRegistry::HasTargetFor(const TargetCriteria& criteria) const {
+  return std::any_of(targets_.begin(), targets_.end(),
+                     [&criteria](const auto& one) { return Meets(one.second, criteria); });
+}
+
 std::optional<TargetEntry> TargetRegistry::Choose(base::TimePoint now,
                                                   const TargetCriteria& criteria) const {
   const Target* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   for (const auto& [id, target] : targets_) {
-    if (target.entry.service != criteria.service || target.entry.draining) continue;
-    if (std::find(criteria.skip.begin(), criteria.skip.end(), id) != criteria.skip.end()) continue;
-    if (criteria.only_unlimited && target.rate && target.rate->limit_per_s) continue;
+    if (!Meets(target, criteria)) continue;
     const double cost = Cost(now, target, criteria);
     if (cost >= best_cost) continue;
     best = &target;
--- a/src/persimmonstair/gateway/budget_client.cpp
+++ b/src/persimmonstair/gateway/budget_client.cpp
@@ -33,12 +33,43 @@
 /// may not fit into a datagram.
 constexpr std::size_t kMaxNameBytes = 1000;
 
-bool FitsDatagram(const schema::TokenReservation& reservation) {
+bool FitsDatagram(const schema::TokenReservation& reservation, std::size_t other_name_bytes) {
   return reservation.program.value.size() + reservation.workspace.value.size() +
-             reservation.turn.value.size() <=
+             reservation.turn.value.size() + other_name_bytes <=
          kMaxNameBytes;
 }
 
+// Length of the names in a request that its reservation doesn't hold, in bytes.
+std::size_t OtherNameBytes(const ReservationRequest& request) {
+  std::size_t bytes = request.resumed_attempt.value.size();
+  if (request.begin) {
+    bytes += request.begin->attempt.value.size() + request.begin->version.value.size();
+  }
+  return bytes;
+}
+
+schema::ReservationAsk ToAsk(std::uint64_t nonce, const ReservationRequest& request,
+                             base::Duration wait) {
+  const schema::TokenReservation& tokens = request.tokens;
+  schema::ReservationAsk ask;
+  ask.nonce = nonce;
+  ask.program = tokens.program;
+  ask.workspace = tokens.workspace;
+  ask.turn = tokens.turn;
+  ask.tokens = tokens.tokens;
+  ask.expires_ms = tokens.expires_ms;
+  ask.budgeted = request.budget.has_value();
+  ask.budget = request.budget.value_or(0);
+  if (request.begin) {
+    ask.attempt = request.begin->attempt;
+    ask.version = request.begin->version;
+    ask.version_expires_ms = request.begin->expires_ms;
+  }
+  ask.resumed_attempt = request.resumed_attempt;
+  ask.wait_ms = static_cast<std::uint32_t>(base::ToMillis(wait));
+  return ask;
+}
+
 /// Waits until the timer is cancelled, for at most `time`.
 awaitable<void> WaitForChange(boost::asio::steady_timer& changed, base::Duration time) {
   changed.expires_after(time);
@@ -60,28 +91,30 @@
                            const PeerEndpoint& /*sender*/) { Handle(message); });
 }
 
-awaitable<ReservationOutcome> BudgetClient::Reserve(schema::TokenReservation reservation,
-                                                    std::uint64_t budget,
+awaitable<ReservationOutcome> BudgetClient::Reserve(ReservationRequest request,
                                                     base::TimePoint deadline) {
-  const base::TurnId turn = reservation.turn;
+  const base::TurnId turn = request.tokens.turn;
   for (int attempt = 1; Now() < deadline; ++attempt) {
-    const auto coordinator = FindCoordinator(reservation);
+    const auto coordinator = FindCoordinator(request.tokens, OtherNameBytes(request));
     if (!coordinator) {
-      co_return co_await budgets_.Reserve(reservation, budget, deadline);
+      co_return co_await budgets_.Reserve(request, deadline);
     }
-    const auto outcome = co_await AskCoordinator(*coordinator, reservation, budget, deadline);
+    const auto outcome = co_await AskCoordinator(*coordinator, request, deadline);
     if (outcome) co_return *outcome;
-    // The coordinator may still write this reservation. It is settled with 0, and the next one has
-    // a name of its own, because a settled reservation stays settled.
-    Settle(reservation, 0);
-    reservation.turn.value = turn.value + "#" + std::to_string(attempt);
+    Rename(request.tokens, turn, attempt);
   }
   co_return ReservationOutcome{};
 }
 
+void BudgetClient::Rename(schema::TokenReservation& tokens, const base::TurnId& turn, int attempt) {
+  // The coordinator may still write this reservation. It is settled with 0, and the next one has a
+  // name of its own, because a settled reservation stays settled.
+  if (tokens.tokens > 0) Settle(tokens, 0);
+  tokens.turn.value = turn.value + "#" + std::to_string(attempt);
+}
+
 awaitable<std::optional<ReservationOutcome>> BudgetClient::AskCoordinator(
-    PeerEndpoint coordinator, const schema::TokenReservation& reservation, std::uint64_t budget,
-    base::TimePoint deadline) {
+    PeerEndpoint coordinator, const ReservationRequest& request, base::TimePoint deadline) {
   const std::uint64_t nonce = next_nonce_++;
   const auto ask = std::make_shared<PendingAsk>(executor_);
   asks_[nonce] = ask;
@@ -90,11 +123,7 @@
   while (!ask->outcome && !ask->declined && unanswered < kMaxUnanswered && Now() < deadline) {
     const base::Duration left = deadline - Now();
     ask->heard = false;
-    socket_.Send(
-        schema::ReservationAsk{nonce, reservation.program, reservation.workspace, reservation.turn,
-                               reservation.tokens, reservation.expires_ms, budget,
-                               static_cast<std::uint32_t>(base::ToMillis(left))},
-        coordinator);
+    socket_.Send(ToAsk(nonce, request, left), coordinator);
     co_await WaitForChange(ask->changed,
                            std::min(left, confirmed ? kPendingInterval : answer_timeout_));
     confirmed = ask->heard;
@@ -102,7 +131,7 @@
   }
   asks_.erase(nonce);
   if (ask->outcome) {
-    ask->outcome->reservation = reservation;
+    ask->outcome->reservation = request.tokens;
     co_return ask->outcome;
   }
   if (ask->declined || unanswered == kMaxUnanswered) {
@@ -153,8 +182,8 @@
 }
 
 std::optional<PeerEndpoint> BudgetClient::FindCoordinator(
-    const schema::TokenReservation& reservation) {
-  if (!FitsDatagram(reservation)) return std::nullopt;
+    const schema::TokenReservation& reservation, std::size_t other_name_bytes) {
+  if (!FitsDatagram(reservation, other_name_bytes)) return std::nullopt;
   const base::TimePoint now = Now();
   for (const auto& candidate :
        fleet_.BudgetCoordinators(budgets_.PartitionOf(reservation.program))) {
@@ -193,6 +222,7 @@
   if (!answer.declined) {
     ReservationOutcome outcome;
     outcome.usage = {answer.settled, answer.outstanding};
+    outcome.resumed_version = answer.resumed_version;
     if (answer.granted) outcome.result = ReservationResult::kGranted;
     if (answer.exhausted) outcome.result = ReservationResult::kBudgetExhausted;
     ask.outcome = outcome;
--- a/src/persimmonstair/gateway/budget_client.hpp
+++ b/src/persimmonstair/gateway/budget_client.hpp
@@ -27,10 +27,9 @@
   BudgetClient(const boost::asio::any_io_executor& executor, PeerSocket& socket,
                FleetRegistry& fleet, BudgetManager& budgets, base::Duration answer_timeout);
 
-  /// Reserves `reservation.tokens`, the maximum number of tokens that the turn may return. The
+  /// Reserves the maximum number of tokens that the turn may return and records its version. The
   /// outcome holds the reservation to settle.
-  boost::asio::awaitable<ReservationOutcome> Reserve(schema::TokenReservation reservation,
-                                                     std::uint64_t budget,
+  boost::asio::awaitable<ReservationOutcome> Reserve(ReservationRequest request,
                                                      base::TimePoint deadline);
 
   /// Records that the turn ended after it returned `tokens`. The record is written later.
@@ -59,13 +58,16 @@
   };
   using PendingSettlementPtr = std::shared_ptr<PendingSettlement>;
 
-  /// Returns the coordinator that writes the reservation; nothing if this instance does.
-  std::optional<PeerEndpoint> FindCoordinator(const schema::TokenReservation& reservation);
+  /// Returns the coordinator that writes the reservation; nothing if this instance does, because it
+  /// is the coordinator or because the message, with other names of this length, may be too large.
+  std::optional<PeerEndpoint> FindCoordinator(const schema::TokenReservation& reservation,
+                                              std::size_t other_name_bytes = 0);
+  /// Settles a reservation that a coordinator did not answer, and names the next one of the turn.
+  void Rename(schema::TokenReservation& tokens, const base::TurnId& turn, int attempt);
   /// Returns nothing if the coordinator does not answer or can't reach the store. The reservation
   /// may then be in the store.
   boost::asio::awaitable<std::optional<ReservationOutcome>> AskCoordinator(
-      PeerEndpoint coordinator, const schema::TokenReservation& reservation, std::uint64_t budget,
-      base::TimePoint deadline);
+      PeerEndpoint coordinator, const ReservationRequest& request, base::TimePoint deadline);
   /// Sends a settlement until the coordinator confirms it. Without a confirmation, this instance
   /// writes the settlement itself.
   boost::asio::awaitable<void> DeliverSettlement(PeerEndpoint coordinator,
--- a/src/persimmonstair/gateway/budget_coordinator.cpp
+++ b/src/persimmonstair/gateway/budget_coordinator.cpp
@@ -24,9 +24,21 @@
   answer.exhausted = outcome.result == ReservationResult::kBudgetExhausted;
   answer.settled = outcome.usage.settled;
   answer.outstanding = outcome.usage.outstanding;
+  answer.resumed_version = outcome.resumed_version;
   return answer;
 }
 
+ReservationRequest FromAsk(const schema::ReservationAsk& ask) {
+  ReservationRequest request;
+  request.tokens = {ask.program, ask.workspace, ask.turn, ask.tokens, false, ask.expires_ms};
+  if (ask.budgeted) request.budget = ask.budget;
+  if (!ask.attempt.empty()) {
+    request.begin = {ask.workspace, ask.program, ask.attempt, ask.version, ask.version_expires_ms};
+  }
+  request.resumed_attempt = ask.resumed_attempt;
+  return request;
+}
+
 }  // namespace
 
 BudgetCoordinator::BudgetCoordinator(const boost::asio::any_io_executor& executor,
@@ -73,11 +85,10 @@
 }
 
 awaitable<void> BudgetCoordinator::Decide(schema::ReservationAsk ask, PeerEndpoint sender) {
-  const schema::TokenReservation reservation{ask.program, ask.workspace, ask.turn,
-                                             ask.tokens,  false,         ask.expires_ms};
+  const ReservationRequest request = FromAsk(ask);
   const base::TimePoint deadline =
       Now() + std::min<base::Duration>(max_wait_, milliseconds{ask.wait_ms});
-  const ReservationOutcome outcome = co_await budgets_.Reserve(reservation, ask.budget, deadline);
+  const ReservationOutcome outcome = co_await budgets_.Reserve(request, deadline);
   Answer({sender, ask.nonce}, ToAnswer(ask.nonce, outcome));
 }
 
--- a/src/persimmonstair/gateway/budget_manager.cpp
+++ b/src/persimmonstair/gateway/budget_manager.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <iterator>
+#include <string>
 #include <utility>
 
 #include "persimmonstair/diagnostics/log.hpp"
@@ -30,6 +31,21 @@
   return {reservation.turn.value, schema::EncodeState(reservation)};
 }
 
+// Key of a stream's record. It depends on the workspace and the program too, so that an id that
+// another workspace uses as well doesn't replace the record.
+std::string KeyOf(const schema::StreamBegin& begin) {
+  std::string name;
+  for (const auto& part : {begin.workspace.value, begin.program.value, begin.attempt.value}) {
+    name += std::to_string(part.size()) + ":" + part;
+  }
+  const XXH128_hash_t hash = XXH3_128bits(name.data(), name.size());
+  return "began/" + std::to_string(hash.high64) + std::to_string(hash.low64);
+}
+
+KeyedRecord Encode(const schema::StreamBegin& begin) {
+  return {KeyOf(begin), schema::EncodeState(begin)};
+}
+
 schema::TokenReservation Settled(schema::TokenReservation reservation, std::uint64_t tokens) {
   reservation.tokens = tokens;
   reservation.settled = true;
@@ -38,15 +54,13 @@
 
 }  // namespace
 
-awaitable<ReservationOutcome> BudgetManager::Reserve(schema::TokenReservation reservation,
-                                                     std::uint64_t budget,
+awaitable<ReservationOutcome> BudgetManager::Reserve(const ReservationRequest& request,
                                                      base::TimePoint deadline) {
-  const Partition partition = partitions_.PartitionOf(reservation.program.value);
+  const Partition partition = partitions_.PartitionOf(request.tokens.program.value);
   State& state = states_[partition];
   const auto queued = std::make_shared<QueuedReservation>(executor_);
-  queued->outcome.reservation = reservation;
-  queued->reservation = std::move(reservation);
-  queued->budget = budget;
+  queued->outcome.reservation = request.tokens;
+  queued->request = request;
   queued->deadline = deadline;
   state.queued.push_back(queued);
   Start(partition, state);
@@ -88,7 +102,7 @@
       if (one->abandoned || one->outcome.result == ReservationResult::kStoreUnavailable) {
         // The append may have taken effect. The turn is refused and generates no tokens, so the
         // reservation is settled with 0.
-        Settle(one->reservation, 0);
+        if (one->request.budget) Settle(one->request.tokens, 0);
       }
       one->done.Set();
     }
@@ -104,10 +118,19 @@
   if (!state.loaded && !co_await Load(partition, state, deadline)) co_return;
   std::vector<KeyedRecord> records;
   std::vector<QueuedSettlement> settled = std::exchange(state.settled, {});
-  records.reserve(settled.size() + batch.size());
+  records.reserve(settled.size() + 2 * batch.size());
   for (const auto& one : settled) records.push_back(Encode(one.reservation));
-  for (const auto& one : batch) records.push_back(Encode(one->reservation));
+  for (const auto& one : batch) {
+    if (one->request.budget) records.push_back(Encode(one->request.tokens));
+    if (one->request.begin) records.push_back(Encode(*one->request.begin));
+  }
   const std::uint64_t count = records.size();
+  if (count == 0) {
+    // Turns without a budget that take streams up write nothing; they only need the newest records.
+    if (!co_await ReadToEnd(partition, state, deadline)) co_return;
+    for (const auto& one : batch) Decide(partition, state, *one);
+    co_return;
+  }
   const auto offset = co_await store_.Append(partition, std::move(records), deadline);
   if (!offset || !co_await CatchUp(partition, state, *offset, deadline)) {
     std::move(state.settled.begin(), state.settled.end(), std::back_inserter(settled));
@@ -119,15 +142,28 @@
     if (one.written) one.written();
   }
   state.next = std::max(state.next, base::Offset{offset->value + count});
-  for (const auto& one : batch) {
-    const bool fits = state.ledger.Fits(one->reservation, one->budget);
-    one->outcome.usage = state.ledger.Usage(one->reservation.workspace, one->reservation.program);
-    one->outcome.result = fits ? ReservationResult::kGranted : ReservationResult::kBudgetExhausted;
-    state.ledger.Apply(one->reservation);
-    if (!fits) Settle(one->reservation, 0);
-    own_records_.emplace_back(one->reservation.expires_ms,
-                              std::pair{partition, one->reservation.turn.value});
+  for (const auto& one : batch) Decide(partition, state, *one);
+}
+
+void BudgetManager::Decide(const Partition& partition, State& state, QueuedReservation& queued) {
+  const ReservationRequest& request = queued.request;
+  const schema::TokenReservation& tokens = request.tokens;
+  ReservationOutcome& outcome = queued.outcome;
+  outcome.result = ReservationResult::kGranted;
+  outcome.resumed_version =
+      state.versions.Find(tokens.workspace, tokens.program, request.resumed_attempt)
+          .value_or(base::SoftwareVersion{});
+  if (request.begin) {
+    state.versions.Apply(*request.begin);
+    own_records_.emplace(request.begin->expires_ms, std::pair{partition, KeyOf(*request.begin)});
   }
+  if (!request.budget) return;
+  const bool fits = state.ledger.Fits(tokens, *request.budget);
+  outcome.usage = state.ledger.Usage(tokens.workspace, tokens.program);
+  if (!fits) outcome.result = ReservationResult::kBudgetExhausted;
+  state.ledger.Apply(tokens);
+  if (!fits) Settle(tokens, 0);
+  own_records_.emplace(tokens.expires_ms, std::pair{partition, tokens.turn.value});
 }
 
 awaitable<bool> BudgetManager::Load(const Partition& partition, State& state,
@@ -160,9 +196,29 @@
   co_return true;
 }
 
+awaitable<bool> BudgetManager::ReadToEnd(const Partition& partition, State& state,
+                                         base::TimePoint deadline) {
+  for (;;) {
+    const auto batch = co_await store_.Read(partition, state.next, deadline);
+    if (!batch) {
+      if (batch.error().code != ErrorCode::kNotFound) co_return false;
+      state.loaded = false;
+      if (!co_await Load(partition, state, deadline)) co_return false;
+      continue;
+    }
+    for (const auto& stored : batch->records) Apply(state, stored.record);
+    if (batch->records.empty()) co_return true;
+    state.next = batch->next;
+  }
+}
+
 void BudgetManager::Apply(State& state, const KeyedRecord& record) {
   if (!record.value) return;
   const auto decoded = schema::DecodeState(*record.value);
+  if (const auto* begin = decoded ? std::get_if<schema::StreamBegin>(&*decoded) : nullptr) {
+    state.versions.Apply(*begin);
+    return;
+  }
   const auto* reservation = decoded ? std::get_if<schema::TokenReservation>(&*decoded) : nullptr;
   if (reservation == nullptr) {
     diagnostics::Log(diagnostics::Level::kWarning, "record_skipped", {{"key", record.key}});
@@ -197,7 +253,10 @@
     if (now - dropped_at < kDropInterval) continue;
     dropped_at = now;
     const std::int64_t now_ms = UnixMillis();
-    for (auto& [partition, state] : states_) state.ledger.Expire(now_ms);
+    for (auto& [partition, state] : states_) {
+      state.ledger.Expire(now_ms);
+      state.versions.Expire(now_ms);
+    }
     co_await DropOwnExpired(now_ms);
   }
 }
@@ -205,10 +264,11 @@
 awaitable<void> BudgetManager::DropOwnExpired(std::int64_t now_ms) {
   std::map<Partition, std::vector<KeyedRecord>> drops;
   for (std::size_t n = 0; n < kMaxDropsPerPass && !own_records_.empty(); ++n) {
-    if (own_records_.front().first >= now_ms) break;
-    const auto& [partition, key] = own_records_.front().second;
+    const auto first = own_records_.begin();
+    if (first->first >= now_ms) break;
+    const auto& [partition, key] = first->second;
     drops[partition].push_back({key, std::nullopt});
-    own_records_.pop_front();
+    own_records_.erase(first);
   }
   for (auto& [partition, records] : drops) {
     const auto result =
--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -6,11 +6,15 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "clock.hpp"
 #include "partitions.hpp"
 #include "persimmonstair/schema/state.hpp"
+#include "persimmonstair/turns/stream_versions.hpp"
 #include "persimmonstair/turns/token_ledger.hpp"
 #include "retrying_record_store.hpp"
 
@@ -25,6 +29,18 @@
   kStoreUnavailable,
 };
 
+/// @brief What a turn needs from the store before it is sent to a target.
+struct ReservationRequest {
+  /// Tokens to reserve. Its ids name the turn even if there is no budget.
+  schema::TokenReservation tokens;
+  /// Tokens that all turns of the program may deliver; empty to reserve none.
+  std::optional<std::uint64_t> budget;
+  /// Software version at which the turn's stream begins, to be recorded; empty to record none.
+  std::optional<schema::StreamBegin> begin;
+  /// Attempt whose stream the turn takes up; empty if it takes up none.
+  base::TurnId resumed_attempt;
+};
+
 /// @brief How a reservation ended, and the usage of the budget that decided it.
 struct ReservationOutcome {
   ReservationResult result = ReservationResult::kStoreUnavailable;
@@ -32,9 +48,14 @@
   turns::TokenUsage usage;
   /// The reservation to settle when the turn ends.
   schema::TokenReservation reservation;
+  /// Software version at which the resumed attempt's stream began; empty if unknown.
+  base::SoftwareVersion resumed_version;
 };
 
-/// @brief Reserves tokens of programs' budgets in the store before they are returned to callers.
+/// @brief Reserves tokens of programs' budgets in the store before they are returned to callers,
+/// and records there at which software version a stream begins.
+///
+/// The version is written with the reservation, so that it costs no append of its own.
 ///
 /// Reservations of a partition that arrive within the append interval are written together. All
 /// instances read the reservations of a program in the order of the store's log. A reservation
@@ -58,9 +79,9 @@
     return partitions_.PartitionOf(program.value);
   }
 
-  /// Reserves `reservation.tokens`, the maximum number of tokens that the turn may return.
-  boost::asio::awaitable<ReservationOutcome> Reserve(schema::TokenReservation reservation,
-                                                     std::uint64_t budget,
+  /// Reserves the maximum number of tokens that the turn may return and records its version.
+  /// `request` is copied before the first suspension.
+  boost::asio::awaitable<ReservationOutcome> Reserve(const ReservationRequest& request,
                                                      base::TimePoint deadline);
 
   /// Records that the turn ended after it returned `tokens`. The record is written later; `written`
@@ -78,8 +99,7 @@
   /// A reservation that is not yet written.
   struct QueuedReservation {
     explicit QueuedReservation(const boost::asio::any_io_executor& executor) : done(executor) {}
-    schema::TokenReservation reservation;
-    std::uint64_t budget = 0;
+    ReservationRequest request;
     base::TimePoint deadline;
     ReservationOutcome outcome;
     /// True once nobody waits for the outcome.
@@ -95,6 +115,7 @@
   /// State of one partition.
   struct State {
     turns::TokenLedger ledger;
+    turns::StreamVersions versions;
     /// Records before this offset are in the ledger.
     base::Offset next;
     bool loaded = false;
@@ -114,8 +135,13 @@
   /// Reads and applies records up to `end`, including those of other instances.
   boost::asio::awaitable<bool> CatchUp(const Partition& partition, State& state, base::Offset end,
                                        base::TimePoint deadline);
+  /// Reads and applies all records up to the end of the partition.
+  boost::asio::awaitable<bool> ReadToEnd(const Partition& partition, State& state,
+                                         base::TimePoint deadline);
   boost::asio::awaitable<void> AppendQueued(const Partition& partition, State& state,
                                             std::vector<QueuedReservationPtr>& batch);
+  /// Decides a reservation that is in the store, as are all records before it.
+  void Decide(const Partition& partition, State& state, QueuedReservation& queued);
   void Apply(State& state, const KeyedRecord& record);
   /// Deletes records that this instance wrote and that expired before `now_ms`.
   boost::asio::awaitable<void> DropOwnExpired(std::int64_t now_ms);
@@ -126,8 +152,8 @@
   Partitioning partitions_;
   base::Duration append_interval_;
   std::map<Partition, State> states_;
-  /// Expiry time in Unix milliseconds, partition and key of each record that this instance wrote.
-  std::deque<std::pair<std::int64_t, std::pair<Partition, std::string>>> own_records_;
+  /// Partition and key of each record that this instance wrote, by expiry in Unix milliseconds.
+  std::multimap<std::int64_t, std::pair<Partition, std::string>> own_records_;
 };
 
 }  // namespace persimmonstair::gateway
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -25,6 +25,10 @@
 constexpr milliseconds kStoreRetry{250};
 /// The request id is the key of a turn's records, whose length the store limits to 255 bytes.
 constexpr std::size_t kMaxRequestIdBytes = 240;
+/// Time for which a caller may take a stream up, in multiples of the route's timeout, and what its
+/// pauses and the difference of clocks add.
+constexpr int kMaxTakeUps = 4;
+constexpr milliseconds kTakeUpMargin{60'000};
 /// A configuration that was last confirmed longer ago may lack new routes and keys.
 constexpr milliseconds kMaxConfigurationAge{1500};
 
@@ -55,13 +59,16 @@
   if (!error) {
     error = co_await LoadHistory();
   }
+  if (!error) {
+    PrepareCriteria();
+    error = FixVersion();
+  }
   if (!error) {
     error = co_await ReserveTokens();
   }
   if (error) {
     co_await Fail(std::move(*error));
   } else {
-    PrepareCriteria();
     co_await Dispatch();
   }
   if (reservation_) context_.budgets.Settle(*reservation_, tokens_);
@@ -149,26 +156,73 @@
 }
 
 awaitable<std::optional<Error>> Exchange::ReserveTokens() {
-  if (!metadata_.token_budget || route_->retry != RetryClass::kStream) co_return std::nullopt;
-  const schema::TokenReservation reservation{
-      metadata_.program,    workspace_, {metadata_.request_id},
-      metadata_.max_tokens, false,      UnixMillis() + BudgetManager::kReservationRetentionMs};
+  const bool takes_up = IsResumable() && !metadata_.last_event.empty();
+  if (route_->retry != RetryClass::kStream) co_return std::nullopt;
+  if (!metadata_.token_budget && !IsResumable()) co_return std::nullopt;
+  // Without a budget and without the store, a stream is served but can't be taken up later.
+  const bool optional = !metadata_.token_budget && !takes_up;
+  if (optional && !context_.store.Up()) co_return std::nullopt;
   const base::TimePoint deadline =
       std::min(expires_at_, Now() + context_.settings.reservation_timeout);
-  const ReservationOutcome outcome =
-      co_await context_.budgets.Reserve(reservation, *metadata_.token_budget, deadline);
+  const ReservationOutcome outcome = co_await context_.budgets.Reserve(MakeReservation(), deadline);
   if (outcome.result == ReservationResult::kBudgetExhausted) {
     denied_usage_ = outcome.usage;
     co_return Deny(ErrorCode::kBudgetExhausted, "the program's token budget is exhausted");
   }
   if (outcome.result == ReservationResult::kStoreUnavailable) {
+    if (optional) co_return std::nullopt;
     co_return Deny(ErrorCode::kLogUnavailable,
                    "the program's token budget can't be charged at present", kShortRetryAfter);
   }
-  reservation_ = outcome.reservation;
+  if (metadata_.token_budget) reservation_ = outcome.reservation;
+  if (!takes_up) co_return std::nullopt;
+  if (outcome.resumed_version.empty()) {
+    co_return Deny(ErrorCode::kOverloaded, "it is unknown at which version the stream began",
+                   kShortRetryAfter);
+  }
+  criteria_.version = outcome.resumed_version;
   co_return std::nullopt;
 }
 
+ReservationRequest Exchange::MakeReservation() const {
+  const std::int64_t now_ms = UnixMillis();
+  const base::TurnId attempt{metadata_.request_id};
+  ReservationRequest request;
+  const std::uint64_t max_tokens = metadata_.token_budget ? metadata_.max_tokens : 0;
+  const std::int64_t expires_ms = now_ms + BudgetManager::kReservationRetentionMs;
+  request.tokens = {metadata_.program, workspace_, attempt, max_tokens, false, expires_ms};
+  request.budget = metadata_.token_budget;
+  if (!IsResumable()) return request;
+  if (!metadata_.last_event.empty()) {
+    request.resumed_attempt = metadata_.resumed_attempt;
+    return request;
+  }
+  const base::Duration take_up_time = kTakeUpMargin + kMaxTakeUps * route_->timeout;
+  request.begin = {workspace_, metadata_.program, attempt, criteria_.version,
+                   now_ms + base::ToMillis(take_up_time)};
+  return request;
+}
+
+bool Exchange::IsResumable() const {
+  return route_->retry == RetryClass::kStream && route_->resumable;
+}
+
+std::optional<Error> Exchange::FixVersion() {
+  if (!IsResumable()) return std::nullopt;
+  if (!metadata_.last_event.empty()) {
+    if (!metadata_.resumed_attempt.empty()) return std::nullopt;
+    return Deny(ErrorCode::kOverloaded, "the request doesn't say which attempt began its stream",
+                kShortRetryAfter);
+  }
+  const auto target = context_.target_registry.Choose(Now(), criteria_);
+  if (!target) {
+    return Deny(ErrorCode::kOverloaded,
+                "service " + criteria_.service.value + " has no available target", kStoreRetry);
+  }
+  criteria_.version = target->version;
+  return std::nullopt;
+}
+
 void Exchange::PrepareCriteria() {
   criteria_.prompt = metadata_.prompt;
   criteria_.affinity = metadata_.affinity;
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "budget_manager.hpp"
 #include "event_splitter.hpp"
 #include "gateway_context.hpp"
 #include "persimmonstair/base/error.hpp"
@@ -54,8 +55,15 @@
   boost::asio::awaitable<std::optional<base::Error>> ChargeQuota();
   std::optional<base::Error> CheckStore() const;
   boost::asio::awaitable<std::optional<base::Error>> LoadHistory();
-  boost::asio::awaitable<std::optional<base::Error>> ReserveTokens();
   void PrepareCriteria();
+  /// True if the request is for a stream that may be continued after it broke off.
+  bool IsResumable() const;
+  /// Fixes the software version at which a new stream begins, or checks that a take-up says which
+  /// attempt began its stream.
+  std::optional<base::Error> FixVersion();
+  /// Reserves tokens and records the version of a new stream, or finds that of a resumed one.
+  boost::asio::awaitable<std::optional<base::Error>> ReserveTokens();
+  ReservationRequest MakeReservation() const;
 
   // Choice of a target, in exchange_choice.cpp.
   /// Returns a target that the request may be sent to now, and has taken a token of its rate if it
@@ -63,6 +71,13 @@
   boost::asio::awaitable<std::optional<dispatch::TargetEntry>> ChooseTarget();
   /// Returns the best target. After some refused tokens, targets without a limit come first.
   std::optional<dispatch::TargetEntry> FindTarget(int refused_tokens);
+  // Each check returns the error that ends the request, if any: it is too late for a target; the
+  // target's rate allows the request not in time; no target will take it.
+  std::optional<base::Error> CheckTime() const;
+  std::optional<base::Error> CheckRateLimit(const dispatch::TargetEntry& target) const;
+  std::optional<base::Error> CheckOtherTargets() const;
+  /// Takes a token of the target's rate; false if it is refused.
+  boost::asio::awaitable<bool> TakeToken(dispatch::TargetEntry target, int refused_tokens);
   /// Time for which the request may still wait for capacity at a target.
   base::Duration QueueTimeLeft() const;
   /// True if the request begins a program and the targets' limits leave too little for it.
@@ -71,6 +86,8 @@
   base::Duration TokenTimeLeft() const;
   /// True if too little time is left for another attempt.
   bool IsLate() const;
+  /// True if there is a target that has not run the request and might.
+  bool HasOtherTarget() const;
   /// Error for a request that no target takes.
   base::Error NoCapacity() const;
 
@@ -86,6 +103,8 @@
   boost::asio::awaitable<std::optional<std::string>> ReadFullBody(HttpConnection& connection);
   /// Applies what a response of the target says about the rate of requests that it takes.
   void ApplyRateStatement(const dispatch::TargetEntry& target, const ResponseMetadata& response);
+  /// True if the target has started again since it was chosen, perhaps with another version.
+  bool HasChanged(const dispatch::TargetEntry& target) const;
   /// Counts an attempt that is sent now.
   void CountSend(const dispatch::TargetEntry& target);
   void RecordError(const boost::system::error_code& ec);
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -150,6 +150,12 @@
   }
   connection = std::move(*acquired);
   if (caller_.Disconnected()) co_return Outcome::kNotRun;
+  if (HasChanged(target)) {
+    connection.reset();
+    attempt_result_ = dispatch::AttemptResult::kCancelled;
+    attempt_error_ = "the target started again";
+    co_return Outcome::kNotRun;
+  }
   active_connection_ = connection.get();
   const gateway::ForwardingContext forwarding{target.id, workspace_, TimeLeft(), forwarded_body_,
                                               last_event_};
@@ -207,6 +213,12 @@
   co_return std::nullopt;
 }
 
+bool Exchange::HasChanged(const dispatch::TargetEntry& target) const {
+  const dispatch::TargetEntry* now = context_.target_registry.Find(target.id);
+  if (now == nullptr) return false;
+  return now->started_ms != target.started_ms || now->version != target.version;
+}
+
 void Exchange::CountSend(const dispatch::TargetEntry& target) {
   last_sent_at_ = Now();
   last_target_ = target.id;
--- a/src/persimmonstair/gateway/exchange_choice.cpp
+++ b/src/persimmonstair/gateway/exchange_choice.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "caller_connection.hpp"
 #include "clock.hpp"
@@ -66,46 +67,86 @@
   return std::clamp<base::Duration>(QueueTimeLeft(), {}, TargetLimiter::kMaxWait);
 }
 
+bool Exchange::HasOtherTarget() const {
+  dispatch::TargetCriteria untried = criteria_;
+  untried.skip = may_have_run_;
+  return context_.target_registry.HasTargetFor(untried);
+}
+
+std::optional<Error> Exchange::CheckTime() const {
+  if (!IsLate()) return std::nullopt;
+  Error error = NoCapacity();
+  error.message = "no target was available before the deadline";
+  if (error.verdict != Verdict::kNotRun) error.code = ErrorCode::kTimeout;
+  return error;
+}
+
+std::optional<Error> Exchange::CheckRateLimit(const dispatch::TargetEntry& target) const {
+  const base::Duration wait = context_.target_registry.TokenWait(Now(), target.id);
+  Error error = NoCapacity();
+  if (DefersProgram(target)) {
+    error.message = "the rate limits of the targets leave no room for another program";
+    error.retry_after = std::max<base::Duration>(wait, kDeferredProgramRetryAfter);
+    return error;
+  }
+  if (wait <= TokenTimeLeft()) return std::nullopt;
+  error.message = "the rate limits of the targets allow no request in time";
+  error.retry_after = wait;
+  return error;
+}
+
+std::optional<Error> Exchange::CheckOtherTargets() const {
+  Error error = NoCapacity();
+  if (!context_.target_registry.HasAvailableTarget(criteria_.service)) {
+    error.message = "service " + criteria_.service.value + " has no available target";
+    error.retry_after = kNoTargetRetryAfter;
+    return error;
+  }
+  if (!HasOtherTarget()) {
+    error.message = "no other target can run the request";
+    if (!criteria_.version.empty()) error.message += " at version " + criteria_.version.value;
+    error.retry_after = kNoTargetRetryAfter;
+    return error;
+  }
+  if (Now() - arrived_at_ <= kMaxQueueObjectives * route_->latency_objective) return std::nullopt;
+  error.message = "all targets rejected the request";
+  return error;
+}
+
+awaitable<bool> Exchange::TakeToken(dispatch::TargetEntry target, int refused_tokens) {
+  const base::Duration wait = context_.target_registry.TokenWait(Now(), target.id);
+  const bool queues = wait > base::Duration{0} || refused_tokens >= kMaxRefusedTokens;
+  const auto token = co_await context_.target_limits.Take(
+      std::move(target), stage_, queues ? TokenTimeLeft() : base::Duration{});
+  if (token.admission == quota::Admission::kAdmitted) co_return true;
+  ++refused_tokens_;
+  co_return false;
+}
+
 awaitable<std::optional<dispatch::TargetEntry>> Exchange::ChooseTarget() {
   for (int refused_tokens = 0;;) {
     if (caller_.Disconnected()) {
       end_reason_ = "the caller disconnected";
       co_return std::nullopt;
     }
-    Error error = NoCapacity();
-    if (IsLate()) {
-      error.message = "no target was available before the deadline";
-      if (error.verdict != Verdict::kNotRun) error.code = ErrorCode::kTimeout;
-    } else if (auto target = FindTarget(refused_tokens)) {
-      const base::Duration wait = context_.target_registry.TokenWait(Now(), target->id);
-      const base::Duration left = TokenTimeLeft();
-      if (DefersProgram(*target)) {
-        error.message = "the rate limits of the targets leave no room for another program";
-        error.retry_after = std::max<base::Duration>(wait, kDeferredProgramRetryAfter);
-      } else if (wait <= left) {
-        const bool queues = wait > base::Duration{0} || refused_tokens >= kMaxRefusedTokens;
-        const auto token =
-            co_await context_.target_limits.Take(*target, stage_, queues ? left : base::Duration{});
-        if (token.admission == quota::Admission::kAdmitted) co_return target;
-        ++refused_tokens;
-        ++refused_tokens_;
-        continue;
-      } else {
-        error.message = "the rate limits of the targets allow no request in time";
-        error.retry_after = wait;
-      }
-    } else if (!context_.target_registry.HasAvailableTarget(criteria_.service)) {
-      error.message = "service " + criteria_.service.value + " has no available target";
-      error.retry_after = kNoTargetRetryAfter;
-    } else if (Now() - arrived_at_ > kMaxQueueObjectives * route_->latency_objective) {
-      error.message = "all targets rejected the request";
-    } else {
+    std::optional<dispatch::TargetEntry> target;
+    std::optional<Error> error = CheckTime();
+    if (!error) {
+      target = FindTarget(refused_tokens);
+      error = target ? CheckRateLimit(*target) : CheckOtherTargets();
+    }
+    if (error) {
+      co_await Fail(std::move(*error));
+      co_return std::nullopt;
+    }
+    if (!target) {
       criteria_.skip = may_have_run_;
       co_await Sleep(kRejectedRetryPause);
-      continue;
+    } else if (co_await TakeToken(*target, refused_tokens)) {
+      co_return target;
+    } else {
+      ++refused_tokens;
     }
-    co_await Fail(std::move(error));
-    co_return std::nullopt;
   }
 }
 
