--- a/src/persimmonstair/turns/turns_test.cpp
+++ b/src/persimmonstair/turns/turns_test.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "persimmonstair/schema/codec.hpp"
+#include "persimmonstair/turns/stream_versions.hpp"
 #include "persimmonstair/turns/token_ledger.hpp"
 #include "persimmonstair/turns/turn_cache.hpp"
 
@@ -188,5 +189,25 @@
   EXPECT_FALSE(schema::DecodeState(bytes + "x"));
 }
 
+// Guards against a version that is found for another workspace's attempt, that is taken from one of
+// two contradicting records, or that is kept without end.
+TEST(StreamVersionsTest, KnowsAnAttemptByItsWorkspaceAndProgram) {
+  StreamVersions versions;
+  const auto begin = [&versions](const std::string& attempt, const std::string& version) {
+    versions.Apply({{"north"}, {"p"}, {attempt}, {version}, kExpires});
+  };
+  begin("a", "v1");
+  begin("a", "v1");
+  begin("twice", "v1");
+  begin("twice", "v2");
+  begin("twice", "v2");
+  EXPECT_EQ(versions.Find({"north"}, {"p"}, {"a"}), base::SoftwareVersion{"v1"});
+  EXPECT_EQ(versions.Find({"south"}, {"p"}, {"a"}), std::nullopt);
+  EXPECT_EQ(versions.Find({"north"}, {"q"}, {"a"}), std::nullopt);
+  EXPECT_EQ(versions.Find({"north"}, {"p"}, {"twice"}), std::nullopt);
+  versions.Expire(kExpires + 1);
+  EXPECT_EQ(versions.size(), 0U);
+}
+
 }  // namespace
 }  // namespace persimmonstair::turns
