--- a/src/persimmonstair/gateway/exchange_choice.cpp
+++ b/src/persimmonstair/gateway/exchange_choice.cpp
@@ -46,13 +46,13 @@
 
 std::optional<dispatch::TargetEntry> Exchange::FindTarget(int refused_tokens) {
   const base::TimePoint now = Now();
-  const auto best = context_.target_registry.Choose(now, criteria_);
+  auto best = context_.target_registry.Choose(now, criteria_);
   if (!best) return best;
   const base::Duration wait = context_.target_registry.TokenWait(now, best->id);
   if (wait <= TokenTimeLeft() && refused_tokens < kMaxRefusedTokens) return best;
   dispatch::TargetCriteria unlimited = criteria_;
   unlimited.only_unlimited = true;
-  const auto other = context_.target_registry.Choose(now, unlimited);
+  auto other = context_.target_registry.Choose(now, unlimited);
   return other ? other : best;
 }
 
--- a/src/persimmonstair/gateway/target_limiter.cpp
+++ b/src/persimmonstair/gateway/target_limiter.cpp
@@ -138,7 +138,7 @@
 
 std::optional<PeerEndpoint> TargetLimiter::Reachable(const TargetCoordinator& coordinator) const {
   if (!coordinator.endpoint) return std::nullopt;
-  const auto endpoint = ToPeerEndpoint(*coordinator.endpoint);
+  auto endpoint = ToPeerEndpoint(*coordinator.endpoint);
   if (!endpoint) return std::nullopt;
   const auto avoided = avoided_until_.find(*endpoint);
   if (avoided != avoided_until_.end() && Now() < avoided->second) return std::nullopt;
