Keep both records of an id that began streams at two software versions

A caller that uses an attempt's id for two streams, at two versions, could have its first stream continued at the version of the second: both records had the same key, so after a kill of all instances only the newer one was left and its version was taken. Found by reading. The key now depends on the version, so a reader sees both records and takes the version for unknown.

VersionsTest.RefusesATakeUpIfTheIdBeganStreamsAtTwoVersions failed before (status 200, and the other version got the take-up) and passes.

--- a/src/persimmonstair/gateway/budget_manager.cpp
+++ b/src/persimmonstair/gateway/budget_manager.cpp
@@ -32,10 +32,12 @@
 }
 
 // Key of a stream's record. It depends on the workspace and the program too, so that an id that
-// another workspace uses as well doesn't replace the record.
+// another workspace uses as well doesn't replace the record, and on the version, so that the
+// records of an id that began streams at two versions both remain.
 std::string KeyOf(const schema::StreamBegin& begin) {
   std::string name;
-  for (const auto& part : {begin.workspace.value, begin.program.value, begin.attempt.value}) {
+  for (const auto& part :
+       {begin.workspace.value, begin.program.value, begin.attempt.value, begin.version.value}) {
     name += std::to_string(part.size()) + ":" + part;
   }
   const XXH128_hash_t hash = XXH3_128bits(name.data(), name.size());
