Wait for a token of the instance's own part of a target's rate

While a rate coordinator is silent, a request whose token would come within its maximum wait was refused at once. It then asked again without suspending, for up to 250 ms, which blocked the only thread of the instance and with it the answers to other instances. The request now waits for its token.

--- a/src/persimmonstair/gateway/target_limiter.cpp
+++ b/src/persimmonstair/gateway/target_limiter.cpp
@@ -32,6 +32,14 @@
       std::max<std::int64_t>(0, base::ToMillis(Now() - statement.as_of)));
 }
 
+// Returns the part of a rate that one of `instances` instances may use without the coordinator.
+// Without a table the number is 0, that is unknown, and the part is the rate of a limit of 0.
+RateLimit OwnPart(double limit_per_s, std::size_t instances) {
+  if (instances == 0) return {quota::TargetRate(0).rate_per_s, 1};
+  const double rate = kOwnPartsFraction * quota::TargetRate(limit_per_s).rate_per_s;
+  return {rate / static_cast<double>(instances), 1};
+}
+
 }  // namespace
 
 TargetLimiter::TargetLimiter(const boost::asio::any_io_executor& executor, PeerSocket& socket,
@@ -72,7 +80,9 @@
     result = co_await Ask(*endpoint, ask);
   }
   const bool asked = result.has_value();
-  if (!asked) result = TakeOwnPart(target.id, limit_per_s, coordinator.instances);
+  if (!asked) {
+    result = co_await TakeOwnPart(target.id, OwnPart(limit_per_s, coordinator.instances), max_wait);
+  }
   const bool granted = result->admission == Admission::kAdmitted;
   metrics_.CountTargetToken(granted ? "granted" : "refused", asked ? "coordinator" : "own_part");
   targets_.ExpectToken(target.id, Now() + result->retry_after);
@@ -122,18 +132,17 @@
   co_return waiting->result;
 }
 
-AdmissionResult TargetLimiter::TakeOwnPart(const base::TargetId& target, double limit_per_s,
-                                           std::size_t instances) {
-  RateLimit part = quota::TargetRate(limit_per_s);
-  // Without a table the number of instances is unknown; the rate is then that of a limit of 0.
-  part.rate_per_s = instances == 0
-                        ? quota::TargetRate(0).rate_per_s
-                        : kOwnPartsFraction * part.rate_per_s / static_cast<double>(instances);
-  part.burst = 1;
-  const base::TimePoint now = Now();
-  const bool taken = own_parts_.TakeOwn(now, target, part, 0);
-  return {taken ? Admission::kAdmitted : Admission::kOverQuota,
-          own_parts_.TimeUntilAvailable(now, target, part, 1)};
+awaitable<AdmissionResult> TargetLimiter::TakeOwnPart(base::TargetId target, RateLimit part,
+                                                      base::Duration max_wait) {
+  const base::TimePoint until = Now() + max_wait;
+  for (;;) {
+    const base::TimePoint now = Now();
+    const bool taken = own_parts_.TakeOwn(now, target, part, 0);
+    const base::Duration wait = own_parts_.TimeUntilAvailable(now, target, part, 1);
+    if (taken) co_return AdmissionResult{Admission::kAdmitted, wait};
+    if (now + wait > until) co_return AdmissionResult{Admission::kOverQuota, wait};
+    co_await Sleep(wait);
+  }
 }
 
 std::optional<PeerEndpoint> TargetLimiter::Reachable(const TargetCoordinator& coordinator) const {
--- a/src/persimmonstair/gateway/target_limiter.hpp
+++ b/src/persimmonstair/gateway/target_limiter.hpp
@@ -78,9 +78,10 @@
   /// Asks the coordinator; returns nothing if it does not answer.
   boost::asio::awaitable<std::optional<quota::AdmissionResult>> Ask(PeerEndpoint coordinator,
                                                                     schema::TargetTokenAsk ask);
-  /// Takes a token of this instance's own part of the rate.
-  quota::AdmissionResult TakeOwnPart(const base::TargetId& target, double limit_per_s,
-                                     std::size_t instances);
+  /// Takes a token of this instance's own part of the rate, and waits for it if it comes in time.
+  boost::asio::awaitable<quota::AdmissionResult> TakeOwnPart(base::TargetId target,
+                                                             quota::RateLimit part,
+                                                             base::Duration max_wait);
   /// Returns the coordinator's address unless it did not answer lately.
   std::optional<PeerEndpoint> Reachable(const TargetCoordinator& coordinator) const;
   static boost::asio::awaitable<void> WaitForChange(WaitingPtr waiting, base::TimePoint until);
