Log what an instance lacks for its start, and how long and large reads of the store are

The line store_calls now holds the longest time and the bytes of each kind of call, readiness_changed names what is missing, configuration_not_read and targets_not_read report a read that was given up, configuration_applied its size, and persimmonstair_store_read_bytes_total counts bytes. No decision changes.

--- a/include/persimmonstair/diagnostics/metrics.hpp
+++ b/include/persimmonstair/diagnostics/metrics.hpp
@@ -33,6 +33,8 @@
   void CountAttempt(const std::string& result);
   /// Counts a call to the record store by its kind and result, for example "append" and "refused".
   void CountStoreCall(const std::string& call, const std::string& result);
+  /// Counts bytes of keys and values that calls of a kind read from the record store.
+  void CountStoreBytes(const std::string& call, std::size_t bytes);
   /// Counts a token of a target's rate by its result ("granted" or "refused") and by who decided:
   /// the rate's "coordinator", or this instance from its "own_part".
   void CountTargetToken(const std::string& result, const std::string& source);
@@ -61,6 +63,7 @@
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Family<prometheus::Counter>& attempts_;
   prometheus::Family<prometheus::Counter>& store_calls_;
+  prometheus::Family<prometheus::Counter>& store_bytes_;
   prometheus::Family<prometheus::Counter>& target_tokens_;
   prometheus::Counter& ring_full_;
   std::map<std::pair<std::string, std::string>, Series> series_;
--- a/src/persimmonstair/diagnostics/metrics.cpp
+++ b/src/persimmonstair/diagnostics/metrics.cpp
@@ -34,6 +34,10 @@
                        .Name("persimmonstair_store_calls_total")
                        .Help("Calls to the record store by kind and result")
                        .Register(registry_)),
+      store_bytes_(prometheus::BuildCounter()
+                       .Name("persimmonstair_store_read_bytes_total")
+                       .Help("Bytes of keys and values read from the record store by kind of call")
+                       .Register(registry_)),
       target_tokens_(prometheus::BuildCounter()
                          .Name("persimmonstair_target_tokens_total")
                          .Help("Tokens of targets' rates by result and by who decided")
@@ -88,6 +92,11 @@
   counter->Increment();
 }
 
+void Metrics::CountStoreBytes(const std::string& call, std::size_t bytes) {
+  const std::lock_guard lock(mutex_);
+  store_bytes_.Add({{"call", call}}).Increment(static_cast<double>(bytes));
+}
+
 void Metrics::CountTargetToken(const std::string& result, const std::string& source) {
   const std::lock_guard lock(mutex_);
   target_tokens_.Add({{"result", result}, {"source", source}}).Increment();
--- a/src/persimmonstair/gateway/followers.cpp
+++ b/src/persimmonstair/gateway/followers.cpp
@@ -32,6 +32,7 @@
   for (;;) {
     const auto snapshot = co_await store_.ReadNewest(partition, Now() + kSnapshotTimeout);
     if (!snapshot) {
+      Log(Level::kWarning, "configuration_not_read", {{"error", snapshot.error().message}});
       co_await Sleep(kRetryPause);
       continue;
     }
@@ -69,6 +70,7 @@
     Log(Level::kInfo, "configuration_applied",
         {{"version", current_->Version()},
          {"offset", it->offset.value},
+         {"bytes", record.value->size()},
          {"routes", current_->RouteCount()}});
     return;
   }
@@ -79,6 +81,7 @@
   for (;;) {
     const auto snapshot = co_await store_.ReadNewest(partition, Now() + kSnapshotTimeout);
     if (!snapshot) {
+      Log(Level::kWarning, "targets_not_read", {{"error", snapshot.error().message}});
       co_await Sleep(kRetryPause);
       continue;
     }
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -9,6 +9,8 @@
 #include <list>
 #include <optional>
 #include <random>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include "caller_connection.hpp"
@@ -51,10 +53,27 @@
        RecordStore& store)
       : context(io.get_executor(), std::move(settings), codec, store, NewProcessName()) {}
 
-  bool Ready() {
+  /// Returns what keeps this instance from taking new connections; empty if it is ready.
+  std::string_view MissingForReadiness() {
     const auto& configuration = context.configuration.Current();
-    if (context.stopping || !configuration || !context.store.Up()) return false;
-    return !configuration->HasWorkspaces() || context.fleet.Shares().HasLease(Now());
+    if (context.stopping) return "stopping";
+    if (!configuration) return "configuration";
+    if (!context.store.Up()) return "store";
+    const bool has_shares =
+        !configuration->HasWorkspaces() || context.fleet.Shares().HasLease(Now());
+    return has_shares ? "" : "shares";
+  }
+
+  bool Ready() {
+    const std::string_view missing = MissingForReadiness();
+    if (missing != missing_for_readiness) {
+      missing_for_readiness = missing;
+      Log(Level::kInfo, "readiness_changed",
+          {{"ready", missing.empty()},
+           {"missing", missing},
+           {"targets", context.target_registry.size()}});
+    }
+    return missing.empty();
   }
 
   void Spawn(awaitable<void> task) {
@@ -157,6 +176,8 @@
   std::optional<tcp::acceptor> readiness;
   std::optional<tcp::acceptor> metrics;
   std::list<std::weak_ptr<CallerConnection>> connections;
+  /// What was missing when readiness was asked for last.
+  std::string missing_for_readiness = "start";
 };
 
 Gateway::Gateway(asio::io_context& io, GatewaySettings settings, const PlatformCodec& codec,
--- a/src/persimmonstair/gateway/retrying_record_store.cpp
+++ b/src/persimmonstair/gateway/retrying_record_store.cpp
@@ -29,6 +29,19 @@
 /// Time without a success, while calls fail, after which the store counts as unreachable.
 constexpr milliseconds kUnreachableAfter{400};
 
+std::size_t BytesRead(base::Offset /*appended*/) { return 0; }
+
+// Returns the bytes of the keys and values of a batch or snapshot.
+template <class Records>
+std::size_t BytesRead(const Records& read) {
+  std::size_t bytes = 0;
+  for (const auto& stored : read.records) {
+    bytes += stored.record.key.size();
+    if (stored.record.value) bytes += stored.record.value->size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 bool RetryingRecordStore::Up() const {
@@ -77,9 +90,11 @@
                                                   base::TimePoint sent_at, base::Duration waited) {
   const bool answered = result || result.error().code == ErrorCode::kConflict ||
                         result.error().code == ErrorCode::kNotFound;
-  counts_.Add(call, result ? StoreCallResult::kOk : ToStoreCallResult(result.error().code));
+  const base::Duration took = std::max(base::Duration{0}, Now() - sent_at - waited);
+  const auto end = result ? StoreCallResult::kOk : ToStoreCallResult(result.error().code);
+  counts_.Add({call, end, took, result ? BytesRead(*result) : 0});
   if (answered) {
-    OnSuccess(std::max(base::Duration{0}, Now() - sent_at - waited));
+    OnSuccess(took);
   } else {
     OnFailure(result.error());
   }
--- a/src/persimmonstair/gateway/store_call_counts.cpp
+++ b/src/persimmonstair/gateway/store_call_counts.cpp
@@ -52,19 +52,29 @@
   }
 }
 
-void StoreCallCounts::Add(StoreCall call, StoreCallResult result) {
-  ++since_summary_[{call, result}];
-  metrics_.CountStoreCall(Name(call), Name(result));
+void StoreCallCounts::Add(const StoreCallEnd& end) {
+  Counts& counts = since_summary_[end.call];
+  ++counts.by_result[end.result];
+  counts.longest = std::max(counts.longest, end.took);
+  counts.bytes += end.bytes;
+  metrics_.CountStoreCall(Name(end.call), Name(end.result));
+  if (end.bytes > 0) metrics_.CountStoreBytes(Name(end.call), end.bytes);
 }
 
 std::optional<nlohmann::json> StoreCallCounts::TakeSummary() {
-  const auto counts = std::exchange(since_summary_, {});
-  const bool all_ok = std::all_of(counts.begin(), counts.end(), [](const auto& one) {
-    return one.first.second == StoreCallResult::kOk;
-  });
-  if (all_ok) return std::nullopt;
+  const auto since_summary = std::exchange(since_summary_, {});
+  bool all_ok = true;
   nlohmann::json summary;
-  for (const auto& [key, count] : counts) summary[Name(key.first)][Name(key.second)] = count;
+  for (const auto& [call, counts] : since_summary) {
+    nlohmann::json& line = summary[Name(call)];
+    for (const auto& [result, count] : counts.by_result) {
+      all_ok = all_ok && result == StoreCallResult::kOk;
+      line[Name(result)] = count;
+    }
+    line["longest_ms"] = base::ToMillis(counts.longest);
+    if (counts.bytes > 0) line["bytes"] = counts.bytes;
+  }
+  if (all_ok) return std::nullopt;
   return summary;
 }
 
--- a/src/persimmonstair/gateway/store_call_counts.hpp
+++ b/src/persimmonstair/gateway/store_call_counts.hpp
@@ -1,13 +1,14 @@
 #ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_CALL_COUNTS_HPP_
 #define PERSIMMONSTAIR_SRC_GATEWAY_STORE_CALL_COUNTS_HPP_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <utility>
 
 #include "persimmonstair/base/error.hpp"
+#include "persimmonstair/base/time.hpp"
 #include "persimmonstair/diagnostics/metrics.hpp"
 
 namespace persimmonstair::gateway {
@@ -31,25 +32,41 @@
 /// @brief Returns the result of a call that ended with this error.
 StoreCallResult ToStoreCallResult(base::ErrorCode code);
 
+/// @brief How one call to the record store ended.
+struct StoreCallEnd {
+  StoreCall call = StoreCall::kAppend;
+  StoreCallResult result = StoreCallResult::kOk;
+  /// Time from the call to its end, without the time for which it asked the store to wait.
+  base::Duration took{0};
+  /// Bytes of the keys and values that it read.
+  std::size_t bytes = 0;
+};
+
 /// @brief Counts calls to the record store by kind and result, for the metrics and for a summary in
 /// the log.
 ///
-///     counts.Add(StoreCall::kAppend, StoreCallResult::kRefused);
+///     counts.Add({StoreCall::kAppend, StoreCallResult::kRefused, took, 0});
 ///     if (const auto summary = counts.TakeSummary()) Log(Level::kWarning, "store_calls",
 ///     *summary);
 class StoreCallCounts {
  public:
   explicit StoreCallCounts(diagnostics::Metrics& metrics) : metrics_(metrics) {}
 
-  void Add(StoreCall call, StoreCallResult result);
+  void Add(const StoreCallEnd& end);
 
-  /// Returns the number of calls by kind and result since the last summary, or nothing if each of
-  /// them succeeded.
+  /// Returns, for each kind of call since the last summary, the number of calls by result, the
+  /// longest time that one took and the bytes that were read. Returns nothing if each call
+  /// succeeded.
   std::optional<nlohmann::json> TakeSummary();
 
  private:
   diagnostics::Metrics& metrics_;
-  std::map<std::pair<StoreCall, StoreCallResult>, std::uint64_t> since_summary_;
+  struct Counts {
+    std::map<StoreCallResult, std::uint64_t> by_result;
+    base::Duration longest{0};
+    std::size_t bytes = 0;
+  };
+  std::map<StoreCall, Counts> since_summary_;
 };
 
 }  // namespace persimmonstair::gateway
