--- /dev/null
+++ b/src/persimmonstair/gateway/busy_store_test.hpp
@@ -0,0 +1,57 @@
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_BUSY_STORE_TEST_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_BUSY_STORE_TEST_HPP_
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+#include "clock.hpp"
+#include "persimmonstair/gateway/record_store.hpp"
+
+namespace persimmonstair::gateway {
+
+/// @brief A store that serves one read of the newest records after the other. It also completes
+/// reads whose callers have given up, as a server does that has begun to answer.
+class BusyStore : public RecordStore {
+ public:
+  /// Each read of the newest records of a partition takes `read_time` of the store and returns
+  /// `content`.
+  BusyStore(base::Duration read_time, RecordSnapshot content)
+      : read_time_(read_time), content_(std::move(content)) {}
+
+  boost::asio::awaitable<base::Result<base::Offset>> Append(
+      const Partition& /*partition*/, const std::vector<KeyedRecord>& /*records*/,
+      base::Duration /*timeout*/, std::optional<base::Offset> /*expected*/) override {
+    co_return content_.next;
+  }
+
+  boost::asio::awaitable<base::Result<RecordBatch>> Read(const Partition& /*partition*/,
+                                                         base::Offset from,
+                                                         ReadOptions options) override {
+    co_await Sleep(std::min(options.wait, options.timeout));
+    co_return RecordBatch{{}, from};
+  }
+
+  boost::asio::awaitable<base::Result<RecordSnapshot>> ReadNewest(const Partition& /*partition*/,
+                                                                  base::Duration timeout) override {
+    ++reads_;
+    served_until_ = std::max(served_until_, Now()) + read_time_;
+    const base::Duration wait = served_until_ - Now();
+    co_await Sleep(std::min(wait, timeout));
+    if (wait > timeout) co_return base::Fail(base::ErrorCode::kTimeout, "no answer in time");
+    co_return content_;
+  }
+
+  /// Number of reads of the newest records, abandoned ones included.
+  std::size_t Reads() const { return reads_; }
+
+ private:
+  base::Duration read_time_;
+  RecordSnapshot content_;
+  base::TimePoint served_until_;
+  std::size_t reads_ = 0;
+};
+
+}  // namespace persimmonstair::gateway
+
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_BUSY_STORE_TEST_HPP_
