Open connections to targets through another instance when the direct path is lost

Cause: an instance judged each target by itself and had one way to it, so that each request tried target after target until its caller gave up; with refused connections it went round all targets in milliseconds, 68,100 attempts in 9 s. Evidence: attempts ended as unreachable at all targets of these instances alike, after 250 ms or 1 ms; others served 99 in 100. Ruled out: the targets, the store (no store_lost), the rates, readiness (open connections stay, and a whole data centre can be cut off). Change: TargetConnector opens connections. A direct attempt has a head start of 60 ms, then another instance is asked by an HTTP CONNECT to open the connection and to pass bytes on (RelayServer). DirectPath tells a lost path from a target that is gone: two different targets missed in a row, and a peer reaches one. While it is lost, peers are asked at once and the direct path is tried every 200 ms; one direct success ends it. If peers reach none either, requests are rejected at once with 503 and Retry-After, and readiness says so. Why it works: the request stays where it is, with its rate, tokens, version, turn and verdict; the peer only passes bytes on, to targets of its own list that take requests. No byte of a request leaves before the connection is open, so a failed relay has not run. A reset is passed on as a reset, and an unframed response through a peer never counts as whole, since the peer may have ended.

--- a/include/persimmonstair/gateway/http_connection.hpp
+++ b/include/persimmonstair/gateway/http_connection.hpp
@@ -48,6 +48,10 @@
 
   boost::asio::awaitable<boost::system::error_code> Connect(const dispatch::Endpoint& endpoint,
                                                             base::Duration timeout);
+  /// Marks the connection as one that another instance relays. Its end by a close then doesn't
+  /// complete a body without framing, because it may be the relaying instance that has ended.
+  void MarkRelayed();
+  bool IsRelayed() const;
   boost::asio::awaitable<WriteResult> Write(std::string_view bytes, base::Duration timeout);
   boost::asio::awaitable<tl::expected<HttpHead, boost::system::error_code>> ReadHead(
       base::Duration timeout);
--- a/include/persimmonstair/schema/entry_settings.hpp
+++ b/include/persimmonstair/schema/entry_settings.hpp
@@ -31,7 +31,7 @@
   std::string readiness_listen;
   /// Listener of /metrics, as address:port.
   std::string metrics_listen;
-  /// UDP listener for other instances, as address:port.
+  /// Listener for other instances, over UDP and TCP, as address:port.
   std::string peer_listen;
   /// Address of the platform's store, for example of turns and budgets, as address:port.
   std::string store;
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -274,6 +274,7 @@
     line["last_event"] = metadata_.last_event;
     line["resumes"] = metadata_.resumed_attempt.value;
   }
+  if (relayed_sends_ > 0) line["relayed_sends"] = relayed_sends_;
   if (limited_sends_ > 0) line["limited_sends"] = limited_sends_;
   if (refused_tokens_ > 0) line["refused_target_tokens"] = refused_tokens_;
   if (sends_ > 0) line["before_send_ms"] = base::ToMillis(first_sent_at_ - arrived_at_);
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -164,6 +164,8 @@
   std::uint32_t sends_ = 0;
   /// Attempts that were sent to a target after it had named a rate limit.
   std::uint32_t limited_sends_ = 0;
+  /// Attempts on connections that another instance relayed.
+  std::uint32_t relayed_sends_ = 0;
   /// Tokens of targets' rates that were refused.
   std::uint32_t refused_tokens_ = 0;
   base::TimePoint first_sent_at_;
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -19,9 +19,8 @@
 using diagnostics::Log;
 using std::chrono::milliseconds;
 
-/// Maximum time to open a connection. A retransmission after a lost packet takes seconds, so
-/// another target is faster.
-constexpr milliseconds kConnectTimeout{250};
+/// Maximum time to open a connection, through other instances if need be.
+constexpr milliseconds kConnectTimeout{400};
 /// Time without response after which an idempotent or resumable request goes to another target, in
 /// multiples of the route's objective, and its minimum.
 constexpr int kResponseTimeoutObjectives = 3;
@@ -117,6 +116,10 @@
   std::unique_ptr<HttpConnection> connection;
   const Outcome outcome = co_await SendTo(target, connection);
   active_connection_ = nullptr;
+  const bool answered = attempt_result_ == dispatch::AttemptResult::kAnswered ||
+                        attempt_result_ == dispatch::AttemptResult::kRejected;
+  if (connection && connection->IsRelayed()) ++relayed_sends_;
+  if (answered && !connection->IsRelayed()) context_.connector.OnDirect(target.id, true);
   if (caller_.Disconnected()) attempt_result_ = dispatch::AttemptResult::kCancelled;
   const bool unresponsive =
       attempt_result_ == dispatch::AttemptResult::kUnreachable || attempt_error_ == "timeout";
--- a/src/persimmonstair/gateway/exchange_choice.cpp
+++ b/src/persimmonstair/gateway/exchange_choice.cpp
@@ -108,6 +108,11 @@
     error.retry_after = kNoTargetRetryAfter;
     return error;
   }
+  if (context_.connector.Path() == dispatch::PathState::kNoWay) {
+    error.message = "no target can be reached, directly or through another instance";
+    error.retry_after = kNoTargetRetryAfter;
+    return error;
+  }
   if (Now() - arrived_at_ <= kMaxQueueObjectives * route_->latency_objective) return std::nullopt;
   error.message = "all targets rejected the request";
   return error;
--- a/src/persimmonstair/gateway/fleet_registry.cpp
+++ b/src/persimmonstair/gateway/fleet_registry.cpp
@@ -140,13 +140,22 @@
   return recent;
 }
 
+std::vector<RelayCandidate> FleetRegistry::RelayCandidates() const {
+  std::vector<RelayCandidate> candidates;
+  for (const auto& [instance, peer] : peers_) {
+    if (instance == instance_ || !IsLive(instance)) continue;
+    candidates.push_back({peer.endpoint, peer.data_centre == data_centre_});
+  }
+  return candidates;
+}
+
 void FleetRegistry::UpdatePeer(const schema::ShareReport& report) {
   const auto endpoint = ParseEndpoint(report.peer);
   if (report.stopping || !endpoint) {
     peers_.erase(report.instance);
     return;
   }
-  peers_[report.instance] = {*endpoint, Now()};
+  peers_[report.instance] = {*endpoint, report.data_centre, Now()};
 }
 
 awaitable<void> FleetRegistry::Run() {
--- a/src/persimmonstair/gateway/fleet_registry.hpp
+++ b/src/persimmonstair/gateway/fleet_registry.hpp
@@ -40,6 +40,13 @@
   std::size_t instances = 0;
 };
 
+/// @brief Another instance that may open connections to targets for this one.
+struct RelayCandidate {
+  dispatch::Endpoint endpoint;
+  /// True if it is in this instance's data centre.
+  bool is_local = false;
+};
+
 /// @brief Exchanges state between the instances through the record store: share reports, share
 /// tables and reports of requests that crash targets.
 ///
@@ -70,6 +77,8 @@
   TargetCoordinator FindTargetCoordinator(const dispatch::TargetEntry& target) const;
   /// Returns the instances that reported recently, without this one.
   std::vector<dispatch::Endpoint> RecentPeers() const;
+  /// Returns the same instances with what their choice for a relay depends on.
+  std::vector<RelayCandidate> RelayCandidates() const;
 
   /// Records that a target failed while it ran a request. Other instances learn of it with the next
   /// report.
@@ -114,6 +123,7 @@
   base::TimePoint last_outage_end_;
   struct Peer {
     dispatch::Endpoint endpoint;
+    base::DataCentreId data_centre;
     base::TimePoint last_heard_at;
   };
   std::map<base::InstanceId, Peer> peers_;
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -59,6 +59,7 @@
     if (context.stopping) return "stopping";
     if (!configuration) return "configuration";
     if (!context.store.Up()) return "store";
+    if (context.connector.Path() == dispatch::PathState::kNoWay) return "targets";
     const bool has_shares =
         !configuration->HasWorkspaces() || context.fleet.Shares().HasLease(Now());
     return has_shares ? "" : "shares";
@@ -138,6 +139,15 @@
           static_cast<double>(context.target_registry.LimitedTargets()));
     gauge("persimmonstair_target_connections_opened", "Connections opened to targets",
           static_cast<double>(context.pool.Opened()));
+    gauge("persimmonstair_path_to_targets",
+          "Way to the targets: 0 direct, 1 in doubt, 2 only through other instances, 3 none",
+          static_cast<double>(context.connector.Path()));
+    gauge("persimmonstair_target_connections_by_relay",
+          "Connections to targets that other instances relayed for this one",
+          static_cast<double>(context.connector.Relayed()));
+    gauge("persimmonstair_target_connections_relayed",
+          "Connections to targets that this instance relayed for others",
+          static_cast<double>(context.relays.Opened()));
     gauge("persimmonstair_turn_cache_bytes", "Kept turns in memory",
           static_cast<double>(context.turns.CachedBytes()));
     gauge("persimmonstair_budget_messages_pending",
@@ -160,7 +170,7 @@
       if (const auto connection = one.lock()) connection->CloseIfIdle();
     }
     const base::TimePoint end = begun_at + context.settings.stop_grace_period - kStopMargin;
-    while (context.open_requests > 0 && Now() < end) {
+    while (context.open_requests + context.relays.Open() > 0 && Now() < end) {
       co_await Sleep(kStopPollInterval);
     }
     const base::TimePoint deadline = Now() + kFinalWriteTimeout;
@@ -175,6 +185,7 @@
   std::optional<tcp::acceptor> callers;
   std::optional<tcp::acceptor> readiness;
   std::optional<tcp::acceptor> metrics;
+  std::optional<tcp::acceptor> relays;
   std::list<std::weak_ptr<CallerConnection>> connections;
   /// What was missing when readiness was asked for last.
   std::string missing_for_readiness = "start";
@@ -200,7 +211,9 @@
   if (auto result = listen(impl.readiness, settings.readiness_listen); !result) return result;
   if (auto result = listen(impl.metrics, settings.metrics_listen); !result) return result;
   if (auto result = impl.context.peers.Listen(settings.peer_listen); !result) return result;
+  if (auto result = listen(impl.relays, settings.peer_listen); !result) return result;
   impl.Spawn(impl.context.peers.Run());
+  impl.Spawn(impl.context.relays.Run(*impl.relays));
   impl.Spawn(impl.context.configuration.Run());
   impl.Spawn(impl.context.targets.Run());
   impl.Spawn(impl.context.fleet.Run());
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -19,8 +19,10 @@
 #include "persimmonstair/gateway/settings.hpp"
 #include "quota_limiter.hpp"
 #include "recent_programs.hpp"
+#include "relay_server.hpp"
 #include "retrying_record_store.hpp"
 #include "target_connection_pool.hpp"
+#include "target_connector.hpp"
 #include "target_limiter.hpp"
 #include "turn_store.hpp"
 
@@ -36,11 +38,13 @@
         store(records, metrics),
         configuration(store, codec),
         target_registry(settings.data_centre),
-        pool(executor),
+        fleet(store, settings, std::move(process)),
+        connector(executor, fleet),
+        relays(target_registry, connector, stopping),
+        pool(connector),
         targets(store, codec, target_registry, pool),
         turns(executor, store, {"turns", kTurnStreams, settings.parts_of_stream},
               settings.turn_cache_bytes),
-        fleet(store, settings, std::move(process)),
         peers(executor),
         quota(executor, peers, fleet, configuration),
         target_limits(executor, peers, fleet, target_registry, metrics),
@@ -48,7 +52,9 @@
         budget_manager(executor, store, {"budgets", kBudgetStreams, budget_layout.partitions},
                        budget_layout.append_interval),
         budget_coordinator(executor, peers, budget_manager, store, settings.reservation_timeout),
-        budgets(executor, peers, fleet, budget_manager, settings.peer_answer_timeout) {}
+        budgets(executor, peers, fleet, budget_manager, settings.peer_answer_timeout) {
+    connector.OnHangingPath([this] { pool.DropAll(); });
+  }
 
   boost::asio::any_io_executor executor;
   GatewaySettings settings;
@@ -57,10 +63,12 @@
   RetryingRecordStore store;
   ConfigurationFollower configuration;
   dispatch::TargetRegistry target_registry;
+  FleetRegistry fleet;
+  TargetConnector connector;
+  RelayServer relays;
   TargetConnectionPool pool;
   TargetFollower targets;
   TurnStore turns;
-  FleetRegistry fleet;
   PeerSocket peers;
   QuotaLimiter quota;
   TargetLimiter target_limits;
--- a/src/persimmonstair/gateway/http_connection.cpp
+++ b/src/persimmonstair/gateway/http_connection.cpp
@@ -61,6 +61,7 @@
   std::optional<Parser> parser;
   std::array<char, kPieceBytes> piece{};
   base::Duration keep_alive_timeout{0};
+  bool relayed = false;
 };
 
 HttpConnection::HttpConnection(const asio::any_io_executor& executor)
@@ -122,13 +123,21 @@
     }
   }
   piece.end = impl.parser->is_done();
+  if (piece.end && impl.relayed && impl.parser->need_eof()) {
+    piece.end = false;
+    piece.error = asio::error::connection_reset;
+  }
   co_return piece;
 }
 
 bool HttpConnection::HasUnreadBytes() const { return impl_->buffer.size() > 0; }
 
+void HttpConnection::MarkRelayed() { impl_->relayed = true; }
+
+bool HttpConnection::IsRelayed() const { return impl_->relayed; }
+
 bool HttpConnection::Reusable() const {
-  return impl_->parser && impl_->parser->is_done() && impl_->parser->keep_alive() &&
+  return !impl_->relayed && impl_->parser && impl_->parser->is_done() && impl_->parser->keep_alive() &&
          !HasUnreadBytes();
 }
 
--- /dev/null
+++ b/src/persimmonstair/gateway/relay_server.cpp
@@ -0,0 +1,166 @@
+#include "relay_server.hpp"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <memory>
+#include <utility>
+
+#include "clock.hpp"
+#include "persimmonstair/diagnostics/log.hpp"
+#include "socket_options.hpp"
+
+namespace persimmonstair::gateway {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+/// Maximum time to open the connection to the target. The asking instance has other instances to
+/// ask, and then other targets.
+constexpr std::chrono::milliseconds kTargetConnectTimeout{100};
+constexpr std::chrono::seconds kRequestTimeout{1};
+/// Time without a byte in either direction after which a relayed connection is closed. Longer than
+/// any response takes.
+constexpr std::chrono::seconds kIdleTimeout{60};
+constexpr std::chrono::milliseconds kAcceptPause{20};
+/// Connections that one instance relays at a time, so that the asking ones spread over the fleet.
+constexpr std::uint32_t kMaxOpen = 256;
+constexpr std::uint32_t kMaxRequestBytes = 1024;
+constexpr std::size_t kBufferBytes = 16U << 10U;
+
+/// The two connections of one relay.
+struct Tunnel {
+  explicit Tunnel(tcp::socket socket) : caller(std::move(socket)), target(caller.get_executor()) {}
+
+  beast::tcp_stream caller;
+  beast::tcp_stream target;
+};
+using TunnelPtr = std::shared_ptr<Tunnel>;
+
+// Passes bytes on until the source ends or one of the two fails; returns the source's error.
+asio::awaitable<error_code> Pump(beast::tcp_stream& from, beast::tcp_stream& to) {
+  std::array<char, kBufferBytes> buf{};
+  for (;;) {
+    from.expires_after(kIdleTimeout);
+    const auto [read_ec, n] = co_await from.async_read_some(asio::buffer(buf), kTuple);
+    if (read_ec) co_return read_ec;
+    const auto [write_ec, written] = co_await asio::async_write(to, asio::buffer(buf, n), kTuple);
+    if (write_ec) co_return write_ec;
+  }
+}
+
+asio::awaitable<void> PumpRequests(TunnelPtr tunnel) {
+  co_await Pump(tunnel->caller, tunnel->target);
+  // The asking instance has left or no longer wants the response.
+  tunnel->target.close();
+}
+
+asio::awaitable<void> PumpResponses(TunnelPtr tunnel) {
+  const error_code end = co_await Pump(tunnel->target, tunnel->caller);
+  error_code ignored;  // The other side may have closed its connection already.
+  if (end == asio::error::eof) {
+    tunnel->caller.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  } else {
+    tunnel->caller.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    tunnel->caller.close();
+  }
+}
+
+asio::awaitable<bool> Respond(beast::tcp_stream& stream, unsigned status) {
+  const std::string head = fmt::format("HTTP/1.1 {} {}\r\n{}\r\n", status,
+                                       status == kRelayOpened ? "Connected" : "Not connected",
+                                       status == kRelayOpened ? "" : "Content-Length: 0\r\n");
+  const auto [ec, n] = co_await asio::async_write(stream, asio::buffer(head), kTuple);
+  co_return !ec;
+}
+
+asio::awaitable<std::optional<RelayRequest>> ReadRequest(beast::tcp_stream& stream) {
+  beast::flat_buffer buffer;
+  http::request_parser<http::empty_body> parser;
+  parser.header_limit(kMaxRequestBytes);
+  stream.expires_after(kRequestTimeout);
+  const auto [ec, n] = co_await http::async_read_header(stream, buffer, parser, kTuple);
+  // The asking instance sends nothing more before the answer.
+  if (ec || buffer.size() > 0 || parser.get().method() != http::verb::connect)
+    co_return std::nullopt;
+  const auto authority = parser.get().target();
+  co_return ParseRelayAuthority({authority.data(), authority.size()});
+}
+
+asio::awaitable<error_code> ConnectTarget(beast::tcp_stream& stream,
+                                          const dispatch::Endpoint& endpoint) {
+  error_code ec;
+  const auto address = asio::ip::make_address(endpoint.address, ec);
+  if (ec) co_return ec;
+  stream.expires_after(kTargetConnectTimeout);
+  const auto [connect_ec] =
+      co_await stream.async_connect(tcp::endpoint(address, endpoint.port), kTuple);
+  if (!connect_ec) SetTcpOptions(stream.socket());
+  co_return connect_ec;
+}
+
+}  // namespace
+
+asio::awaitable<void> RelayServer::Run(tcp::acceptor& acceptor) {
+  while (acceptor.is_open()) {
+    auto [ec, socket] = co_await acceptor.async_accept(kTuple);
+    if (ec) {
+      co_await Sleep(kAcceptPause);
+      continue;
+    }
+    asio::co_spawn(acceptor.get_executor(), Serve(std::move(socket)), asio::detached);
+  }
+}
+
+unsigned RelayServer::Check(const RelayRequest& request) const {
+  const auto path = connector_.Path();
+  const bool reaches_targets =
+      path == dispatch::PathState::kDirect || path == dispatch::PathState::kDoubtful;
+  if (stopping_ || open_ >= kMaxOpen || !reaches_targets) return kRelayUnavailable;
+  const dispatch::TargetEntry* target = targets_.Find(request.target);
+  const bool takes_requests =
+      target != nullptr && !target->draining && target->started_ms == request.started_ms;
+  return takes_requests ? 0 : kRelayUnknownTarget;
+}
+
+asio::awaitable<void> RelayServer::Serve(tcp::socket socket) {
+  SetTcpOptions(socket);
+  const auto tunnel = std::make_shared<Tunnel>(std::move(socket));
+  const auto request = co_await ReadRequest(tunnel->caller);
+  if (!request) co_return;
+  if (const unsigned refusal = Check(*request); refusal != 0) {
+    co_await Respond(tunnel->caller, refusal);
+    co_return;
+  }
+  const dispatch::Endpoint endpoint = targets_.Find(request->target)->endpoint;
+  const auto ec = co_await ConnectTarget(tunnel->target, endpoint);
+  connector_.OnDirect(request->target, !ec);
+  diagnostics::Log(diagnostics::Level::kInfo, "target_connection_relayed",
+                   {{"target", request->target.value}, {"connected", !ec}, {"open", open_}});
+  if (!co_await Respond(tunnel->caller, ec ? kRelayTargetUnreachable : kRelayOpened) || ec)
+    co_return;
+  ++open_;
+  ++opened_;
+  asio::co_spawn(co_await asio::this_coro::executor, PumpRequests(tunnel), asio::detached);
+  co_await PumpResponses(tunnel);
+  --open_;
+}
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/relay_server.hpp
@@ -0,0 +1,49 @@
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_RELAY_SERVER_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_RELAY_SERVER_HPP_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+
+#include "persimmonstair/dispatch/target_registry.hpp"
+#include "relay_protocol.hpp"
+#include "target_connector.hpp"
+
+namespace persimmonstair::gateway {
+
+/// @brief Opens connections to targets for instances that have lost their own links to them, and
+/// passes bytes on both ways until one side closes.
+///
+/// It connects only directly and only to targets of its own list that take new requests. It reads
+/// nothing of what it passes on. An end of the target's connection by a reset is passed on as a
+/// reset, so that a response which broke off doesn't look complete.
+class RelayServer {
+ public:
+  /// `stopping` is true once a planned stop has begun.
+  RelayServer(const dispatch::TargetRegistry& targets, TargetConnector& connector,
+              const bool& stopping)
+      : targets_(targets), connector_(connector), stopping_(stopping) {}
+
+  /// Accepts connections until the acceptor is closed.
+  boost::asio::awaitable<void> Run(boost::asio::ip::tcp::acceptor& acceptor);
+
+  /// Connections that are relayed now.
+  std::uint32_t Open() const { return open_; }
+  /// Connections relayed so far.
+  std::uint64_t Opened() const { return opened_; }
+
+ private:
+  boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
+  /// Returns the status to answer instead of relaying; 0 if the target may be connected to.
+  unsigned Check(const RelayRequest& request) const;
+
+  const dispatch::TargetRegistry& targets_;
+  TargetConnector& connector_;
+  const bool& stopping_;
+  std::uint32_t open_ = 0;
+  std::uint64_t opened_ = 0;
+};
+
+}  // namespace persimmonstair::gateway
+
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_RELAY_SERVER_HPP_
--- a/src/persimmonstair/gateway/target_connection_pool.cpp
+++ b/src/persimmonstair/gateway/target_connection_pool.cpp
@@ -33,10 +33,8 @@
     if (reuse == IdleReuse::kRecentlyUsed) limit = std::min<base::Duration>(limit, kMaxRecentIdle);
     if (now - one.since < limit && one.connection->IsIdle()) co_return std::move(one.connection);
   }
-  auto connection = std::make_unique<HttpConnection>(executor_);
-  const error_code ec = co_await connection->Connect(target.endpoint, timeout);
-  if (ec) co_return tl::make_unexpected(ec);
-  ++opened_;
+  auto connection = co_await connector_.Open(target, timeout);
+  if (connection) ++opened_;
   co_return std::move(connection);
 }
 
--- a/src/persimmonstair/gateway/target_connection_pool.hpp
+++ b/src/persimmonstair/gateway/target_connection_pool.hpp
@@ -1,7 +1,7 @@
 #ifndef PERSIMMONSTAIR_SRC_GATEWAY_TARGET_CONNECTION_POOL_HPP_
 #define PERSIMMONSTAIR_SRC_GATEWAY_TARGET_CONNECTION_POOL_HPP_
 
-#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -12,6 +12,7 @@
 #include "persimmonstair/base/time.hpp"
 #include "persimmonstair/dispatch/target_registry.hpp"
 #include "persimmonstair/gateway/http_connection.hpp"
+#include "target_connector.hpp"
 
 namespace persimmonstair::gateway {
 
@@ -27,8 +28,7 @@
 /// @brief Pool of idle connections to targets.
 class TargetConnectionPool {
  public:
-  explicit TargetConnectionPool(const boost::asio::any_io_executor& executor)
-      : executor_(executor) {}
+  explicit TargetConnectionPool(TargetConnector& connector) : connector_(connector) {}
 
   /// Returns an idle connection that is still usable, or opens a new one.
   boost::asio::awaitable<tl::expected<std::unique_ptr<HttpConnection>, boost::system::error_code>>
@@ -41,6 +41,9 @@
   /// work either.
   void DropTarget(const base::TargetId& target) { idle_.erase(target); }
 
+  /// Closes all idle connections, because the path to the targets is lost.
+  void DropAll() { idle_.clear(); }
+
   /// Closes the connections whose idle limit has passed.
   void CloseIdle();
 
@@ -54,7 +57,7 @@
     base::Duration limit;
   };
 
-  boost::asio::any_io_executor executor_;
+  TargetConnector& connector_;
   std::map<base::TargetId, std::deque<Idle>> idle_;
   std::uint64_t opened_ = 0;
 };
