Judge unreachable targets one by one, and count a relayed connection's end as no crash

Change: there is no state 'no way' of the instance any more. A target is unreachable if new connections and peers missed it; others are tried. Readiness doesn't depend on it. A peer counts as missing a target only by its answer. The end of a relayed connection, and a connection that the network cut (ETIMEDOUT), report no crash. A peer passes a response on as long as bytes come. An answer on a connection that was open before no longer ends a loss. A target that a peer misses too ends the attempt, unless the own path is in doubt.

--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -88,6 +88,8 @@
   bool IsLate() const;
   /// True if there is a target that has not run the request and might.
   bool HasOtherTarget() const;
+  /// True if each target of the service was missed, directly and through other instances.
+  bool NoTargetIsReachable() const;
   /// Error for a request that no target takes.
   base::Error NoCapacity() const;
 
--- a/src/persimmonstair/gateway/relay_peers.hpp
+++ b/src/persimmonstair/gateway/relay_peers.hpp
@@ -17,8 +17,8 @@
 /// order is random, so that the load is spread.
 class RelayPeers {
  public:
-  /// Returns the instances to ask, best first, at most `kMaxTries`. Those that failed lately are
-  /// left out.
+  /// Returns the instances to ask, best first, at most `kMaxTries`. Those that failed lately
+  /// are left out, unless there are no others.
   std::vector<dispatch::Endpoint> Order(base::TimePoint now,
                                         std::vector<RelayCandidate> candidates);
 
--- a/src/persimmonstair/gateway/relay_server.hpp
+++ b/src/persimmonstair/gateway/relay_server.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <memory>
 
 #include "persimmonstair/dispatch/target_registry.hpp"
 #include "relay_protocol.hpp"
@@ -33,7 +34,12 @@
   std::uint64_t Opened() const { return opened_; }
 
  private:
+  /// The two connections of one relay.
+  struct Tunnel;
+
   boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
+  boost::asio::awaitable<void> Relay(std::shared_ptr<Tunnel> tunnel, RelayRequest request,
+                                     dispatch::Endpoint endpoint);
   /// Returns the status to answer instead of relaying; 0 if the target may be connected to.
   unsigned Check(const RelayRequest& request) const;
 
--- a/src/persimmonstair/gateway/target_connector.hpp
+++ b/src/persimmonstair/gateway/target_connector.hpp
@@ -15,6 +15,7 @@
 #include "persimmonstair/dispatch/direct_path.hpp"
 #include "persimmonstair/gateway/http_connection.hpp"
 #include "relay_peers.hpp"
+#include "relay_protocol.hpp"
 
 namespace persimmonstair::gateway {
 
@@ -39,10 +40,14 @@
   /// ones may hang too.
   void OnHangingPath(std::function<void()> callback) { on_hanging_path_ = std::move(callback); }
 
-  /// Records the end of a direct connection attempt, or an answer on a direct connection.
+  /// Records the end of a direct connection attempt.
   void OnDirect(const base::TargetId& target, bool connected);
+  /// Records an answer of the target on an open direct connection.
+  void OnAnswer(const base::TargetId& target) { path_.OnAnswer(target); }
 
   dispatch::PathState Path() const { return path_.State(); }
+  /// True if Open() fails at once, but for one attempt in each dispatch::kPathProbeInterval.
+  bool IsUnreachable(const base::TargetId& target) const { return path_.IsUnreachable(target); }
   /// Connections that other instances have relayed for this one so far.
   std::uint64_t Relayed() const { return relayed_; }
 
@@ -63,9 +68,9 @@
   boost::asio::awaitable<void> OpenDirectly(RacePtr race, dispatch::TargetEntry target);
   boost::asio::awaitable<void> OpenByRelay(RacePtr race, dispatch::TargetEntry target,
                                            base::TimePoint deadline);
-  /// Asks one instance to open the connection.
-  boost::asio::awaitable<std::unique_ptr<HttpConnection>> AskRelay(
-      dispatch::Endpoint peer, const dispatch::TargetEntry& target);
+  /// Asks one instance to open the connection, and returns the status of its answer; 0 for none.
+  boost::asio::awaitable<unsigned> AskRelay(HttpConnection& connection, dispatch::Endpoint peer,
+                                            RelayRequest request);
   /// Waits until an attempt ends, at most until `until`.
   static boost::asio::awaitable<void> WaitForChange(RacePtr race, base::TimePoint until);
   void OnRelayed(const base::TargetId& target, bool connected);
