Tell a stored turn that left the cache from one that doesn't exist

What callers saw: "no stored turn" (404) for a turn that the store holds, when other turns that were read at the same time pushed it out of the cache before its request used it. Cause: TurnStore::Find took a turn for missing if the cache still lacked it after its partition had been read. Change: reading a partition returns the turns that it doesn't hold; only these are not found. A turn that was read and left the cache gives 503, so that the caller asks again.

--- a/src/persimmonstair/gateway/busy_store_test.hpp
+++ b/src/persimmonstair/gateway/busy_store_test.hpp
@@ -11,18 +11,27 @@
 namespace persimmonstair::gateway {
 
 /// @brief A store that serves one read of the newest records after the other. It also completes
-/// reads whose callers have given up, as a server does that has begun to answer.
+/// reads whose callers have given up, as a server does that has begun to answer. It has one
+/// partition, which it returns for every name.
 class BusyStore : public RecordStore {
  public:
-  /// Each read of the newest records of a partition takes `read_time` of the store and returns
-  /// `content`.
+  /// Each read of the newest records takes `read_time` of the store and returns the records at its
+  /// start, at first `content`.
   BusyStore(base::Duration read_time, RecordSnapshot content)
       : read_time_(read_time), content_(std::move(content)) {}
 
   boost::asio::awaitable<base::Result<base::Offset>> Append(
-      const Partition& /*partition*/, const std::vector<KeyedRecord>& /*records*/,
+      const Partition& /*partition*/, const std::vector<KeyedRecord>& records,
       base::Duration /*timeout*/, std::optional<base::Offset> /*expected*/) override {
-    co_return content_.next;
+    ++appends_;
+    const base::Offset first = content_.next;
+    for (const auto& record : records) {
+      std::erase_if(content_.records,
+                    [&](const auto& stored) { return stored.record.key == record.key; });
+      if (record.value) content_.records.push_back({content_.next, record});
+      ++content_.next.value;
+    }
+    co_return first;
   }
 
   boost::asio::awaitable<base::Result<RecordBatch>> Read(const Partition& /*partition*/,
@@ -37,19 +46,24 @@
     ++reads_;
     served_until_ = std::max(served_until_, Now()) + read_time_;
     const base::Duration wait = served_until_ - Now();
+    RecordSnapshot content = content_;
     co_await Sleep(std::min(wait, timeout));
     if (wait > timeout) co_return base::Fail(base::ErrorCode::kTimeout, "no answer in time");
-    co_return content_;
+    co_return content;
   }
 
   /// Number of reads of the newest records, abandoned ones included.
   std::size_t Reads() const { return reads_; }
+  std::size_t Appends() const { return appends_; }
+  /// The newest records.
+  const RecordSnapshot& Content() const { return content_; }
 
  private:
   base::Duration read_time_;
   RecordSnapshot content_;
   base::TimePoint served_until_;
   std::size_t reads_ = 0;
+  std::size_t appends_ = 0;
 };
 
 }  // namespace persimmonstair::gateway
--- a/src/persimmonstair/gateway/turn_store.cpp
+++ b/src/persimmonstair/gateway/turn_store.cpp
@@ -51,7 +51,7 @@
 
 awaitable<Result<History>> TurnStore::Find(base::WorkspaceId workspace, base::TurnId previous,
                                            base::TimePoint deadline) {
-  std::vector<base::TurnId> asked;
+  TurnSet asked;
   for (int round = 0; round < kMaxFetchRounds; ++round) {
     turns::Chain chain = cache_.Find(workspace, previous, UnixMillis());
     if (chain.other_workspace) co_return Fail(ErrorCode::kNotFound, "turn of another workspace");
@@ -60,62 +60,64 @@
       co_return History{std::move(chain.history), std::move(chain.ancestors)};
     }
     for (const auto& turn : chain.missing) {
-      // The store was read after the request arrived, so the turn certainly does not exist.
-      if (std::find(asked.begin(), asked.end(), turn) != asked.end()) {
-        co_return Fail(ErrorCode::kNotFound, "no stored turn " + turn.value);
-      }
-    }
-    asked.insert(asked.end(), chain.missing.begin(), chain.missing.end());
-    if (!co_await Fetch(std::move(chain.missing), deadline)) {
+      if (asked.insert(turn).second) continue;
       co_return Fail(ErrorCode::kLogUnavailable,
-                     "stored turns can't be read: the record store is unavailable");
+                     "stored turn " + turn.value + " left the cache before it was used");
+    }
+    const auto absent = co_await Fetch({chain.missing.begin(), chain.missing.end()}, deadline);
+    if (!absent) co_return tl::make_unexpected(absent.error());
+    if (!absent->empty()) {
+      co_return Fail(ErrorCode::kNotFound, "no stored turn " + absent->begin()->value);
     }
   }
   co_return Fail(ErrorCode::kInternal, "the chain of previous turns is too long");
 }
 
-awaitable<bool> TurnStore::Fetch(std::vector<base::TurnId> turns, base::TimePoint deadline) {
-  std::map<Partition, std::vector<base::TurnId>> grouped;
-  for (auto& turn : turns) grouped[partitions_.PartitionOf(turn.value)].push_back(std::move(turn));
+awaitable<Result<TurnStore::TurnSet>> TurnStore::Fetch(TurnSet turns, base::TimePoint deadline) {
+  std::map<Partition, TurnSet> grouped;
+  for (const auto& turn : turns) grouped[partitions_.PartitionOf(turn.value)].insert(turn);
   struct Join {
     explicit Join(const boost::asio::any_io_executor& executor) : done(executor) {}
     std::size_t left = 0;
     bool all_read = true;
+    TurnSet absent;
     OneShotEvent done;
   };
   const auto join = std::make_shared<Join>(executor_);
   join->left = grouped.size();
   for (auto& [partition, wanted] : grouped) {
     boost::asio::co_spawn(executor_, FetchPartition(partition, std::move(wanted), deadline),
-                          [join](const std::exception_ptr& error, bool read) {
-                            join->all_read = join->all_read && !error && read;
+                          [join](const std::exception_ptr& error, Result<TurnSet> absent) {
+                            join->all_read = join->all_read && !error && absent;
+                            if (!error && absent) join->absent.merge(*absent);
                             if (--join->left == 0) join->done.Set();
                           });
   }
   co_await join->done.Wait();
-  co_return join->all_read;
+  if (join->all_read) co_return std::move(join->absent);
+  co_return Fail(ErrorCode::kLogUnavailable,
+                 "stored turns can't be read: the record store is unavailable");
 }
 
-awaitable<bool> TurnStore::FetchPartition(Partition partition, std::vector<base::TurnId> turns,
-                                          base::TimePoint deadline) {
+awaitable<Result<TurnStore::TurnSet>> TurnStore::FetchPartition(Partition partition, TurnSet turns,
+                                                                base::TimePoint deadline) {
   const auto snapshot = co_await store_.ReadNewest(partition, deadline);
   if (!snapshot) {
     diagnostics::Log(diagnostics::Level::kWarning, "turns_not_read",
                      {{"stream", partition.stream.value},
                       {"part", partition.part},
                       {"error", snapshot.error().message}});
-    co_return false;
+    co_return tl::make_unexpected(snapshot.error());
   }
   const std::int64_t now_ms = UnixMillis();
   bool expired = false;
   for (auto& kept : DecodeKeptTurns(partition, *snapshot)) {
     if (kept.expires_ms + kDropDelayMs < now_ms) expired = true;
-    if (std::find(turns.begin(), turns.end(), kept.turn) != turns.end()) {
-      cache_.Put(std::move(kept));
-    }
+    if (kept.expires_ms < now_ms || turns.erase(kept.turn) == 0) continue;
+    cache_.Put(std::move(kept));
   }
   if (expired) drop_schedule_.emplace_front(0, partition);
-  co_return true;
+  co_return turns;
 }
 
 awaitable<Result<void>> TurnStore::Save(schema::KeptTurn record, base::TimePoint deadline,
--- a/src/persimmonstair/gateway/turn_store.hpp
+++ b/src/persimmonstair/gateway/turn_store.hpp
@@ -2,6 +2,7 @@
 #define PERSIMMONSTAIR_SRC_GATEWAY_TURN_STORE_HPP_
 
 #include <deque>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -50,10 +51,13 @@
   std::size_t CachedBytes() const { return cache_.Bytes(); }
 
  private:
-  /// Reads turns from their partitions into the cache; false if the store did not answer.
-  boost::asio::awaitable<bool> Fetch(std::vector<base::TurnId> turns, base::TimePoint deadline);
-  boost::asio::awaitable<bool> FetchPartition(Partition partition, std::vector<base::TurnId> turns,
-                                              base::TimePoint deadline);
+  using TurnSet = std::set<base::TurnId>;
+
+  /// Reads turns from their partitions into the cache. Returns those that the store doesn't hold or
+  /// that have expired; fails with kLogUnavailable if the store did not answer.
+  boost::asio::awaitable<base::Result<TurnSet>> Fetch(TurnSet turns, base::TimePoint deadline);
+  boost::asio::awaitable<base::Result<TurnSet>> FetchPartition(Partition partition, TurnSet turns,
+                                                               base::TimePoint deadline);
 
   boost::asio::any_io_executor executor_;
   RetryingRecordStore& store_;
