Share reads of a partition of turns and let them outlast their request

What callers saw: after a loss of all instances, turns that continue stored ones got 503 from a busy store, again at each attempt. Each request that lacked a turn read its whole partition. Requests did not share reads, and a read whose request gave up was thrown away and begun anew, at full cost, for the caller's next attempt. A request waits until its own deadline. It gets 'not found' only by a read that began after it came, so one that joined a read and isn't served by it waits for the next, which is shared too. Why it works: an instance has at most one read of each partition at the store, however many requests wait and however often their callers return, and a slow answer still serves the next attempt.

--- a/src/persimmonstair/gateway/turn_store.cpp
+++ b/src/persimmonstair/gateway/turn_store.cpp
@@ -18,6 +18,7 @@
 using base::Fail;
 using base::Result;
 using boost::asio::awaitable;
+using KeySet = PartitionReads::KeySet;
 
 /// Interval between two deletions of expired turns.
 constexpr std::chrono::seconds kDropInterval{5};
@@ -49,9 +50,19 @@
 
 }  // namespace
 
+TurnStore::TurnStore(const boost::asio::any_io_executor& executor, RetryingRecordStore& store,
+                     Partitioning turns, std::size_t cache_bytes)
+    : executor_(executor),
+      store_(store),
+      partitions_(std::move(turns)),
+      cache_(cache_bytes),
+      reads_(executor, store,
+             [this](const Partition& partition, const RecordSnapshot& snapshot,
+                    const KeySet& wanted) { return CacheTurns(partition, snapshot, wanted); }) {}
+
 awaitable<Result<History>> TurnStore::Find(base::WorkspaceId workspace, base::TurnId previous,
                                            base::TimePoint deadline) {
-  TurnSet asked;
+  std::set<base::TurnId> asked;
   for (int round = 0; round < kMaxFetchRounds; ++round) {
     turns::Chain chain = cache_.Find(workspace, previous, UnixMillis());
     if (chain.other_workspace) co_return Fail(ErrorCode::kNotFound, "turn of another workspace");
@@ -64,30 +75,33 @@
       co_return Fail(ErrorCode::kLogUnavailable,
                      "stored turn " + turn.value + " left the cache before it was used");
     }
-    const auto absent = co_await Fetch({chain.missing.begin(), chain.missing.end()}, deadline);
+    const auto absent = co_await Fetch(std::move(chain.missing), deadline);
     if (!absent) co_return tl::make_unexpected(absent.error());
     if (!absent->empty()) {
-      co_return Fail(ErrorCode::kNotFound, "no stored turn " + absent->begin()->value);
+      co_return Fail(ErrorCode::kNotFound, "no stored turn " + *absent->begin());
     }
   }
   co_return Fail(ErrorCode::kInternal, "the chain of previous turns is too long");
 }
 
-awaitable<Result<TurnStore::TurnSet>> TurnStore::Fetch(TurnSet turns, base::TimePoint deadline) {
-  std::map<Partition, TurnSet> grouped;
-  for (const auto& turn : turns) grouped[partitions_.PartitionOf(turn.value)].insert(turn);
+awaitable<Result<KeySet>> TurnStore::Fetch(std::vector<base::TurnId> turns,
+                                           base::TimePoint deadline) {
+  std::map<Partition, KeySet> grouped;
+  for (auto& turn : turns) {
+    grouped[partitions_.PartitionOf(turn.value)].insert(std::move(turn.value));
+  }
   struct Join {
     explicit Join(const boost::asio::any_io_executor& executor) : done(executor) {}
     std::size_t left = 0;
     bool all_read = true;
-    TurnSet absent;
+    KeySet absent;
     OneShotEvent done;
   };
   const auto join = std::make_shared<Join>(executor_);
   join->left = grouped.size();
   for (auto& [partition, wanted] : grouped) {
-    boost::asio::co_spawn(executor_, FetchPartition(partition, std::move(wanted), deadline),
-                          [join](const std::exception_ptr& error, Result<TurnSet> absent) {
+    boost::asio::co_spawn(executor_, reads_.Read(partition, std::move(wanted), deadline),
+                          [join](const std::exception_ptr& error, Result<KeySet> absent) {
                             join->all_read = join->all_read && !error && absent;
                             if (!error && absent) join->absent.merge(*absent);
                             if (--join->left == 0) join->done.Set();
@@ -99,25 +113,19 @@
                  "stored turns can't be read: the record store is unavailable");
 }
 
-awaitable<Result<TurnStore::TurnSet>> TurnStore::FetchPartition(Partition partition, TurnSet turns,
-                                                                base::TimePoint deadline) {
-  const auto snapshot = co_await store_.ReadNewest(partition, deadline);
-  if (!snapshot) {
-    diagnostics::Log(diagnostics::Level::kWarning, "turns_not_read",
-                     {{"stream", partition.stream.value},
-                      {"part", partition.part},
-                      {"error", snapshot.error().message}});
-    co_return tl::make_unexpected(snapshot.error());
-  }
+KeySet TurnStore::CacheTurns(const Partition& partition, const RecordSnapshot& snapshot,
+                             const KeySet& wanted) {
   const std::int64_t now_ms = UnixMillis();
+  KeySet found;
   bool expired = false;
-  for (auto& kept : DecodeKeptTurns(partition, *snapshot)) {
+  for (auto& kept : DecodeKeptTurns(partition, snapshot)) {
     if (kept.expires_ms + kDropDelayMs < now_ms) expired = true;
-    if (kept.expires_ms < now_ms || turns.erase(kept.turn) == 0) continue;
+    if (kept.expires_ms < now_ms || !wanted.contains(kept.turn.value)) continue;
+    found.insert(kept.turn.value);
     cache_.Put(std::move(kept));
   }
   if (expired) drop_schedule_.emplace_front(0, partition);
-  co_return turns;
+  return found;
 }
 
 awaitable<Result<void>> TurnStore::Save(schema::KeptTurn record, base::TimePoint deadline,
--- a/src/persimmonstair/gateway/turn_store.hpp
+++ b/src/persimmonstair/gateway/turn_store.hpp
@@ -2,11 +2,11 @@
 #define PERSIMMONSTAIR_SRC_GATEWAY_TURN_STORE_HPP_
 
 #include <deque>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "partition_reads.hpp"
 #include "partitions.hpp"
 #include "persimmonstair/base/error.hpp"
 #include "persimmonstair/turns/turn_cache.hpp"
@@ -26,12 +26,12 @@
 /// turn continues.
 ///
 /// Turns that this instance wrote or read are cached. Others are read from the store when a new
-/// turn continues them, so a program may move between instances.
+/// turn continues them, so a program may move between instances. Requests that miss turns of the
+/// same partition share its read, which goes on when they give up.
 class TurnStore {
  public:
   TurnStore(const boost::asio::any_io_executor& executor, RetryingRecordStore& store,
-            Partitioning turns, std::size_t cache_bytes)
-      : executor_(executor), store_(store), partitions_(std::move(turns)), cache_(cache_bytes) {}
+            Partitioning turns, std::size_t cache_bytes);
 
   /// Returns the chain that ends with `previous`. Fails with kNotFound only if no instance has
   /// acknowledged such a turn of this workspace, and with kLogUnavailable if the store could not be
@@ -51,18 +51,19 @@
   std::size_t CachedBytes() const { return cache_.Bytes(); }
 
  private:
-  using TurnSet = std::set<base::TurnId>;
-
   /// Reads turns from their partitions into the cache. Returns those that the store doesn't hold or
   /// that have expired; fails with kLogUnavailable if the store did not answer.
-  boost::asio::awaitable<base::Result<TurnSet>> Fetch(TurnSet turns, base::TimePoint deadline);
-  boost::asio::awaitable<base::Result<TurnSet>> FetchPartition(Partition partition, TurnSet turns,
-                                                               base::TimePoint deadline);
+  boost::asio::awaitable<base::Result<PartitionReads::KeySet>> Fetch(
+      std::vector<base::TurnId> turns, base::TimePoint deadline);
+  /// Caches those of the `wanted` turns that a snapshot holds, and returns them.
+  PartitionReads::KeySet CacheTurns(const Partition& partition, const RecordSnapshot& snapshot,
+                                    const PartitionReads::KeySet& wanted);
 
   boost::asio::any_io_executor executor_;
   RetryingRecordStore& store_;
   Partitioning partitions_;
   turns::TurnCache cache_;
+  PartitionReads reads_;
   boost::asio::awaitable<void> DropExpiredFrom(Partition partition);
   boost::asio::awaitable<base::Result<void>> ExtendChain(std::vector<base::TurnId> chain,
                                                          std::int64_t retention_ms,
--- a/src/persimmonstair/gateway/turn_store_test.cpp
+++ b/src/persimmonstair/gateway/turn_store_test.cpp
@@ -105,5 +105,93 @@
   EXPECT_TRUE(search->FailedWith(ErrorCode::kLogUnavailable));
 }
 
+// Guards against a read of the whole partition for each of many requests that miss in it at once,
+// as all do after a start.
+TEST_F(TurnStoreTest, RequestsThatMissInOnePartitionShareItsRead) {
+  constexpr int kRequests = 50;
+  std::vector<schema::KeptTurn> turns;
+  for (int n = 0; n < kRequests; ++n) turns.push_back(MakeTurn("turn-" + std::to_string(n)));
+  MakeStores(milliseconds{40}, turns);
+  std::vector<SearchPtr> searches;
+  for (const auto& turn : turns) {
+    searches.push_back(Start(turn.turn.value, milliseconds{3000}));
+    if (searches.size() == kRequests / 2) RunFor(milliseconds{10});
+  }
+  RunFor(milliseconds{300});
+  for (const auto& search : searches) EXPECT_TRUE(search->Found());
+  EXPECT_EQ(records_->Reads(), 1);
+}
+
+// Guards against reads that end with their request's deadline and are begun anew, at full cost, for
+// the caller's next attempt, so that a slow store never serves it.
+TEST_F(TurnStoreTest, ReadThatOutlastsItsRequestServesTheNextAttempt) {
+  MakeStores(milliseconds{300}, {MakeTurn("turn"), MakeTurn("other")});
+  const SearchPtr first = Start("turn", milliseconds{100});
+  const SearchPtr given_up = Start("other", milliseconds{100});
+  RunFor(milliseconds{150});
+  EXPECT_TRUE(first->FailedWith(ErrorCode::kLogUnavailable));
+  const SearchPtr second = Start("turn", milliseconds{500});
+  RunFor(milliseconds{250});
+  EXPECT_TRUE(second->Found());
+  const SearchPtr cached = Start("other", milliseconds{10});
+  RunFor(milliseconds{50});
+  EXPECT_TRUE(cached->Found());
+  EXPECT_EQ(records_->Reads(), 1);
+}
+
+// Guards against requests that are held beyond their deadline by a read that others began, or whose
+// own end stops the read for others.
+TEST_F(TurnStoreTest, RequestWaitsForASharedReadUntilItsOwnDeadline) {
+  MakeStores(milliseconds{300}, {MakeTurn("turn")});
+  const SearchPtr patient = Start("turn", milliseconds{2000});
+  RunFor(milliseconds{20});
+  const SearchPtr hurried = Start("turn", milliseconds{80});
+  RunFor(milliseconds{400});
+  EXPECT_TRUE(hurried->FailedWith(ErrorCode::kLogUnavailable));
+  EXPECT_GE(hurried->took, milliseconds{80});
+  EXPECT_LT(hurried->took, milliseconds{200});
+  EXPECT_TRUE(patient->Found());
+}
+
+// Guards against 'not found' for a turn that was stored after a shared read had begun.
+TEST_F(TurnStoreTest, TurnIsNotFoundOnlyByAReadThatBeganAfterTheRequest) {
+  MakeStores(milliseconds{100}, {});
+  const SearchPtr first = Start("absent", milliseconds{2000});
+  RunFor(milliseconds{20});
+  Write(MakeTurn("late"));
+  const SearchPtr late = Start("late", milliseconds{2000});
+  const SearchPtr again = Start("absent", milliseconds{2000});
+  RunFor(milliseconds{100});
+  EXPECT_TRUE(first->FailedWith(ErrorCode::kNotFound));
+  EXPECT_FALSE(late->result);
+  EXPECT_FALSE(again->result);
+  RunFor(milliseconds{200});
+  EXPECT_TRUE(late->Found());
+  EXPECT_TRUE(again->FailedWith(ErrorCode::kNotFound));
+  EXPECT_EQ(records_->Reads(), 2);
+}
+
+// Guards against further reads for requests that have given up.
+TEST_F(TurnStoreTest, NoReadBeginsForARequestThatGaveUp) {
+  MakeStores(milliseconds{200}, {});
+  Start("absent", milliseconds{50});
+  RunFor(milliseconds{20});
+  const SearchPtr joined = Start("absent", milliseconds{50});
+  RunFor(milliseconds{600});
+  EXPECT_TRUE(joined->FailedWith(ErrorCode::kLogUnavailable));
+  EXPECT_EQ(records_->Reads(), 1);
+}
+
+// Guards against turns that are served although they have expired.
+TEST_F(TurnStoreTest, ExpiredTurnIsNotFound) {
+  schema::KeptTurn expired = MakeTurn("turn");
+  expired.expires_ms = UnixMillis() - 1;
+  MakeStores(milliseconds{1}, {expired});
+  const SearchPtr search = Start("turn", milliseconds{500});
+  RunFor(milliseconds{100});
+  EXPECT_TRUE(search->FailedWith(ErrorCode::kNotFound));
+  EXPECT_EQ(records_->Reads(), 1);
+}
+
 }  // namespace
 }  // namespace persimmonstair::gateway
