Keep the reservations of a program until the last one of it expires

What callers could see: a program that goes on for longer than 180 s may spend its budget again after a loss of its budget coordinator. Cause: an instance deleted each of its reservations by that record's own expiry, 180 s after its turn began, while the ledger in its memory counts all turns of a program until the last one expires. A coordinator that reads the partition later knows fewer tokens. Change: RecordExpiry holds the records of a partition by group, a program's reservations or one stream's version, and a group's records are deleted together. Deletions ride along with the next append of the partition, 100 at most, so that they cost a call of their own only in a quiet partition, and are chosen with a view of the partition that is at most 1 s old. Deletions that failed are tried again with the next pass instead of never. ReservationsStayUntilTheLastOneOfTheirProgramExpires failed before.

--- a/src/persimmonstair/gateway/budget_manager.cpp
+++ b/src/persimmonstair/gateway/budget_manager.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <initializer_list>
 #include <iterator>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "persimmonstair/diagnostics/log.hpp"
@@ -26,23 +28,33 @@
 /// Timeout of the first read of a partition. Longer than a reservation waits, so that the read
 /// isn't begun anew for the next one.
 constexpr milliseconds kLoadTimeout{10'000};
-/// Interval at which expired records are deleted from the store, in batches.
+/// Interval at which the deletion of expired records begins.
 constexpr std::chrono::seconds kDropInterval{5};
-constexpr std::size_t kMaxDropsPerPass = 1000;
+/// Keeps an append that also holds reservations short.
+constexpr std::size_t kMaxDropsPerAppend = 100;
+/// Age up to which the known records of a partition count as complete when records are deleted.
+constexpr std::chrono::seconds kMaxDropViewAge{1};
 
 KeyedRecord Encode(const schema::TokenReservation& reservation) {
   return {reservation.turn.value, schema::EncodeState(reservation)};
 }
 
+// Returns a name that differs for different lists of parts.
+std::string JoinParts(std::initializer_list<std::string_view> parts) {
+  std::string name;
+  for (const auto& part : parts) {
+    name += std::to_string(part.size()) + ":";
+    name += part;
+  }
+  return name;
+}
+
 // Key of a stream's record. It depends on the workspace and the program too, so that an id that
 // another workspace uses as well doesn't replace the record, and on the version, so that the
 // records of an id that began streams at two versions both remain.
 std::string KeyOf(const schema::StreamBegin& begin) {
-  std::string name;
-  for (const auto& part :
-       {begin.workspace.value, begin.program.value, begin.attempt.value, begin.version.value}) {
-    name += std::to_string(part.size()) + ":" + part;
-  }
+  const std::string name = JoinParts(
+      {begin.workspace.value, begin.program.value, begin.attempt.value, begin.version.value});
   const XXH128_hash_t hash = XXH3_128bits(name.data(), name.size());
   return "began/" + std::to_string(hash.high64) + std::to_string(hash.low64);
 }
@@ -51,6 +63,16 @@
   return {KeyOf(begin), schema::EncodeState(begin)};
 }
 
+// All reservations of a program count until the last one expires.
+RecordExpiry::Entry ExpiryOf(const schema::TokenReservation& reservation, RecordWriter writer) {
+  return {JoinParts({reservation.workspace.value, reservation.program.value}), writer,
+          reservation.expires_ms};
+}
+
+RecordExpiry::Entry ExpiryOf(const schema::StreamBegin& begin, RecordWriter writer) {
+  return {KeyOf(begin), writer, begin.expires_ms};
+}
+
 schema::TokenReservation Settled(schema::TokenReservation reservation, std::uint64_t tokens) {
   reservation.tokens = tokens;
   reservation.settled = true;
@@ -93,13 +115,13 @@
 
 awaitable<void> BudgetManager::Run(Partition partition) {
   State& state = states_[partition];
-  while (!state.queued.empty() || !state.settled.empty()) {
+  while (!state.queued.empty() || !state.settled.empty() || state.dropping) {
     if (const base::Duration wait = state.next_append_at - Now(); wait > base::Duration{0}) {
       co_await Sleep(wait);
     }
     state.next_append_at = Now() + append_interval_;
     std::erase_if(state.queued, [](const auto& one) { return one->abandoned; });
-    if (state.queued.empty() && state.settled.empty()) break;
+    if (state.queued.empty() && state.settled.empty() && !state.dropping) break;
     std::vector<QueuedReservationPtr> batch(state.queued.begin(), state.queued.end());
     state.queued.clear();
     co_await AppendQueued(partition, state, batch);
@@ -111,31 +133,36 @@
       }
       one->done.Set();
     }
-    if (state.queued.empty()) break;
+    if (state.queued.empty() && !state.dropping) break;
   }
   state.running = false;
 }
 
 awaitable<void> BudgetManager::AppendQueued(const Partition& partition, State& state,
                                             std::vector<QueuedReservationPtr>& batch) {
-  if (!state.loaded && !co_await Load(partition, state, Now() + kLoadTimeout)) co_return;
+  if (!state.loaded && !co_await Load(partition, state, Now() + kLoadTimeout)) {
+    state.dropping = false;
+    co_return;
+  }
   std::erase_if(batch, [](const auto& one) { return one->abandoned; });
-  if (batch.empty() && state.settled.empty()) co_return;
   base::TimePoint deadline = Now() + kSettleTimeout;
   for (const auto& one : batch) deadline = std::max(deadline, one->deadline);
+  const std::vector<std::string> drops = co_await DueDrops(partition, state, deadline);
+  if (batch.empty() && state.settled.empty() && drops.empty()) co_return;
   std::vector<KeyedRecord> records;
   std::vector<QueuedSettlement> settled = std::exchange(state.settled, {});
-  records.reserve(settled.size() + 2 * batch.size());
-  for (const auto& one : settled) records.push_back(Encode(one.reservation));
+  records.reserve(settled.size() + 2 * batch.size() + drops.size());
+  for (const auto& one : settled) records.push_back(Track(state, one.reservation));
   for (const auto& one : batch) {
-    if (one->request.budget) records.push_back(Encode(one->request.tokens));
-    if (one->request.begin) records.push_back(Encode(*one->request.begin));
+    if (one->request.budget) records.push_back(Track(state, one->request.tokens));
+    if (one->request.begin) records.push_back(Track(state, *one->request.begin));
   }
+  for (const auto& key : drops) records.push_back({key, std::nullopt});
   const std::uint64_t count = records.size();
   if (count == 0) {
     // Turns without a budget that take streams up write nothing; they only need the newest records.
     if (!co_await ReadToEnd(partition, state, deadline)) co_return;
-    for (const auto& one : batch) Decide(partition, state, *one);
+    for (const auto& one : batch) Decide(state, *one);
     co_return;
   }
   const auto offset = co_await store_.Append(partition, std::move(records), deadline);
@@ -143,16 +170,45 @@
     std::move(state.settled.begin(), state.settled.end(), std::back_inserter(settled));
     state.settled = std::move(settled);
     state.settled_since = Now();
+    state.dropping = false;
     co_return;
   }
   for (const auto& one : settled) {
     if (one.written) one.written();
   }
+  for (const auto& key : drops) state.expiry.Remove(key);
   state.next = std::max(state.next, base::Offset{offset->value + count});
-  for (const auto& one : batch) Decide(partition, state, *one);
+  state.current_at = Now();
+  for (const auto& one : batch) Decide(state, *one);
 }
 
-void BudgetManager::Decide(const Partition& partition, State& state, QueuedReservation& queued) {
+KeyedRecord BudgetManager::Track(State& state, const schema::TokenReservation& reservation) {
+  KeyedRecord record = Encode(reservation);
+  state.expiry.Add(record.key, ExpiryOf(reservation, RecordWriter::kThis));
+  return record;
+}
+
+KeyedRecord BudgetManager::Track(State& state, const schema::StreamBegin& begin) {
+  KeyedRecord record = Encode(begin);
+  state.expiry.Add(record.key, ExpiryOf(begin, RecordWriter::kThis));
+  return record;
+}
+
+awaitable<std::vector<std::string>> BudgetManager::DueDrops(const Partition& partition,
+                                                            State& state,
+                                                            base::TimePoint deadline) {
+  if (!state.dropping) co_return std::vector<std::string>{};
+  if (Now() - state.current_at > kMaxDropViewAge &&
+      !co_await ReadToEnd(partition, state, deadline)) {
+    state.dropping = false;
+    co_return std::vector<std::string>{};
+  }
+  auto due = state.expiry.Due({UnixMillis(), 0}, kMaxDropsPerAppend);
+  state.dropping = due.size() == kMaxDropsPerAppend;
+  co_return due;
+}
+
+void BudgetManager::Decide(State& state, QueuedReservation& queued) {
   const ReservationRequest& request = queued.request;
   const schema::TokenReservation& tokens = request.tokens;
   ReservationOutcome& outcome = queued.outcome;
@@ -160,17 +216,13 @@
   outcome.resumed_version =
       state.versions.Find(tokens.workspace, tokens.program, request.resumed_attempt)
           .value_or(base::SoftwareVersion{});
-  if (request.begin) {
-    state.versions.Apply(*request.begin);
-    own_records_.emplace(request.begin->expires_ms, std::pair{partition, KeyOf(*request.begin)});
-  }
+  if (request.begin) state.versions.Apply(*request.begin);
   if (!request.budget) return;
   const bool fits = state.ledger.Fits(tokens, *request.budget);
   outcome.usage = state.ledger.Usage(tokens.workspace, tokens.program);
   if (!fits) outcome.result = ReservationResult::kBudgetExhausted;
   state.ledger.Apply(tokens);
   if (!fits) Settle(tokens, 0);
-  own_records_.emplace(tokens.expires_ms, std::pair{partition, tokens.turn.value});
 }
 
 awaitable<bool> BudgetManager::Load(const Partition& partition, State& state,
@@ -180,6 +232,7 @@
   for (const auto& stored : snapshot->records) Apply(state, stored.record);
   state.next = snapshot->next;
   state.loaded = true;
+  state.current_at = Now();
   co_return true;
 }
 
@@ -214,16 +267,23 @@
       continue;
     }
     for (const auto& stored : batch->records) Apply(state, stored.record);
-    if (batch->records.empty()) co_return true;
+    if (batch->records.empty()) {
+      state.current_at = Now();
+      co_return true;
+    }
     state.next = batch->next;
   }
 }
 
 void BudgetManager::Apply(State& state, const KeyedRecord& record) {
-  if (!record.value) return;
+  if (!record.value) {
+    state.expiry.Remove(record.key);
+    return;
+  }
   const auto decoded = schema::DecodeState(*record.value);
   if (const auto* begin = decoded ? std::get_if<schema::StreamBegin>(&*decoded) : nullptr) {
     state.versions.Apply(*begin);
+    state.expiry.Add(record.key, ExpiryOf(*begin, RecordWriter::kOther));
     return;
   }
   const auto* reservation = decoded ? std::get_if<schema::TokenReservation>(&*decoded) : nullptr;
@@ -232,10 +292,12 @@
     return;
   }
   state.ledger.Apply(*reservation);
+  state.expiry.Add(record.key, ExpiryOf(*reservation, RecordWriter::kOther));
 }
 
 awaitable<void> BudgetManager::Flush(base::TimePoint deadline) {
   for (auto& [partition, state] : states_) {
+    state.dropping = false;
     if (!state.settled.empty()) Start(partition, state);
   }
   const auto pending = [this] {
@@ -259,32 +321,17 @@
     }
     if (now - dropped_at < kDropInterval) continue;
     dropped_at = now;
-    const std::int64_t now_ms = UnixMillis();
-    for (auto& [partition, state] : states_) {
-      state.ledger.Expire(now_ms);
-      state.versions.Expire(now_ms);
-    }
-    co_await DropOwnExpired(now_ms);
+    for (auto& [partition, state] : states_) DropExpired(partition, state);
   }
 }
 
-awaitable<void> BudgetManager::DropOwnExpired(std::int64_t now_ms) {
-  std::map<Partition, std::vector<KeyedRecord>> drops;
-  for (std::size_t n = 0; n < kMaxDropsPerPass && !own_records_.empty(); ++n) {
-    const auto first = own_records_.begin();
-    if (first->first >= now_ms) break;
-    const auto& [partition, key] = first->second;
-    drops[partition].push_back({key, std::nullopt});
-    own_records_.erase(first);
-  }
-  for (auto& [partition, records] : drops) {
-    const auto result =
-        co_await store_.Append(partition, std::move(records), Now() + kSettleTimeout);
-    if (!result) {
-      diagnostics::Log(diagnostics::Level::kInfo, "expired_reservations_left",
-                       {{"error", result.error().message}});
-    }
-  }
+void BudgetManager::DropExpired(const Partition& partition, State& state) {
+  const std::int64_t now_ms = UnixMillis();
+  state.ledger.Expire(now_ms);
+  state.versions.Expire(now_ms);
+  if (state.expiry.Due({now_ms, 0}, 1).empty()) return;
+  state.dropping = true;
+  Start(partition, state);
 }
 
 }  // namespace persimmonstair::gateway
--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -16,6 +16,7 @@
 #include "persimmonstair/schema/state.hpp"
 #include "persimmonstair/turns/stream_versions.hpp"
 #include "persimmonstair/turns/token_ledger.hpp"
+#include "record_expiry.hpp"
 #include "retrying_record_store.hpp"
 
 namespace persimmonstair::gateway {
@@ -126,6 +127,11 @@
     base::TimePoint settled_since;
     /// Time from which the next append may be sent.
     base::TimePoint next_append_at;
+    RecordExpiry expiry;
+    /// Time at which the state held all records of the partition.
+    base::TimePoint current_at;
+    /// True if there are expired records to delete.
+    bool dropping = false;
   };
 
   /// Appends queued reservations and settlements until there are none.
@@ -141,10 +147,17 @@
   boost::asio::awaitable<void> AppendQueued(const Partition& partition, State& state,
                                             std::vector<QueuedReservationPtr>& batch);
   /// Decides a reservation that is in the store, as are all records before it.
-  void Decide(const Partition& partition, State& state, QueuedReservation& queued);
+  void Decide(State& state, QueuedReservation& queued);
   void Apply(State& state, const KeyedRecord& record);
-  /// Deletes records that this instance wrote and that expired before `now_ms`.
-  boost::asio::awaitable<void> DropOwnExpired(std::int64_t now_ms);
+  /// Encodes a record that is about to be written and notes its expiry.
+  static KeyedRecord Track(State& state, const schema::TokenReservation& reservation);
+  static KeyedRecord Track(State& state, const schema::StreamBegin& begin);
+  /// Returns the keys of expired records to delete with the next append. Reads the newest records
+  /// first if another instance may have written later ones of the same programs.
+  boost::asio::awaitable<std::vector<std::string>> DueDrops(const Partition& partition,
+                                                            State& state, base::TimePoint deadline);
+  /// Starts the deletion of expired records.
+  void DropExpired(const Partition& partition, State& state);
   void Start(const Partition& partition, State& state);
 
   boost::asio::any_io_executor executor_;
@@ -152,8 +165,6 @@
   Partitioning partitions_;
   base::Duration append_interval_;
   std::map<Partition, State> states_;
-  /// Partition and key of each record that this instance wrote, by expiry in Unix milliseconds.
-  std::multimap<std::int64_t, std::pair<Partition, std::string>> own_records_;
 };
 
 }  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/budget_manager_test.cpp
@@ -0,0 +1,122 @@
+#include "budget_manager.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "busy_store_test.hpp"
+#include "persimmonstair/schema/codec.hpp"
+
+namespace persimmonstair::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kBudget = 1000;
+constexpr std::int64_t kLongExpiredMs = -60'000;
+constexpr std::int64_t kRetentionMs = 60'000;
+/// Longer than the interval at which an instance deletes its own expired records.
+constexpr milliseconds kDropPass{5'300};
+
+/// Returns a reservation that expires `expires_in_ms` from now.
+schema::TokenReservation MakeReservation(const std::string& program, const std::string& turn,
+                                         std::int64_t expires_in_ms) {
+  return {{program}, {"w"}, {turn}, 10, true, UnixMillis() + expires_in_ms};
+}
+
+/// An instance that reserves tokens.
+struct Instance {
+  Instance(boost::asio::io_context& io, RecordStore& records)
+      : store(records, metrics),
+        budgets(io.get_executor(), store, {"budgets", 1, 1}, milliseconds{1}) {}
+
+  diagnostics::Metrics metrics;
+  RetryingRecordStore store;
+  BudgetManager budgets;
+};
+
+class BudgetManagerTest : public testing::Test {
+ protected:
+  BudgetManagerTest() : records_(milliseconds{1}, {}) {}
+
+  /// Adds a record to the store, as an instance does that is gone.
+  template <class Record>
+  void Write(const std::string& key, const Record& record) {
+    boost::asio::co_spawn(io_, WriteRecord(key, schema::EncodeState(record)),
+                          boost::asio::detached);
+    RunFor(milliseconds{1});
+  }
+  void WriteReservation(const schema::TokenReservation& reservation) {
+    Write(reservation.turn.value, reservation);
+  }
+
+  std::unique_ptr<Instance> Start() {
+    auto instance = std::make_unique<Instance>(io_, records_);
+    boost::asio::co_spawn(io_, instance->budgets.DropExpired(), boost::asio::detached);
+    return instance;
+  }
+
+  ReservationOutcome Reserve(Instance& instance, const ReservationRequest& request) {
+    const auto outcome = std::make_shared<ReservationOutcome>();
+    boost::asio::co_spawn(io_, RunReserve(instance, request, outcome), boost::asio::detached);
+    RunFor(milliseconds{50});
+    return *outcome;
+  }
+  ReservationOutcome Reserve(Instance& instance, const schema::TokenReservation& tokens) {
+    ReservationRequest request;
+    request.tokens = tokens;
+    request.tokens.settled = false;
+    request.budget = kBudget;
+    return Reserve(instance, request);
+  }
+
+  void RunFor(base::Duration time) {
+    io_.restart();
+    io_.run_for(time);
+  }
+
+  bool Stored(const std::string& key) const {
+    const auto& stored = records_.Content().records;
+    return std::any_of(stored.begin(), stored.end(),
+                       [&](const auto& one) { return one.record.key == key; });
+  }
+
+  boost::asio::io_context io_{1};
+  BusyStore records_;
+
+ private:
+  boost::asio::awaitable<void> WriteRecord(std::string key, std::string value) {
+    const Partition partition{{"budgets-0"}, 0};
+    const auto records = OneRecord(key, value);
+    co_await records_.Append(partition, records, milliseconds{100}, std::nullopt);
+  }
+
+  static boost::asio::awaitable<void> RunReserve(Instance& instance, ReservationRequest request,
+                                                 std::shared_ptr<ReservationOutcome> outcome) {
+    *outcome = co_await instance.budgets.Reserve(request, Now() + milliseconds{1000});
+  }
+};
+
+// Guards against a program that may spend its budget again after a loss of its coordinator, because
+// the reservations of its first turns were deleted while it went on.
+TEST_F(BudgetManagerTest, ReservationsStayUntilTheLastOneOfTheirProgramExpires) {
+  const auto instance = Start();
+  Reserve(*instance, MakeReservation("goes on", "first", 100));
+  Reserve(*instance, MakeReservation("goes on", "last", kRetentionMs));
+  Reserve(*instance, MakeReservation("ended", "only", 100));
+  RunFor(kDropPass);
+  EXPECT_FALSE(Stored("only"));
+  EXPECT_TRUE(Stored("first"));
+  const auto next = Start();
+  const auto outcome = Reserve(*next, MakeReservation("goes on", "next", kRetentionMs));
+  EXPECT_EQ(outcome.usage.Total(), 20);
+}
+
+}  // namespace
+}  // namespace persimmonstair::gateway
--- a/src/persimmonstair/gateway/busy_store_test.hpp
+++ b/src/persimmonstair/gateway/busy_store_test.hpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <utility>
+#include <vector>
 
 #include "clock.hpp"
 #include "persimmonstair/gateway/record_store.hpp"
@@ -18,7 +19,7 @@
   /// Each read of the newest records takes `read_time` of the store and returns the records at its
   /// start, at first `content`.
   BusyStore(base::Duration read_time, RecordSnapshot content)
-      : read_time_(read_time), content_(std::move(content)) {}
+      : read_time_(read_time), content_(std::move(content)), log_(content_.records) {}
 
   boost::asio::awaitable<base::Result<base::Offset>> Append(
       const Partition& /*partition*/, const std::vector<KeyedRecord>& records,
@@ -29,6 +30,7 @@
       std::erase_if(content_.records,
                     [&](const auto& stored) { return stored.record.key == record.key; });
       if (record.value) content_.records.push_back({content_.next, record});
+      log_.push_back({content_.next, record});
       ++content_.next.value;
     }
     co_return first;
@@ -37,8 +39,13 @@
   boost::asio::awaitable<base::Result<RecordBatch>> Read(const Partition& /*partition*/,
                                                          base::Offset from,
                                                          ReadOptions options) override {
-    co_await Sleep(std::min(options.wait, options.timeout));
-    co_return RecordBatch{{}, from};
+    if (from >= content_.next) co_await Sleep(std::min(options.wait, options.timeout));
+    RecordBatch batch;
+    for (const auto& stored : log_) {
+      if (stored.offset >= from) batch.records.push_back(stored);
+    }
+    batch.next = std::max(from, content_.next);
+    co_return batch;
   }
 
   boost::asio::awaitable<base::Result<RecordSnapshot>> ReadNewest(const Partition& /*partition*/,
@@ -61,6 +68,8 @@
  private:
   base::Duration read_time_;
   RecordSnapshot content_;
+  /// All records, in the order of their offsets.
+  std::vector<StoredRecord> log_;
   base::TimePoint served_until_;
   std::size_t reads_ = 0;
   std::size_t appends_ = 0;
