Delete expired reservations and versions whose writers are gone

Cause: only the writer of a reservation or of a stream's version deleted it. After a loss of all instances, nobody did, and each first read of a partition reads these records too. Change: an instance also notes the expiry of the records that it reads. 30 s after it, and if it has appended to the partition in the last 10 s, it deletes them with its next appends, 100 at most each. Deletions by others, which it reads, need none of its own. Why it works: usually one instance appends to a partition, so the records are deleted once; the writer, if it is there, comes first. Before and after, in the test: of 250 expired records of a lost writer 250 remained, now none, after three appends. ExpiredRecordsOfLostWritersAreDeletedByTheInstanceThatAppends and ManyDeletionsAreSpreadOverAppends failed before; InstancesThatOnlyReadDeleteNothing and RecordsAreLeftToTheirWriterForAWhile passed before and guard this change.

--- a/src/persimmonstair/gateway/budget_manager.cpp
+++ b/src/persimmonstair/gateway/budget_manager.cpp
@@ -28,8 +28,10 @@
 /// Timeout of the first read of a partition. Longer than a reservation waits, so that the read
 /// isn't begun anew for the next one.
 constexpr milliseconds kLoadTimeout{10'000};
-/// Interval at which the deletion of expired records begins.
-constexpr std::chrono::seconds kDropInterval{5};
+/// Time for which expired records are left to their writer, so that they aren't deleted twice.
+constexpr std::int64_t kForeignDropDelayMs = 30'000;
+/// Time since its last append, in drop intervals, for which an instance deletes records of others.
+constexpr int kAppenderIntervals = 2;
 /// Keeps an append that also holds reservations short.
 constexpr std::size_t kMaxDropsPerAppend = 100;
 /// Age up to which the known records of a partition count as complete when records are deleted.
@@ -179,6 +181,7 @@
   for (const auto& key : drops) state.expiry.Remove(key);
   state.next = std::max(state.next, base::Offset{offset->value + count});
   state.current_at = Now();
+  if (count > drops.size()) state.appended_at = state.current_at;
   for (const auto& one : batch) Decide(state, *one);
 }
 
@@ -203,7 +206,7 @@
     state.dropping = false;
     co_return std::vector<std::string>{};
   }
-  auto due = state.expiry.Due({UnixMillis(), 0}, kMaxDropsPerAppend);
+  auto due = state.expiry.Due(DueBefore(state), kMaxDropsPerAppend);
   state.dropping = due.size() == kMaxDropsPerAppend;
   co_return due;
 }
@@ -319,17 +322,23 @@
         Start(partition, state);
       }
     }
-    if (now - dropped_at < kDropInterval) continue;
+    if (now - dropped_at < drop_interval_) continue;
     dropped_at = now;
     for (auto& [partition, state] : states_) DropExpired(partition, state);
   }
 }
 
+RecordExpiry::DueTimes BudgetManager::DueBefore(const State& state) const {
+  const std::int64_t now_ms = UnixMillis();
+  const bool appends = Now() - state.appended_at < kAppenderIntervals * drop_interval_;
+  return {now_ms, appends ? now_ms - kForeignDropDelayMs : 0};
+}
+
 void BudgetManager::DropExpired(const Partition& partition, State& state) {
   const std::int64_t now_ms = UnixMillis();
   state.ledger.Expire(now_ms);
   state.versions.Expire(now_ms);
-  if (state.expiry.Due({now_ms, 0}, 1).empty()) return;
+  if (state.expiry.Due(DueBefore(state), 1).empty()) return;
   state.dropping = true;
   Start(partition, state);
 }
--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -58,6 +58,9 @@
 ///
 /// The version is written with the reservation, so that it costs no append of its own.
 ///
+/// Expired records are deleted by their writer. Those of a writer that is gone are deleted by the
+/// instance that appends to the partition.
+///
 /// Reservations of a partition that arrive within the append interval are written together. All
 /// instances read the reservations of a program in the order of the store's log. A reservation
 /// is granted only if it fits into the budget together with all earlier ones.
@@ -67,13 +70,18 @@
   /// resume within the retention time of its turns.
   static constexpr std::int64_t kReservationRetentionMs = 180'000;
 
+  /// Interval at which the deletion of expired records begins.
+  static constexpr std::chrono::seconds kDropInterval{5};
+
   /// Writes to each partition at most once in `append_interval`.
   BudgetManager(const boost::asio::any_io_executor& executor, RetryingRecordStore& store,
-                Partitioning budgets, base::Duration append_interval)
+                Partitioning budgets, base::Duration append_interval,
+                base::Duration drop_interval = kDropInterval)
       : executor_(executor),
         store_(store),
         partitions_(std::move(budgets)),
-        append_interval_(append_interval) {}
+        append_interval_(append_interval),
+        drop_interval_(drop_interval) {}
 
   /// Returns the partition that holds the program's reservations.
   Partition PartitionOf(const base::ProgramId& program) const {
@@ -130,6 +138,8 @@
     RecordExpiry expiry;
     /// Time at which the state held all records of the partition.
     base::TimePoint current_at;
+    /// Time of the last append that was not made for deletions alone.
+    base::TimePoint appended_at;
     /// True if there are expired records to delete.
     bool dropping = false;
   };
@@ -156,6 +166,8 @@
   /// first if another instance may have written later ones of the same programs.
   boost::asio::awaitable<std::vector<std::string>> DueDrops(const Partition& partition,
                                                             State& state, base::TimePoint deadline);
+  /// Time before which records must have expired to be deleted by this instance.
+  RecordExpiry::DueTimes DueBefore(const State& state) const;
   /// Starts the deletion of expired records.
   void DropExpired(const Partition& partition, State& state);
   void Start(const Partition& partition, State& state);
@@ -164,6 +176,7 @@
   RetryingRecordStore& store_;
   Partitioning partitions_;
   base::Duration append_interval_;
+  base::Duration drop_interval_;
   std::map<Partition, State> states_;
 };
 
--- a/src/persimmonstair/gateway/budget_manager_test.cpp
+++ b/src/persimmonstair/gateway/budget_manager_test.cpp
@@ -21,8 +21,9 @@
 constexpr std::uint64_t kBudget = 1000;
 constexpr std::int64_t kLongExpiredMs = -60'000;
 constexpr std::int64_t kRetentionMs = 60'000;
-/// Longer than the interval at which an instance deletes its own expired records.
-constexpr milliseconds kDropPass{5'300};
+constexpr milliseconds kDropInterval{200};
+/// Longer than the time until the deletion of expired records begins.
+constexpr milliseconds kDropPass{500};
 
 /// Returns a reservation that expires `expires_in_ms` from now.
 schema::TokenReservation MakeReservation(const std::string& program, const std::string& turn,
@@ -34,7 +35,7 @@
 struct Instance {
   Instance(boost::asio::io_context& io, RecordStore& records)
       : store(records, metrics),
-        budgets(io.get_executor(), store, {"budgets", 1, 1}, milliseconds{1}) {}
+        budgets(io.get_executor(), store, {"budgets", 1, 1}, milliseconds{1}, kDropInterval) {}
 
   diagnostics::Metrics metrics;
   RetryingRecordStore store;
@@ -118,5 +119,60 @@
   EXPECT_EQ(outcome.usage.Total(), 20);
 }
 
+// Guards against reservations and versions that stay in the store for ever once their writers are
+// gone, so that the first read of a partition grows with the length of the day.
+TEST_F(BudgetManagerTest, ExpiredRecordsOfLostWritersAreDeletedByTheInstanceThatAppends) {
+  WriteReservation(MakeReservation("old", "expired", kLongExpiredMs));
+  WriteReservation(MakeReservation("goes on", "early", kLongExpiredMs));
+  WriteReservation(MakeReservation("goes on", "late", kRetentionMs));
+  const schema::StreamBegin begin{
+      {"w"}, {"old"}, {"attempt"}, {"1"}, UnixMillis() + kLongExpiredMs};
+  Write("began/1", begin);
+  const auto instance = Start();
+  Reserve(*instance, MakeReservation("new", "turn", kRetentionMs));
+  RunFor(kDropPass);
+  EXPECT_FALSE(Stored("expired"));
+  EXPECT_FALSE(Stored("began/1"));
+  EXPECT_TRUE(Stored("early"));
+  EXPECT_TRUE(Stored("late"));
+  EXPECT_TRUE(Stored("turn"));
+}
+
+// Guards against all instances that read a partition deleting the same records.
+TEST_F(BudgetManagerTest, InstancesThatOnlyReadDeleteNothing) {
+  WriteReservation(MakeReservation("old", "expired", kLongExpiredMs));
+  const auto instance = Start();
+  ReservationRequest take_up;
+  take_up.tokens = MakeReservation("new", "turn", kRetentionMs);
+  take_up.resumed_attempt = {"attempt"};
+  EXPECT_EQ(Reserve(*instance, take_up).result, ReservationResult::kGranted);
+  RunFor(kDropPass);
+  EXPECT_TRUE(Stored("expired"));
+  EXPECT_EQ(records_.Appends(), 1);
+}
+
+// Guards against a coordinator that deletes records which their writer, still there, deletes too.
+TEST_F(BudgetManagerTest, RecordsAreLeftToTheirWriterForAWhile) {
+  WriteReservation(MakeReservation("old", "expired just now", -1'000));
+  const auto instance = Start();
+  Reserve(*instance, MakeReservation("new", "turn", kRetentionMs));
+  RunFor(kDropPass);
+  EXPECT_TRUE(Stored("expired just now"));
+}
+
+// Guards against appends that deletions make so long that reservations wait for them.
+TEST_F(BudgetManagerTest, ManyDeletionsAreSpreadOverAppends) {
+  constexpr int kExpired = 250;
+  for (int n = 0; n < kExpired; ++n) {
+    WriteReservation(MakeReservation("old", "expired-" + std::to_string(n), kLongExpiredMs));
+  }
+  const auto instance = Start();
+  Reserve(*instance, MakeReservation("new", "turn", kRetentionMs));
+  RunFor(kDropPass);
+  EXPECT_EQ(records_.Content().records.size(), 1);
+  // One append for the reservation and three for the deletions, of 100 records at most.
+  EXPECT_EQ(records_.Appends(), kExpired + 4);
+}
+
 }  // namespace
 }  // namespace persimmonstair::gateway
