Wait for a late answer before the deletion of expired turns

Cause: the read of a partition before its expired turns are deleted was given up after 1 s. Its cost to a busy store was lost, the next partition was read in the same way, and the expired turns stayed until an instance read that partition again. Change: that read has 10 s, as other reads of whole partitions. Deletions run one after the other, so that an instance has at most one such read at the store. Before and after, in the test on a store of 1.1 s a read: the expired turn remained, now it is deleted. ExpiredTurnsAreDeletedAlthoughTheStoreIsSlow failed before.

--- a/src/persimmonstair/gateway/turn_store.cpp
+++ b/src/persimmonstair/gateway/turn_store.cpp
@@ -25,6 +25,8 @@
 /// Delay between the expiry of a record and its deletion. An expired turn can't be continued, so no
 /// instance extends its lifetime in between.
 constexpr std::int64_t kDropDelayMs = 30'000;
+/// Timeout of the read before a deletion. A busy store answers late.
+constexpr std::chrono::seconds kDropReadTimeout{10};
 constexpr std::chrono::seconds kDropTimeout{1};
 /// Maximum number of read rounds for one chain. Each round reads the ancestors that the previous
 /// round found.
@@ -176,7 +178,7 @@
 
 // Another instance may have extended a turn, so the expiry times are read from the store again.
 awaitable<void> TurnStore::DropExpiredFrom(Partition partition) {
-  const auto snapshot = co_await store_.ReadNewest(partition, Now() + kDropTimeout);
+  const auto snapshot = co_await store_.ReadNewest(partition, Now() + kDropReadTimeout);
   if (!snapshot) co_return;
   std::vector<KeyedRecord> drops;
   for (const auto& kept : DecodeKeptTurns(partition, *snapshot)) {
--- a/src/persimmonstair/gateway/turn_store_test.cpp
+++ b/src/persimmonstair/gateway/turn_store_test.cpp
@@ -193,5 +193,18 @@
   EXPECT_EQ(records_->Reads(), 1);
 }
 
+// Guards against expired turns that stay in the store because a busy store answers the read before
+// their deletion late, and against that read being thrown away at full cost.
+TEST_F(TurnStoreTest, ExpiredTurnsAreDeletedAlthoughTheStoreIsSlow) {
+  schema::KeptTurn expired = MakeTurn("turn");
+  expired.expires_ms = UnixMillis() - kRetentionMs;
+  MakeStores(milliseconds{1100}, {expired, MakeTurn("kept")});
+  boost::asio::co_spawn(io_, turns_->DropExpired(), boost::asio::detached);
+  const SearchPtr search = Start("kept", milliseconds{3000});
+  RunFor(milliseconds{5000} + milliseconds{1300});
+  EXPECT_TRUE(search->Found());
+  EXPECT_EQ(records_->Content().records.size(), 1);
+}
+
 }  // namespace
 }  // namespace persimmonstair::gateway
