--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -16,6 +16,7 @@
 #include "persimmonstair/schema/state.hpp"
 #include "persimmonstair/turns/stream_versions.hpp"
 #include "persimmonstair/turns/token_ledger.hpp"
+#include "record_expiry.hpp"
 #include "retrying_record_store.hpp"
 
 namespace persimmonstair::gateway {
@@ -57,6 +58,9 @@
 ///
 /// The version is written with the reservation, so that it costs no append of its own.
 ///
+/// Expired records are deleted by their writer. Those of a writer that is gone are deleted by the
+/// instance that appends to the partition.
+///
 /// Reservations of a partition that arrive within the append interval are written together. All
 /// instances read the reservations of a program in the order of the store's log. A reservation
 /// is granted only if it fits into the budget together with all earlier ones.
@@ -66,13 +70,18 @@
   /// resume within the retention time of its turns.
   static constexpr std::int64_t kReservationRetentionMs = 180'000;
 
+  /// Interval at which the deletion of expired records begins.
+  static constexpr std::chrono::seconds kDropInterval{5};
+
   /// Writes to each partition at most once in `append_interval`.
   BudgetManager(const boost::asio::any_io_executor& executor, RetryingRecordStore& store,
-                Partitioning budgets, base::Duration append_interval)
+                Partitioning budgets, base::Duration append_interval,
+                base::Duration drop_interval = kDropInterval)
       : executor_(executor),
         store_(store),
         partitions_(std::move(budgets)),
-        append_interval_(append_interval) {}
+        append_interval_(append_interval),
+        drop_interval_(drop_interval) {}
 
   /// Returns the partition that holds the program's reservations.
   Partition PartitionOf(const base::ProgramId& program) const {
@@ -126,6 +135,13 @@
     base::TimePoint settled_since;
     /// Time from which the next append may be sent.
     base::TimePoint next_append_at;
+    RecordExpiry expiry;
+    /// Time at which the state held all records of the partition.
+    base::TimePoint current_at;
+    /// Time of the last append that was not made for deletions alone.
+    base::TimePoint appended_at;
+    /// True if there are expired records to delete.
+    bool dropping = false;
   };
 
   /// Appends queued reservations and settlements until there are none.
@@ -141,19 +157,27 @@
   boost::asio::awaitable<void> AppendQueued(const Partition& partition, State& state,
                                             std::vector<QueuedReservationPtr>& batch);
   /// Decides a reservation that is in the store, as are all records before it.
-  void Decide(const Partition& partition, State& state, QueuedReservation& queued);
+  void Decide(State& state, QueuedReservation& queued);
   void Apply(State& state, const KeyedRecord& record);
-  /// Deletes records that this instance wrote and that expired before `now_ms`.
-  boost::asio::awaitable<void> DropOwnExpired(std::int64_t now_ms);
+  /// Encodes a record that is about to be written and notes its expiry.
+  static KeyedRecord Track(State& state, const schema::TokenReservation& reservation);
+  static KeyedRecord Track(State& state, const schema::StreamBegin& begin);
+  /// Returns the keys of expired records to delete with the next append. Reads the newest records
+  /// first if another instance may have written later ones of the same programs.
+  boost::asio::awaitable<std::vector<std::string>> DueDrops(const Partition& partition,
+                                                            State& state, base::TimePoint deadline);
+  /// Time before which records must have expired to be deleted by this instance.
+  RecordExpiry::DueTimes DueBefore(const State& state) const;
+  /// Starts the deletion of expired records.
+  void DropExpired(const Partition& partition, State& state);
   void Start(const Partition& partition, State& state);
 
   boost::asio::any_io_executor executor_;
   RetryingRecordStore& store_;
   Partitioning partitions_;
   base::Duration append_interval_;
+  base::Duration drop_interval_;
   std::map<Partition, State> states_;
-  /// Partition and key of each record that this instance wrote, by expiry in Unix milliseconds.
-  std::multimap<std::int64_t, std::pair<Partition, std::string>> own_records_;
 };
 
 }  // namespace persimmonstair::gateway
--- a/src/persimmonstair/gateway/turn_store.cpp
+++ b/src/persimmonstair/gateway/turn_store.cpp
@@ -18,12 +18,15 @@
 using base::Fail;
 using base::Result;
 using boost::asio::awaitable;
+using KeySet = PartitionReads::KeySet;
 
 /// Interval between two deletions of expired turns.
 constexpr std::chrono::seconds kDropInterval{5};
 /// Delay between the expiry of a record and its deletion. An expired turn can't be continued, so no
 /// instance extends its lifetime in between.
 constexpr std::int64_t kDropDelayMs = 30'000;
+/// Timeout of the read before a deletion. A busy store answers late.
+constexpr std::chrono::seconds kDropReadTimeout{10};
 constexpr std::chrono::seconds kDropTimeout{1};
 /// Maximum number of read rounds for one chain. Each round reads the ancestors that the previous
 /// round found.
@@ -49,9 +52,19 @@
 
 }  // namespace
 
+TurnStore::TurnStore(const boost::asio::any_io_executor& executor, RetryingRecordStore& store,
+                     Partitioning turns, std::size_t cache_bytes)
+    : executor_(executor),
+      store_(store),
+      partitions_(std::move(turns)),
+      cache_(cache_bytes),
+      reads_(executor, store,
+             [this](const Partition& partition, const RecordSnapshot& snapshot,
+                    const KeySet& wanted) { return CacheTurns(partition, snapshot, wanted); }) {}
+
 awaitable<Result<History>> TurnStore::Find(base::WorkspaceId workspace, base::TurnId previous,
                                            base::TimePoint deadline) {
-  std::vector<base::TurnId> asked;
+  std::set<base::TurnId> asked;
   for (int round = 0; round < kMaxFetchRounds; ++round) {
     turns::Chain chain = cache_.Find(workspace, previous, UnixMillis());
     if (chain.other_workspace) co_return Fail(ErrorCode::kNotFound, "turn of another workspace");
@@ -60,62 +73,61 @@
       co_return History{std::move(chain.history), std::move(chain.ancestors)};
     }
     for (const auto& turn : chain.missing) {
-      // The store was read after the request arrived, so the turn certainly does not exist.
-      if (std::find(asked.begin(), asked.end(), turn) != asked.end()) {
-        co_return Fail(ErrorCode::kNotFound, "no stored turn " + turn.value);
-      }
-    }
-    asked.insert(asked.end(), chain.missing.begin(), chain.missing.end());
-    if (!co_await Fetch(std::move(chain.missing), deadline)) {
+      if (asked.insert(turn).second) continue;
       co_return Fail(ErrorCode::kLogUnavailable,
-                     "stored turns can't be read: the record store is unavailable");
+                     "stored turn " + turn.value + " left the cache before it was used");
+    }
+    const auto absent = co_await Fetch(std::move(chain.missing), deadline);
+    if (!absent) co_return tl::make_unexpected(absent.error());
+    if (!absent->empty()) {
+      co_return Fail(ErrorCode::kNotFound, "no stored turn " + *absent->begin());
     }
   }
   co_return Fail(ErrorCode::kInternal, "the chain of previous turns is too long");
 }
 
-awaitable<bool> TurnStore::Fetch(std::vector<base::TurnId> turns, base::TimePoint deadline) {
-  std::map<Partition, std::vector<base::TurnId>> grouped;
-  for (auto& turn : turns) grouped[partitions_.PartitionOf(turn.value)].push_back(std::move(turn));
+awaitable<Result<KeySet>> TurnStore::Fetch(std::vector<base::TurnId> turns,
+                                           base::TimePoint deadline) {
+  std::map<Partition, KeySet> grouped;
+  for (auto& turn : turns) {
+    grouped[partitions_.PartitionOf(turn.value)].insert(std::move(turn.value));
+  }
   struct Join {
     explicit Join(const boost::asio::any_io_executor& executor) : done(executor) {}
     std::size_t left = 0;
     bool all_read = true;
+    KeySet absent;
     OneShotEvent done;
   };
   const auto join = std::make_shared<Join>(executor_);
   join->left = grouped.size();
   for (auto& [partition, wanted] : grouped) {
-    boost::asio::co_spawn(executor_, FetchPartition(partition, std::move(wanted), deadline),
-                          [join](const std::exception_ptr& error, bool read) {
-                            join->all_read = join->all_read && !error && read;
+    boost::asio::co_spawn(executor_, reads_.Read(partition, std::move(wanted), deadline),
+                          [join](const std::exception_ptr& error, Result<KeySet> absent) {
+                            join->all_read = join->all_read && !error && absent;
+                            if (!error && absent) join->absent.merge(*absent);
                             if (--join->left == 0) join->done.Set();
                           });
   }
   co_await join->done.Wait();
-  co_return join->all_read;
+  if (join->all_read) co_return std::move(join->absent);
+  co_return Fail(ErrorCode::kLogUnavailable,
+                 "stored turns can't be read: the record store is unavailable");
 }
 
-awaitable<bool> TurnStore::FetchPartition(Partition partition, std::vector<base::TurnId> turns,
-                                          base::TimePoint deadline) {
-  const auto snapshot = co_await store_.ReadNewest(partition, deadline);
-  if (!snapshot) {
-    diagnostics::Log(diagnostics::Level::kWarning, "turns_not_read",
-                     {{"stream", partition.stream.value},
-                      {"part", partition.part},
-                      {"error", snapshot.error().message}});
-    co_return false;
-  }
+KeySet TurnStore::CacheTurns(const Partition& partition, const RecordSnapshot& snapshot,
+                             const KeySet& wanted) {
   const std::int64_t now_ms = UnixMillis();
+  KeySet found;
   bool expired = false;
-  for (auto& kept : DecodeKeptTurns(partition, *snapshot)) {
+  for (auto& kept : DecodeKeptTurns(partition, snapshot)) {
     if (kept.expires_ms + kDropDelayMs < now_ms) expired = true;
-    if (std::find(turns.begin(), turns.end(), kept.turn) != turns.end()) {
-      cache_.Put(std::move(kept));
-    }
+    if (kept.expires_ms < now_ms || !wanted.contains(kept.turn.value)) continue;
+    found.insert(kept.turn.value);
+    cache_.Put(std::move(kept));
   }
   if (expired) drop_schedule_.emplace_front(0, partition);
-  co_return true;
+  return found;
 }
 
 awaitable<Result<void>> TurnStore::Save(schema::KeptTurn record, base::TimePoint deadline,
@@ -166,7 +178,7 @@
 
 // Another instance may have extended a turn, so the expiry times are read from the store again.
 awaitable<void> TurnStore::DropExpiredFrom(Partition partition) {
-  const auto snapshot = co_await store_.ReadNewest(partition, Now() + kDropTimeout);
+  const auto snapshot = co_await store_.ReadNewest(partition, Now() + kDropReadTimeout);
   if (!snapshot) co_return;
   std::vector<KeyedRecord> drops;
   for (const auto& kept : DecodeKeptTurns(partition, *snapshot)) {
--- /dev/null
+++ b/src/persimmonstair/gateway/turn_store_test.cpp
@@ -0,0 +1,210 @@
+#include "turn_store.hpp"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "busy_store_test.hpp"
+#include "persimmonstair/schema/codec.hpp"
+
+namespace persimmonstair::gateway {
+namespace {
+
+using base::ErrorCode;
+using std::chrono::milliseconds;
+
+constexpr std::int64_t kRetentionMs = 60'000;
+constexpr std::size_t kCacheBytes = 1'000'000;
+const base::WorkspaceId kWorkspace{"w"};
+
+schema::KeptTurn MakeTurn(const std::string& id, std::vector<base::TurnId> ancestors = {}) {
+  return {{id}, kWorkspace, std::move(ancestors), "in " + id, "out", UnixMillis() + kRetentionMs};
+}
+
+RecordSnapshot SnapshotOf(const std::vector<schema::KeptTurn>& turns) {
+  RecordSnapshot snapshot;
+  for (const auto& turn : turns) {
+    snapshot.records.push_back({snapshot.next, {turn.turn.value, schema::EncodeState(turn)}});
+    ++snapshot.next.value;
+  }
+  return snapshot;
+}
+
+/// A request that looks for a turn.
+struct Search {
+  std::optional<base::Result<History>> result;
+  base::Duration took{0};
+
+  bool Found() const { return result && result->has_value(); }
+  bool FailedWith(ErrorCode code) const {
+    return result && !result->has_value() && result->error().code == code;
+  }
+};
+using SearchPtr = std::shared_ptr<Search>;
+
+class TurnStoreTest : public testing::Test {
+ protected:
+  void MakeStores(base::Duration read_time, const std::vector<schema::KeptTurn>& turns,
+                  std::size_t cache_bytes = kCacheBytes) {
+    records_ = std::make_unique<BusyStore>(read_time, SnapshotOf(turns));
+    store_ = std::make_unique<RetryingRecordStore>(*records_, metrics_);
+    turns_ = std::make_unique<TurnStore>(io_.get_executor(), *store_, Partitioning{"turns", 1, 1},
+                                         cache_bytes);
+  }
+
+  SearchPtr Start(const std::string& turn, base::Duration time) {
+    auto search = std::make_shared<Search>();
+    boost::asio::co_spawn(io_, Run(search, turn, time), boost::asio::detached);
+    return search;
+  }
+
+  void RunFor(base::Duration time) {
+    io_.restart();
+    io_.run_for(time);
+  }
+
+  /// Adds a turn to the store, as another instance does.
+  void Write(const schema::KeptTurn& turn) {
+    boost::asio::co_spawn(io_, WriteTurn(turn), boost::asio::detached);
+    RunFor(milliseconds{1});
+  }
+
+  boost::asio::io_context io_{1};
+  diagnostics::Metrics metrics_;
+  std::unique_ptr<BusyStore> records_;
+  std::unique_ptr<RetryingRecordStore> store_;
+  std::unique_ptr<TurnStore> turns_;
+
+ private:
+  boost::asio::awaitable<void> Run(SearchPtr search, std::string turn, base::Duration time) {
+    const base::TimePoint began = Now();
+    const base::TurnId id{turn};
+    search->result = co_await turns_->Find(kWorkspace, id, began + time);
+    search->took = Now() - began;
+  }
+
+  boost::asio::awaitable<void> WriteTurn(schema::KeptTurn turn) {
+    const Partition partition{{"turns-0"}, 0};
+    const auto records = OneRecord(turn.turn.value, schema::EncodeState(turn));
+    co_await records_->Append(partition, records, milliseconds{100}, std::nullopt);
+  }
+};
+
+// Guards against callers that are told that a stored turn doesn't exist because other turns pushed
+// it out of the cache right after it was read.
+TEST_F(TurnStoreTest, StoredTurnThatWasEvictedAtOnceDoesNotCountAsMissing) {
+  MakeStores(milliseconds{1}, {MakeTurn("first"), MakeTurn("second", {{"first"}})}, 1);
+  const SearchPtr search = Start("second", milliseconds{500});
+  RunFor(milliseconds{100});
+  EXPECT_TRUE(search->FailedWith(ErrorCode::kLogUnavailable));
+}
+
+// Guards against a read of the whole partition for each of many requests that miss in it at once,
+// as all do after a start.
+TEST_F(TurnStoreTest, RequestsThatMissInOnePartitionShareItsRead) {
+  constexpr int kRequests = 50;
+  std::vector<schema::KeptTurn> turns;
+  for (int n = 0; n < kRequests; ++n) turns.push_back(MakeTurn("turn-" + std::to_string(n)));
+  MakeStores(milliseconds{40}, turns);
+  std::vector<SearchPtr> searches;
+  for (const auto& turn : turns) {
+    searches.push_back(Start(turn.turn.value, milliseconds{3000}));
+    if (searches.size() == kRequests / 2) RunFor(milliseconds{10});
+  }
+  RunFor(milliseconds{300});
+  for (const auto& search : searches) EXPECT_TRUE(search->Found());
+  EXPECT_EQ(records_->Reads(), 1);
+}
+
+// Guards against reads that end with their request's deadline and are begun anew, at full cost, for
+// the caller's next attempt, so that a slow store never serves it.
+TEST_F(TurnStoreTest, ReadThatOutlastsItsRequestServesTheNextAttempt) {
+  MakeStores(milliseconds{300}, {MakeTurn("turn"), MakeTurn("other")});
+  const SearchPtr first = Start("turn", milliseconds{100});
+  const SearchPtr given_up = Start("other", milliseconds{100});
+  RunFor(milliseconds{150});
+  EXPECT_TRUE(first->FailedWith(ErrorCode::kLogUnavailable));
+  const SearchPtr second = Start("turn", milliseconds{500});
+  RunFor(milliseconds{250});
+  EXPECT_TRUE(second->Found());
+  const SearchPtr cached = Start("other", milliseconds{10});
+  RunFor(milliseconds{50});
+  EXPECT_TRUE(cached->Found());
+  EXPECT_EQ(records_->Reads(), 1);
+}
+
+// Guards against requests that are held beyond their deadline by a read that others began, or whose
+// own end stops the read for others.
+TEST_F(TurnStoreTest, RequestWaitsForASharedReadUntilItsOwnDeadline) {
+  MakeStores(milliseconds{300}, {MakeTurn("turn")});
+  const SearchPtr patient = Start("turn", milliseconds{2000});
+  RunFor(milliseconds{20});
+  const SearchPtr hurried = Start("turn", milliseconds{80});
+  RunFor(milliseconds{400});
+  EXPECT_TRUE(hurried->FailedWith(ErrorCode::kLogUnavailable));
+  EXPECT_GE(hurried->took, milliseconds{80});
+  EXPECT_LT(hurried->took, milliseconds{200});
+  EXPECT_TRUE(patient->Found());
+}
+
+// Guards against 'not found' for a turn that was stored after a shared read had begun.
+TEST_F(TurnStoreTest, TurnIsNotFoundOnlyByAReadThatBeganAfterTheRequest) {
+  MakeStores(milliseconds{100}, {});
+  const SearchPtr first = Start("absent", milliseconds{2000});
+  RunFor(milliseconds{20});
+  Write(MakeTurn("late"));
+  const SearchPtr late = Start("late", milliseconds{2000});
+  const SearchPtr again = Start("absent", milliseconds{2000});
+  RunFor(milliseconds{100});
+  EXPECT_TRUE(first->FailedWith(ErrorCode::kNotFound));
+  EXPECT_FALSE(late->result);
+  EXPECT_FALSE(again->result);
+  RunFor(milliseconds{200});
+  EXPECT_TRUE(late->Found());
+  EXPECT_TRUE(again->FailedWith(ErrorCode::kNotFound));
+  EXPECT_EQ(records_->Reads(), 2);
+}
+
+// Guards against further reads for requests that have given up.
+TEST_F(TurnStoreTest, NoReadBeginsForARequestThatGaveUp) {
+  MakeStores(milliseconds{200}, {});
+  Start("absent", milliseconds{50});
+  RunFor(milliseconds{20});
+  const SearchPtr joined = Start("absent", milliseconds{50});
+  RunFor(milliseconds{600});
+  EXPECT_TRUE(joined->FailedWith(ErrorCode::kLogUnavailable));
+  EXPECT_EQ(records_->Reads(), 1);
+}
+
+// Guards against turns that are served although they have expired.
+TEST_F(TurnStoreTest, ExpiredTurnIsNotFound) {
+  schema::KeptTurn expired = MakeTurn("turn");
+  expired.expires_ms = UnixMillis() - 1;
+  MakeStores(milliseconds{1}, {expired});
+  const SearchPtr search = Start("turn", milliseconds{500});
+  RunFor(milliseconds{100});
+  EXPECT_TRUE(search->FailedWith(ErrorCode::kNotFound));
+  EXPECT_EQ(records_->Reads(), 1);
+}
+
+// Guards against expired turns that stay in the store because a busy store answers the read before
+// their deletion late, and against that read being thrown away at full cost.
+TEST_F(TurnStoreTest, ExpiredTurnsAreDeletedAlthoughTheStoreIsSlow) {
+  schema::KeptTurn expired = MakeTurn("turn");
+  expired.expires_ms = UnixMillis() - kRetentionMs;
+  MakeStores(milliseconds{1100}, {expired, MakeTurn("kept")});
+  boost::asio::co_spawn(io_, turns_->DropExpired(), boost::asio::detached);
+  const SearchPtr search = Start("kept", milliseconds{3000});
+  RunFor(milliseconds{5000} + milliseconds{1300});
+  EXPECT_TRUE(search->Found());
+  EXPECT_EQ(records_->Content().records.size(), 1);
+}
+
+}  // namespace
+}  // namespace persimmonstair::gateway
