Send nothing more to a target that says in a response that it leaves

Callers saw requests go to a target that had announced by `Server-Leaving: 1` that it stops: they were refused or broken off when it ended. Until its entry in the store said "draining", and for as long as the store could not be read, an instance knew nothing of it. A record of the store that was older than the "draining" one also brought a target back.

Cause: the header was not decoded, and the registry took the state of a target from its last entry only.

The header's name is known in the adapter; `ResponseMetadata::leaving` says what it means. At most 4096 starts are remembered, listed ones always. All responses count: successes, streams, errors, refusals, interim ones and answers to other requests on the connection; one to a misdirected request (421) doesn't, because another target sent it. What is under way finishes. A request that was given to the target before is checked again before a connection is sought and right before it is sent, so that requests that waited for the target's rate go elsewhere too. Idle connections are closed, also when an entry says "draining". If no target is left, or none of the version that a stream needs, the request is refused at once with a Retry-After, as when all drain.

The line `target_leaving` says once for each start what said so: the request, with the time since it was sent, or the entry with its offset. `persimmonstair_targets_leaving_unlisted` counts targets that are known by response only.

The four registry tests use calls that did not exist.

--- a/include/persimmonstair/dispatch/target_registry.hpp
+++ b/include/persimmonstair/dispatch/target_registry.hpp
@@ -100,15 +100,25 @@
       : local_data_centre_(std::move(local_data_centre)) {}
 
   /// Adds or updates a target. A changed start time clears its load, failures and known prompts.
+  /// An entry that says that the target is draining counts like MarkLeaving().
   void Upsert(base::TimePoint now, const TargetEntry& entry);
   void Remove(const base::TargetId& id);
   std::vector<base::TargetId> Ids() const;
 
-  /// Returns the target with the lowest expected delay that is neither draining nor already tried,
+  /// Records that the target that started at `started_ms` leaves: Choose() never returns it again,
+  /// even if its entry is removed, or still or later lists it as in service. A target that started
+  /// at another time under the same id is not affected. Returns false if that was known.
+  bool MarkLeaving(base::TimePoint now, const base::TargetId& id, std::int64_t started_ms);
+  /// Returns true if the target that started at `started_ms` leaves, as far as known.
+  bool IsLeaving(const base::TargetId& id, std::int64_t started_ms) const;
+  /// Number of targets that leave although their entries list them as in service.
+  std::size_t LeavingUnlisted() const;
+
+  /// Returns the target with the lowest expected delay that is neither leaving nor already tried,
   /// if any.
   std::optional<TargetEntry> Choose(base::TimePoint now, const TargetCriteria& criteria) const;
 
-  /// Returns true if any target of the service isn't draining.
+  /// Returns true if any target of the service isn't leaving.
   bool HasAvailableTarget(const base::ServiceId& service) const;
 
   /// Returns true if any target meets the criteria, whether or not it is avoided now.
@@ -147,7 +157,9 @@
 
  private:
   struct Target {
+    /// What the list says; `entry.draining` may lag behind `leaving`.
     TargetEntry entry;
+    bool leaving = false;
     std::uint32_t in_flight = 0;
     /// Requests of other instances at the target, as of `load_at`.
     double other_load = 0;
@@ -165,6 +177,16 @@
     std::unordered_map<std::string, base::TimePoint> last_used;
   };
 
+  /// One start of a target.
+  struct TargetStart {
+    base::TargetId id;
+    std::int64_t started_ms = 0;
+
+    auto operator<=>(const TargetStart&) const = default;
+  };
+
+  /// Drops the oldest records of leaving targets that aren't listed if there are too many.
+  void ForgetOldestLeaving();
   static base::Duration WaitForToken(base::TimePoint now, const Target& target);
   /// Requests at the target as far as known, its own instance's and others'.
   static double Load(base::TimePoint now, const Target& target);
@@ -179,6 +201,9 @@
 
   base::DataCentreId local_data_centre_;
   std::map<base::TargetId, Target> targets_;
+  /// Starts of targets that are known to leave, also of those that aren't listed, with the time at
+  /// which that was learnt.
+  std::map<TargetStart, base::TimePoint> leaving_since_;
 };
 
 }  // namespace persimmonstair::dispatch
--- a/include/persimmonstair/gateway/platform_codec.hpp
+++ b/include/persimmonstair/gateway/platform_codec.hpp
@@ -70,6 +70,8 @@
   bool not_run = false;
   /// The request reached another target than the expected one, which no longer uses the address.
   bool misdirected = false;
+  /// The target that sent the response is about to stop and takes no further requests.
+  bool leaving = false;
   /// The body has a content encoding, which was not requested.
   bool encoded = false;
   /// Load that the target reports; empty if the response has no valid load.
--- a/src/persimmonstair/dispatch/dispatch_test.cpp
+++ b/src/persimmonstair/dispatch/dispatch_test.cpp
@@ -51,6 +51,61 @@
   EXPECT_FALSE(registry_.HasAvailableTarget(kEngines));
 }
 
+// Guards against requests to a target that said that it leaves because its entry lists it as in
+// service, still, again after a removal, or in a record that is older than what it said.
+TEST_F(TargetRegistryTest, LeavingIsNotTakenBackForTheSameStart) {
+  EXPECT_TRUE(registry_.MarkLeaving(At({}), {"t1"}, 1));
+  EXPECT_FALSE(registry_.MarkLeaving(At(seconds{1}), {"t1"}, 1));
+  EXPECT_EQ(Choose(), "t2");
+  registry_.Upsert(At(seconds{1}), Entry("t1"));
+  EXPECT_EQ(Choose({kEngines, {{"t2"}}, {}, {}}), "");
+  registry_.Remove({"t1"});
+  registry_.Upsert(At(seconds{2}), Entry("t1"));
+  EXPECT_EQ(Choose({kEngines, {{"t2"}}, {}, {}}), "");
+  EXPECT_EQ(registry_.LeavingUnlisted(), 1U);
+  registry_.MarkLeaving(At(seconds{3}), {"t2"}, 1);
+  EXPECT_FALSE(registry_.HasAvailableTarget(kEngines));
+  EXPECT_FALSE(registry_.HasTargetFor({kEngines, {}, {}, {}}));
+}
+
+// Guards against going back to a draining target because of a record that is older than the one
+// that listed it as draining.
+TEST_F(TargetRegistryTest, OlderEntryDoesNotEndDraining) {
+  TargetEntry draining = Entry("t1");
+  draining.draining = true;
+  registry_.Upsert(At({}), draining);
+  EXPECT_EQ(registry_.LeavingUnlisted(), 0U);
+  registry_.Upsert(At(seconds{1}), Entry("t1"));
+  EXPECT_EQ(Choose({kEngines, {{"t2"}}, {}, {}}), "");
+}
+
+// Guards against a target that stays unused after it has started again, because it left before or
+// because a late response of its earlier process says so.
+TEST_F(TargetRegistryTest, LeavingEndsWithANewStart) {
+  registry_.MarkLeaving(At({}), {"t1"}, 1);
+  TargetEntry again = Entry("t1");
+  again.started_ms = 2;
+  registry_.Upsert(At(seconds{1}), again);
+  EXPECT_EQ(Choose({kEngines, {{"t2"}}, {}, {}}), "t1");
+  EXPECT_FALSE(registry_.MarkLeaving(At(seconds{2}), {"t1"}, 1));
+  EXPECT_EQ(Choose({kEngines, {{"t2"}}, {}, {}}), "t1");
+  EXPECT_EQ(registry_.LeavingUnlisted(), 0U);
+  registry_.Upsert(At(seconds{3}), Entry("t1"));
+  EXPECT_EQ(Choose({kEngines, {{"t2"}}, {}, {}}), "");
+}
+
+// Guards against forgetting a listed target that leaves, or growing without end, after many targets
+// have left.
+TEST_F(TargetRegistryTest, RemembersListedTargetsThatLeaveLongest) {
+  registry_.MarkLeaving(At({}), {"t1"}, 1);
+  for (int n = 0; n < 5000; ++n) {
+    registry_.MarkLeaving(At(seconds{n}), {"gone" + std::to_string(n)}, 1);
+  }
+  EXPECT_TRUE(registry_.IsLeaving({"t1"}, 1));
+  EXPECT_FALSE(registry_.IsLeaving({"gone0"}, 1));
+  EXPECT_TRUE(registry_.IsLeaving({"gone4999"}, 1));
+}
+
 // Guards against requests that queue at a full engine while another engine has free slots.
 TEST_F(TargetRegistryTest, CountsOwnAndReportedLoad) {
   Run("t1", AttemptResult::kAnswered, ReportedLoad{8, 4, 8});
--- a/src/persimmonstair/dispatch/target_registry.cpp
+++ b/src/persimmonstair/dispatch/target_registry.cpp
@@ -18,6 +18,10 @@
 /// exceeded, the older half is dropped.
 constexpr std::size_t kMaxRememberedIds = 2048;
 
+/// Maximum number of leaving targets remembered. If it is exceeded, the oldest one that isn't
+/// listed is dropped.
+constexpr std::size_t kMaxRememberedLeaving = 4096;
+
 // Costs, in milliseconds of expected delay.
 /// For each request that runs at the target.
 constexpr double kRunningRequestMs = 1.0;
@@ -50,6 +54,39 @@
     target.token_at = now;
   }
   target.entry = entry;
+  target.leaving = IsLeaving(entry.id, entry.started_ms);
+  if (entry.draining) MarkLeaving(now, entry.id, entry.started_ms);
+}
+
+bool TargetRegistry::MarkLeaving(base::TimePoint now, const base::TargetId& id,
+                                 std::int64_t started_ms) {
+  if (!leaving_since_.try_emplace({id, started_ms}, now).second) return false;
+  const auto it = targets_.find(id);
+  if (it != targets_.end() && it->second.entry.started_ms == started_ms) it->second.leaving = true;
+  ForgetOldestLeaving();
+  return true;
+}
+
+bool TargetRegistry::IsLeaving(const base::TargetId& id, std::int64_t started_ms) const {
+  return leaving_since_.contains({id, started_ms});
+}
+
+std::size_t TargetRegistry::LeavingUnlisted() const {
+  return static_cast<std::size_t>(std::count_if(
+      targets_.begin(), targets_.end(),
+      [](const auto& one) { return one.second.leaving && !one.second.entry.draining; }));
+}
+
+void TargetRegistry::ForgetOldestLeaving() {
+  if (leaving_since_.size() <= kMaxRememberedLeaving) return;
+  auto oldest = leaving_since_.end();
+  for (auto it = leaving_since_.begin(); it != leaving_since_.end(); ++it) {
+    const TargetEntry* entry = Find(it->first.id);
+    const bool listed = entry != nullptr && entry->started_ms == it->first.started_ms;
+    if (listed) continue;
+    if (oldest == leaving_since_.end() || it->second < oldest->second) oldest = it;
+  }
+  if (oldest != leaving_since_.end()) leaving_since_.erase(oldest);
 }
 
 void TargetRegistry::Remove(const base::TargetId& id) { targets_.erase(id); }
@@ -90,7 +127,7 @@
 
 bool TargetRegistry::Meets(const Target& target, const TargetCriteria& criteria) {
   const TargetEntry& entry = target.entry;
-  if (entry.service != criteria.service || entry.draining) return false;
+  if (entry.service != criteria.service || target.leaving) return false;
   if (!criteria.version.empty() && entry.version != criteria.version) return false;
   if (criteria.only_unlimited && target.rate && target.rate->limit_per_s) return false;
   return std::find(criteria.skip.begin(), criteria.skip.end(), entry.id) == criteria.skip.end();
@@ -118,7 +155,7 @@
 
 bool TargetRegistry::HasAvailableTarget(const base::ServiceId& service) const {
   return std::any_of(targets_.begin(), targets_.end(), [&service](const auto& one) {
-    return one.second.entry.service == service && !one.second.entry.draining;
+    return one.second.entry.service == service && !one.second.leaving;
   });
 }
 
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -96,15 +96,20 @@
   boost::asio::awaitable<Outcome> Attempt(const dispatch::TargetEntry& target);
   boost::asio::awaitable<Outcome> SendTo(const dispatch::TargetEntry& target,
                                          std::unique_ptr<HttpConnection>& connection);
+  /// Reads heads until that of the response to this request. Sets `leaving` if one of those that
+  /// were read says that the target leaves.
   boost::asio::awaitable<std::optional<ResponseMetadata>> ReadMatchingHead(
-      HttpConnection& connection);
+      HttpConnection& connection, bool& leaving);
   boost::asio::awaitable<Outcome> RelayFullResponse(HttpConnection& connection,
                                                     ResponseMetadata response);
   boost::asio::awaitable<std::optional<std::string>> ReadFullBody(HttpConnection& connection);
   /// Applies what a response of the target says about the rate of requests that it takes.
   void ApplyRateStatement(const dispatch::TargetEntry& target, const ResponseMetadata& response);
-  /// True if the target has started again since it was chosen, perhaps with another version.
-  bool HasChanged(const dispatch::TargetEntry& target) const;
+  /// Records that the target said in a response that it leaves, and closes its idle connections.
+  void OnTargetLeaving(const dispatch::TargetEntry& target);
+  /// False, and the attempt's result is set, if since it was chosen the target has started again,
+  /// perhaps with another version, or has begun to leave.
+  bool MayStillSend(const dispatch::TargetEntry& target);
   /// Counts an attempt that is sent now.
   void CountSend(const dispatch::TargetEntry& target);
   void RecordError(const boost::system::error_code& ec);
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -121,7 +121,8 @@
   const bool unresponsive =
       attempt_result_ == dispatch::AttemptResult::kUnreachable || attempt_error_ == "timeout";
   if (unresponsive) context_.pool.DropTarget(target.id);
-  if (connection) context_.pool.Release(target, std::move(connection));
+  const bool leaving = context_.target_registry.IsLeaving(target.id, target.started_ms);
+  if (connection && !leaving) context_.pool.Release(target, std::move(connection));
   context_.target_registry.EndAttempt(Now(), target.id, attempt_result_, reported_load_);
   context_.metrics.CountAttempt(std::string(ToText(attempt_result_)));
   if (attempt_result_ != dispatch::AttemptResult::kAnswered) {
@@ -140,6 +141,7 @@
 awaitable<Exchange::Outcome> Exchange::SendTo(const dispatch::TargetEntry& target,
                                               std::unique_ptr<HttpConnection>& connection) {
   const bool repeatable = MayRetry();
+  if (!MayStillSend(target)) co_return Outcome::kNotRun;
   auto acquired = co_await context_.pool.Acquire(
       target, repeatable ? IdleReuse::kAnyIdle : IdleReuse::kRecentlyUsed,
       std::min<base::Duration>(RemainingTimeout(), kConnectTimeout));
@@ -150,10 +152,8 @@
   }
   connection = std::move(*acquired);
   if (caller_.Disconnected()) co_return Outcome::kNotRun;
-  if (HasChanged(target)) {
+  if (!MayStillSend(target)) {
     connection.reset();
-    attempt_result_ = dispatch::AttemptResult::kCancelled;
-    attempt_error_ = "the target started again";
     co_return Outcome::kNotRun;
   }
   active_connection_ = connection.get();
@@ -170,7 +170,10 @@
     attempt_result_ = dispatch::AttemptResult::kUnreachable;
     co_return Outcome::kNotRun;
   }
-  auto response = co_await ReadMatchingHead(*connection);
+  bool leaving = false;
+  auto response = co_await ReadMatchingHead(*connection, leaving);
+  // A misdirected request was answered by another target.
+  if (leaving && !(response && response->misdirected)) OnTargetLeaving(target);
   if (!response) co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
   reported_load_ = response->load;
   ApplyRateStatement(target, *response);
@@ -195,15 +198,17 @@
   co_return co_await RelayFullResponse(*connection, std::move(*response));
 }
 
-awaitable<std::optional<ResponseMetadata>> Exchange::ReadMatchingHead(HttpConnection& connection) {
+awaitable<std::optional<ResponseMetadata>> Exchange::ReadMatchingHead(HttpConnection& connection,
+                                                                      bool& leaving) {
   for (int n = 0; n < kMaxMismatchedResponses; ++n) {
     auto head = co_await connection.ReadHead(ResponseTimeout());
     if (!head) {
       RecordError(head.error());
       co_return std::nullopt;
     }
-    if (head->status < kFirstFinalStatus) continue;
     ResponseMetadata reply = context_.codec.DecodeResponse(std::move(*head));
+    if (reply.leaving && !reply.misdirected) leaving = true;
+    if (reply.head.status < kFirstFinalStatus) continue;
     if (reply.request_id.empty() || reply.request_id == metadata_.request_id) co_return reply;
     Log(Level::kWarning, "foreign_answer",
         {{"request", metadata_.request_id}, {"answers", reply.request_id}});
@@ -213,10 +218,26 @@
   co_return std::nullopt;
 }
 
-bool Exchange::HasChanged(const dispatch::TargetEntry& target) const {
+void Exchange::OnTargetLeaving(const dispatch::TargetEntry& target) {
+  const base::TimePoint now = Now();
+  if (!context_.target_registry.MarkLeaving(now, target.id, target.started_ms)) return;
+  context_.pool.DropTarget(target.id);
+  Log(Level::kInfo, "target_leaving",
+      {{"target", target.id.value},
+       {"started_ms", target.started_ms},
+       {"source", metadata_.request_id},
+       {"age_ms", base::ToMillis(now - last_sent_at_)}});
+}
+
+bool Exchange::MayStillSend(const dispatch::TargetEntry& target) {
   const dispatch::TargetEntry* now = context_.target_registry.Find(target.id);
-  if (now == nullptr) return false;
-  return now->started_ms != target.started_ms || now->version != target.version;
+  const bool changed =
+      now != nullptr && (now->started_ms != target.started_ms || now->version != target.version);
+  const bool leaving = context_.target_registry.IsLeaving(target.id, target.started_ms);
+  if (!changed && !leaving) return true;
+  attempt_result_ = dispatch::AttemptResult::kCancelled;
+  attempt_error_ = changed ? "the target started again" : "the target leaves";
+  return false;
 }
 
 void Exchange::CountSend(const dispatch::TargetEntry& target) {
--- a/src/persimmonstair/gateway/followers.cpp
+++ b/src/persimmonstair/gateway/followers.cpp
@@ -93,10 +93,10 @@
     std::set<base::TargetId> present;
     for (const auto& stored : snapshot->records) {
       if (stored.record.value) present.insert({stored.record.key});
-      Apply(stored.record);
+      Apply(stored);
     }
     for (const auto& id : target_registry_.Ids()) {
-      if (!present.contains(id)) Apply({id.value, std::nullopt});
+      if (!present.contains(id)) Apply({snapshot->next, {id.value, std::nullopt}});
     }
     base::Offset next = snapshot->next;
     for (;;) {
@@ -104,7 +104,7 @@
       RemoveDue();
       if (!batch && batch.error().code == ErrorCode::kNotFound) break;
       if (batch) {
-        for (const auto& stored : batch->records) Apply(stored.record);
+        for (const auto& stored : batch->records) Apply(stored);
         next = batch->next;
       }
       co_await Sleep(batch ? kTargetPollPause : kRetryPause);
@@ -119,7 +119,8 @@
   deferred_removals_.OnStoreRecovered(recovered_at_);
 }
 
-void TargetFollower::Apply(const KeyedRecord& record) {
+void TargetFollower::Apply(const StoredRecord& stored) {
+  const KeyedRecord& record = stored.record;
   const base::TargetId id{record.key};
   if (!record.value) {
     CheckStoreRecovery();
@@ -134,18 +135,32 @@
     return;
   }
   deferred_removals_.Cancel(id);
-  const dispatch::TargetEntry* known = target_registry_.Find(id);
-  const bool changed = known == nullptr || known->draining != entry->draining ||
-                       known->started_ms != entry->started_ms || known->endpoint != entry->endpoint;
+  ApplyEntry(stored.offset, *entry);
+}
+
+void TargetFollower::ApplyEntry(base::Offset offset, const dispatch::TargetEntry& entry) {
+  const dispatch::TargetEntry* known = target_registry_.Find(entry.id);
+  const bool changed = known == nullptr || known->draining != entry.draining ||
+                       known->started_ms != entry.started_ms || known->endpoint != entry.endpoint;
   if (changed) {
     Log(Level::kInfo, "target_changed",
-        {{"target", id.value},
-         {"service", entry->service.value},
-         {"draining", entry->draining},
-         {"started_ms", entry->started_ms}});
+        {{"target", entry.id.value},
+         {"service", entry.service.value},
+         {"draining", entry.draining},
+         {"started_ms", entry.started_ms}});
+  }
+  const bool begins_to_leave =
+      entry.draining && !target_registry_.IsLeaving(entry.id, entry.started_ms);
+  if (begins_to_leave) {
+    Log(Level::kInfo, "target_leaving",
+        {{"target", entry.id.value},
+         {"started_ms", entry.started_ms},
+         {"source", "entry"},
+         {"offset", offset.value}});
   }
-  if (known != nullptr && known->started_ms != entry->started_ms) pool_.DropTarget(id);
-  target_registry_.Upsert(Now(), *entry);
+  const bool restarted = known != nullptr && known->started_ms != entry.started_ms;
+  if (restarted || begins_to_leave) pool_.DropTarget(entry.id);
+  target_registry_.Upsert(Now(), entry);
 }
 
 void TargetFollower::Remove(const base::TargetId& id) {
--- a/src/persimmonstair/gateway/followers.hpp
+++ b/src/persimmonstair/gateway/followers.hpp
@@ -50,7 +50,8 @@
   boost::asio::awaitable<void> Run();
 
  private:
-  void Apply(const KeyedRecord& record);
+  void Apply(const StoredRecord& stored);
+  void ApplyEntry(base::Offset offset, const dispatch::TargetEntry& entry);
   void Remove(const base::TargetId& id);
   void RemoveDue();
   void CheckStoreRecovery();
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -136,6 +136,9 @@
           static_cast<double>(context.target_registry.size()));
     gauge("persimmonstair_targets_rate_limited", "Targets that name a rate limit",
           static_cast<double>(context.target_registry.LimitedTargets()));
+    gauge("persimmonstair_targets_leaving_unlisted",
+          "Targets that said in a response that they leave and are listed as in service",
+          static_cast<double>(context.target_registry.LeavingUnlisted()));
     gauge("persimmonstair_target_connections_opened", "Connections opened to targets",
           static_cast<double>(context.pool.Opened()));
     gauge("persimmonstair_turn_cache_bytes", "Kept turns in memory",
--- a/src/persimmonstair/gateway/target_connection_pool.hpp
+++ b/src/persimmonstair/gateway/target_connection_pool.hpp
@@ -37,8 +37,8 @@
   /// Returns a connection to the pool, or closes it if it cannot be reused.
   void Release(const dispatch::TargetEntry& target, std::unique_ptr<HttpConnection> connection);
 
-  /// Closes the idle connections to a target that failed, restarted or was removed: they may not
-  /// work either.
+  /// Closes the idle connections to a target that failed, restarted or was removed, as they may not
+  /// work either, or that leaves, as they won't be used again.
   void DropTarget(const base::TargetId& target) { idle_.erase(target); }
 
   /// Closes the connections whose idle limit has passed.
