--- a/src/persimmonstair/gateway/exchange_choice.cpp
+++ b/src/persimmonstair/gateway/exchange_choice.cpp
@@ -99,8 +99,8 @@
   const auto ids = context_.target_registry.Ids();
   return std::all_of(ids.begin(), ids.end(), [this](const base::TargetId& id) {
     const dispatch::TargetEntry* target = context_.target_registry.Find(id);
-    return target->draining || target->service != criteria_.service ||
-           context_.connector.IsUnreachable(id);
+    return context_.target_registry.IsLeaving(id, target->started_ms) ||
+           target->service != criteria_.service || context_.connector.IsUnreachable(id);
   });
 }
 
--- a/src/persimmonstair/gateway/relay_server.cpp
+++ b/src/persimmonstair/gateway/relay_server.cpp
@@ -140,8 +140,9 @@
   const bool path_lost = connector_.Path() == dispatch::PathState::kLost;
   if (stopping_ || open_ >= kMaxOpen || path_lost) return kRelayUnavailable;
   const dispatch::TargetEntry* target = targets_.Find(request.target);
+  const bool leaves = targets_.IsLeaving(request.target, request.started_ms);
   const bool takes_requests =
-      target != nullptr && !target->draining && target->started_ms == request.started_ms;
+      target != nullptr && !leaves && target->started_ms == request.started_ms;
   return takes_requests ? 0 : kRelayUnknownTarget;
 }
 
