Take a refusal as "not run" only if it names the request

What callers saw: a target that writes an earlier refusal once more on a kept connection, without a request id, made callers of requests that run at most once get a 503 although the target had received the request, or the request ran again.

Cause: a response without a request id counted as the response to the current request, whatever had been sent on the connection before.

Copies that name the earlier request were skipped already, and so were copies that arrive while the connection is idle; their tests passed before.

Why it works: a refusal counts as "not run" only if it names the request. A response without an id is skipped on a connection that carried another request before, so the response that follows it is found; on a new connection it can only belong to this request and is handled as one that may have run.

--- a/include/persimmonstair/gateway/http_connection.hpp
+++ b/include/persimmonstair/gateway/http_connection.hpp
@@ -54,6 +54,8 @@
   /// Reads the next bytes of the body that follows the head that was read last.
   boost::asio::awaitable<BodyPiece> ReadBody(base::Duration timeout);
 
+  /// Returns true if a head was read, or was to be read, since the connection was opened.
+  bool HasReadHead() const;
   /// Returns true if the response was read completely, the peer keeps the connection open and no
   /// further bytes were read.
   bool Reusable() const;
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -96,8 +96,10 @@
   boost::asio::awaitable<Outcome> Attempt(const dispatch::TargetEntry& target);
   boost::asio::awaitable<Outcome> SendTo(const dispatch::TargetEntry& target,
                                          std::unique_ptr<HttpConnection>& connection);
+  /// Reads the response to this request and skips those to others. One without a request id
+  /// belongs to this request only if it is the `only_request` that was sent on the connection.
   boost::asio::awaitable<std::optional<ResponseMetadata>> ReadMatchingHead(
-      HttpConnection& connection);
+      HttpConnection& connection, bool only_request);
   boost::asio::awaitable<Outcome> RelayFullResponse(HttpConnection& connection,
                                                     ResponseMetadata response);
   boost::asio::awaitable<std::optional<std::string>> ReadFullBody(HttpConnection& connection);
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -157,6 +157,7 @@
     co_return Outcome::kNotRun;
   }
   active_connection_ = connection.get();
+  const bool only_request = !connection->HasReadHead();
   const gateway::ForwardingContext forwarding{target.id, workspace_, TimeLeft(), forwarded_body_,
                                               last_event_};
   const std::string bytes =
@@ -170,11 +171,12 @@
     attempt_result_ = dispatch::AttemptResult::kUnreachable;
     co_return Outcome::kNotRun;
   }
-  auto response = co_await ReadMatchingHead(*connection);
+  auto response = co_await ReadMatchingHead(*connection, only_request);
   if (!response) co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
   reported_load_ = response->load;
   ApplyRateStatement(target, *response);
-  if (response->not_run || response->misdirected) {
+  const bool names_request = response->request_id == metadata_.request_id;
+  if (names_request && (response->not_run || response->misdirected)) {
     --runs_;
     attempt_result_ = response->misdirected ? dispatch::AttemptResult::kUnreachable
                                             : dispatch::AttemptResult::kRejected;
@@ -183,8 +185,7 @@
     co_return Outcome::kNotRun;
   }
   const bool success = response->head.status >= 200 && response->head.status < 300;
-  const bool is_own =
-      response->has_signature && !response->encoded && response->request_id == metadata_.request_id;
+  const bool is_own = names_request && response->has_signature && !response->encoded;
   if (success && !is_own) {
     attempt_error_ = "the response is unsigned, encoded or has no request id";
     co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
@@ -195,7 +196,8 @@
   co_return co_await RelayFullResponse(*connection, std::move(*response));
 }
 
-awaitable<std::optional<ResponseMetadata>> Exchange::ReadMatchingHead(HttpConnection& connection) {
+awaitable<std::optional<ResponseMetadata>> Exchange::ReadMatchingHead(HttpConnection& connection,
+                                                                      bool only_request) {
   for (int n = 0; n < kMaxMismatchedResponses; ++n) {
     auto head = co_await connection.ReadHead(ResponseTimeout());
     if (!head) {
@@ -204,7 +206,9 @@
     }
     if (head->status < kFirstFinalStatus) continue;
     ResponseMetadata reply = context_.codec.DecodeResponse(std::move(*head));
-    if (reply.request_id.empty() || reply.request_id == metadata_.request_id) co_return reply;
+    if (reply.request_id == metadata_.request_id) co_return reply;
+    if (reply.request_id.empty() && only_request) co_return reply;
+    only_request = false;
     Log(Level::kWarning, "foreign_answer",
         {{"request", metadata_.request_id}, {"answers", reply.request_id}});
     if (!co_await ReadFullBody(connection)) co_return std::nullopt;
--- a/src/persimmonstair/gateway/http_connection.cpp
+++ b/src/persimmonstair/gateway/http_connection.cpp
@@ -125,6 +125,8 @@
   co_return piece;
 }
 
+bool HttpConnection::HasReadHead() const { return impl_->parser.has_value(); }
+
 bool HttpConnection::HasUnreadBytes() const { return impl_->buffer.size() > 0; }
 
 bool HttpConnection::Reusable() const {
