Don't send a target's earlier error into a stream that has begun

What callers saw: a resumable stream whose first target answered with a 5xx, and whose second one sent some events and broke off, went on with the head and the body of that 5xx in the middle of the chunked response.

Cause: the error response of an earlier attempt is kept for the case that no other attempt succeeds, and was sent although a stream had begun since.

Why it works: once a stream has begun, a failed last attempt ends in Fail(), which closes the caller's connection without the last chunk.

--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -90,7 +90,7 @@
     may_have_run_.push_back(target->id);
     if (attempt_reset_) context_.fleet.ReportCrash(fingerprint_, target->id);
     if (MayRetry() && !context_.fleet.IsPoison(fingerprint_) && !IsLate()) continue;
-    if (pending_failure_) {
+    if (pending_failure_ && !stream_started_) {
       status_ = pending_failure_->first.status;
       end_reason_ = "the target responded with an error";
       co_await caller_.Respond(std::move(pending_failure_->first),
