Try a refused request again on another connection

What callers saw: a request that runs at most once was refused by a target and sent to it again on the same kept connection. The target wrote the refusal once more and ran the request. The copy, which names the same request, counted as the second refusal: the request ran a second time, or its caller got a 503.

Cause: all attempts at a request bear the same id, so a copy of the response to one attempt can't be told from the response to the next one.

Why it works: for requests that run at most once, the pool hands out no connection whose last request was the same one. Others that are idle come first. If there is none, those that were passed over are closed and a new one is opened, so their number doesn't grow with the attempts.

--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -121,7 +121,7 @@
   const bool unresponsive =
       attempt_result_ == dispatch::AttemptResult::kUnreachable || attempt_error_ == "timeout";
   if (unresponsive) context_.pool.DropTarget(target.id);
-  if (connection) context_.pool.Release(target, std::move(connection));
+  if (connection) context_.pool.Release(target, std::move(connection), metadata_.request_id);
   context_.target_registry.EndAttempt(Now(), target.id, attempt_result_, reported_load_);
   context_.metrics.CountAttempt(std::string(ToText(attempt_result_)));
   if (attempt_result_ != dispatch::AttemptResult::kAnswered) {
@@ -141,7 +141,7 @@
                                               std::unique_ptr<HttpConnection>& connection) {
   const bool repeatable = MayRetry();
   auto acquired = co_await context_.pool.Acquire(
-      target, repeatable ? IdleReuse::kAnyIdle : IdleReuse::kRecentlyUsed,
+      target, repeatable ? IdleReuse::kAnyIdle : IdleReuse::kRecentlyUsed, metadata_.request_id,
       std::min<base::Duration>(RemainingTimeout(), kConnectTimeout));
   if (!acquired) {
     attempt_result_ = dispatch::AttemptResult::kUnreachable;
--- a/src/persimmonstair/gateway/target_connection_pool.cpp
+++ b/src/persimmonstair/gateway/target_connection_pool.cpp
@@ -22,17 +22,31 @@
 
 }  // namespace
 
-awaitable<tl::expected<std::unique_ptr<HttpConnection>, error_code>> TargetConnectionPool::Acquire(
-    const dispatch::TargetEntry& target, IdleReuse reuse, base::Duration timeout) {
+std::unique_ptr<HttpConnection> TargetConnectionPool::TakeIdle(std::deque<Idle>& idle,
+                                                               IdleReuse reuse,
+                                                               const std::string& request_id) {
   const base::TimePoint now = Now();
-  auto& idle = idle_[target.id];
-  while (!idle.empty()) {
-    Idle one = std::move(idle.back());
-    idle.pop_back();
-    base::Duration limit = one.limit;
-    if (reuse == IdleReuse::kRecentlyUsed) limit = std::min<base::Duration>(limit, kMaxRecentIdle);
-    if (now - one.since < limit && one.connection->IsIdle()) co_return std::move(one.connection);
+  for (std::size_t n = idle.size(); n-- > 0;) {
+    const auto it = idle.begin() + static_cast<std::ptrdiff_t>(n);
+    const bool once = reuse == IdleReuse::kRecentlyUsed;
+    base::Duration limit = it->limit;
+    if (once) limit = std::min<base::Duration>(limit, kMaxRecentIdle);
+    const bool usable = now - it->since < limit && it->connection->IsIdle();
+    if (usable && once && it->request_id == request_id) continue;
+    std::unique_ptr<HttpConnection> connection = std::move(it->connection);
+    idle.erase(it);
+    if (usable) return connection;
   }
+  return nullptr;
+}
+
+awaitable<tl::expected<std::unique_ptr<HttpConnection>, error_code>> TargetConnectionPool::Acquire(
+    const dispatch::TargetEntry& target, IdleReuse reuse, const std::string& request_id,
+    base::Duration timeout) {
+  auto& idle = idle_[target.id];
+  if (auto connection = TakeIdle(idle, reuse, request_id)) co_return std::move(connection);
+  // Closed, so that a request that is refused again and again opens no more and more connections.
+  std::erase_if(idle, [&request_id](const Idle& one) { return one.request_id == request_id; });
   auto connection = std::make_unique<HttpConnection>(executor_);
   const error_code ec = co_await connection->Connect(target.endpoint, timeout);
   if (ec) co_return tl::make_unexpected(ec);
@@ -41,13 +55,14 @@
 }
 
 void TargetConnectionPool::Release(const dispatch::TargetEntry& target,
-                                   std::unique_ptr<HttpConnection> connection) {
+                                   std::unique_ptr<HttpConnection> connection,
+                                   const std::string& request_id) {
   if (!connection->Reusable()) return;
   base::Duration limit = kDefaultIdle;
   const base::Duration stated = connection->KeepAliveTimeout();
   if (stated > base::Duration{0}) limit = std::max<base::Duration>(stated - kIdleMargin, {});
   auto& idle = idle_[target.id];
-  idle.push_back({std::move(connection), Now(), limit});
+  idle.push_back({std::move(connection), Now(), limit, request_id});
   if (idle.size() > kMaxIdlePerTarget) idle.pop_front();
 }
 
--- a/src/persimmonstair/gateway/target_connection_pool.hpp
+++ b/src/persimmonstair/gateway/target_connection_pool.hpp
@@ -30,12 +30,17 @@
   explicit TargetConnectionPool(const boost::asio::any_io_executor& executor)
       : executor_(executor) {}
 
-  /// Returns an idle connection that is still usable, or opens a new one.
+  /// Returns an idle connection that is still usable, or opens a new one. With kRecentlyUsed, the
+  /// last request on the connection was not the one with `request_id`: a copy of its response would
+  /// be taken as the response to the request's next attempt.
   boost::asio::awaitable<tl::expected<std::unique_ptr<HttpConnection>, boost::system::error_code>>
-  Acquire(const dispatch::TargetEntry& target, IdleReuse reuse, base::Duration timeout);
+  Acquire(const dispatch::TargetEntry& target, IdleReuse reuse, const std::string& request_id,
+          base::Duration timeout);
 
-  /// Returns a connection to the pool, or closes it if it cannot be reused.
-  void Release(const dispatch::TargetEntry& target, std::unique_ptr<HttpConnection> connection);
+  /// Returns a connection, on which the request was sent, to the pool, or closes it if it cannot be
+  /// reused.
+  void Release(const dispatch::TargetEntry& target, std::unique_ptr<HttpConnection> connection,
+               const std::string& request_id);
 
   /// Closes the idle connections to a target that failed, restarted or was removed: they may not
   /// work either.
@@ -52,8 +57,14 @@
     std::unique_ptr<HttpConnection> connection;
     base::TimePoint since;
     base::Duration limit;
+    /// Id of the last request that was sent.
+    std::string request_id;
   };
 
+  /// Takes the connection that was used last and is still usable; closes those that aren't.
+  std::unique_ptr<HttpConnection> TakeIdle(std::deque<Idle>& idle, IdleReuse reuse,
+                                           const std::string& request_id);
+
   boost::asio::any_io_executor executor_;
   std::map<base::TargetId, std::deque<Idle>> idle_;
   std::uint64_t opened_ = 0;
