Take a stream that ends with empty lines as complete

What callers saw: a stream that ends with an empty line too many was ended as broken off, and its turn was not stored.

Cause: all bytes after the last event counted as the start of another one. Whether the response had framing made no difference: the codec has removed Content-Length and Transfer-Encoding by then, so `framed` was always false.

Evidence: StreamMayEndWithEmptyLines failed before for "\n" and "\r\n": Value of: IsComplete(answer) Actual: false Expected: true

Why it works: a stream ends inside an event only if other bytes than line ends follow the last one. The unused `framed` is gone; streams with framing that end inside an event are broken off as before (TornStreamTest).

--- a/src/persimmonstair/gateway/event_splitter.hpp
+++ b/src/persimmonstair/gateway/event_splitter.hpp
@@ -32,6 +32,8 @@
   std::vector<StreamEvent> Feed(std::string_view bytes);
   /// Bytes after the last complete event.
   const std::string& Rest() const { return rest_; }
+  /// True if the last event is incomplete. Empty lines between events belong to none.
+  bool InsideEvent() const { return rest_.find_first_not_of("\r\n") != std::string::npos; }
   /// True if the incomplete event exceeds kMaxEventBytes.
   bool TooLarge() const { return rest_.size() > kMaxEventBytes; }
 
--- a/src/persimmonstair/gateway/exchange_stream.cpp
+++ b/src/persimmonstair/gateway/exchange_stream.cpp
@@ -34,8 +34,6 @@
 awaitable<Exchange::Outcome> Exchange::RelayStream(HttpConnection& connection,
                                                    ResponseMetadata response) {
   splitter_ = {};
-  const bool framed = !FindHeader(response.head.headers, "Content-Length").empty() ||
-                      !FindHeader(response.head.headers, "Transfer-Encoding").empty();
   for (;;) {
     base::Duration pause = ResponseTimeout();
     if (stream_started_ && MayRetry()) {
@@ -57,7 +55,7 @@
       co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
     }
   }
-  if (!framed && !splitter_.Rest().empty()) {
+  if (splitter_.InsideEvent()) {
     attempt_error_ = "the stream ended inside an event";
     co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
   }
