Send and expect no body with HEAD, 204 and 304

What callers saw: a HEAD request whose response names a length, chunks or nothing waited for a body until its deadline and got a 504. The instance's own refusal of a HEAD request, and a 204 or 304 on a stream's route, were followed by bytes that the caller takes as the start of its next response.

Cause: responses were read and written without regard to the method, and a response on a stream's route was always written in chunks. Targets' responses with status 204 and 304 were read correctly.

Why it works: the connection to the target ends a response to HEAD with its head, and the one to the caller sends neither a body nor a header that announces one where the method or the status excludes it.

--- a/include/persimmonstair/gateway/http.hpp
+++ b/include/persimmonstair/gateway/http.hpp
@@ -43,8 +43,12 @@
 /// without a body.
 std::string SerializeRequest(const HttpRequest& request);
 
-/// @brief Serializes status line and headers, with the empty line that ends them. `head` must
-/// contain the header that states the length of the body: Content-Length or Transfer-Encoding.
+/// @brief Returns true if responses with this status have a body, except those to HEAD requests.
+bool StatusHasBody(unsigned status);
+
+/// @brief Serializes status line and headers, with the empty line that ends them. If the response
+/// has a body, `head` must contain the header that states its length: Content-Length or
+/// Transfer-Encoding.
 std::string SerializeHead(const HttpHead& head);
 
 /// @brief Serializes one chunk of a body with chunked transfer encoding.
--- a/include/persimmonstair/gateway/http_connection.hpp
+++ b/include/persimmonstair/gateway/http_connection.hpp
@@ -30,6 +30,9 @@
   std::size_t written = 0;
 };
 
+/// @brief Whether a body follows a response's head.
+enum class ExpectedBody { kByHead, kNone };
+
 /// @brief An outgoing HTTP/1.1 connection that sends one request after the other.
 ///
 /// A timeout closes the connection. Not thread-safe.
@@ -49,8 +52,10 @@
   boost::asio::awaitable<boost::system::error_code> Connect(const dispatch::Endpoint& endpoint,
                                                             base::Duration timeout);
   boost::asio::awaitable<WriteResult> Write(std::string_view bytes, base::Duration timeout);
+  /// Reads the head of a response. With kNone, the response to a HEAD request, no body follows,
+  /// whatever the head says.
   boost::asio::awaitable<tl::expected<HttpHead, boost::system::error_code>> ReadHead(
-      base::Duration timeout);
+      base::Duration timeout, ExpectedBody body = ExpectedBody::kByHead);
   /// Reads the next bytes of the body that follows the head that was read last.
   boost::asio::awaitable<BodyPiece> ReadBody(base::Duration timeout);
 
--- a/src/persimmonstair/gateway/caller_connection.cpp
+++ b/src/persimmonstair/gateway/caller_connection.cpp
@@ -141,6 +141,7 @@
     ec = body_ec;
   }
   keep_alive_ = !ec && parser.keep_alive();
+  head_request_ = parser.is_header_done() && parser.get().method() == http::verb::head;
   if (!ec) co_return CopyRequest(parser.get());
   ReadFailure failure{0, ec.message()};
   if (timed_out_) failure.status = 408;
@@ -193,8 +194,15 @@
   return head;
 }
 
+bool CallerConnection::HasBody(unsigned status) const {
+  return !head_request_ && StatusHasBody(status);
+}
+
 asio::awaitable<bool> CallerConnection::Respond(HttpHead head, std::string body) {
   if (head.reason.empty()) head.reason = ReasonPhrase(head.status);
+  if (!HasBody(head.status)) {
+    co_return co_await Write(SerializeHead(WithConnectionHeaders(std::move(head))));
+  }
   head.headers.push_back({"Content-Length", std::to_string(body.size())});
   co_return co_await Write(SerializeHead(WithConnectionHeaders(std::move(head))) + body);
 }
@@ -210,16 +218,20 @@
 }
 
 asio::awaitable<bool> CallerConnection::StartStream(HttpHead head) {
-  head.headers.push_back({"Transfer-Encoding", "chunked"});
+  bodiless_stream_ = !HasBody(head.status);
+  if (!bodiless_stream_) head.headers.push_back({"Transfer-Encoding", "chunked"});
   co_return co_await Write(SerializeHead(WithConnectionHeaders(std::move(head))));
 }
 
 asio::awaitable<bool> CallerConnection::SendChunk(std::string_view data) {
-  if (data.empty()) co_return !disconnected_;
+  if (data.empty() || bodiless_stream_) co_return !disconnected_;
   co_return co_await Write(SerializeChunk(data));
 }
 
-asio::awaitable<bool> CallerConnection::EndStream() { co_return co_await Write("0\r\n\r\n"); }
+asio::awaitable<bool> CallerConnection::EndStream() {
+  if (bodiless_stream_) co_return !disconnected_;
+  co_return co_await Write("0\r\n\r\n");
+}
 
 void CallerConnection::Abort() {
   keep_alive_ = false;
--- a/src/persimmonstair/gateway/caller_connection.hpp
+++ b/src/persimmonstair/gateway/caller_connection.hpp
@@ -63,6 +63,8 @@
   void StopWatching();
   void MarkDisconnected();
   HttpHead WithConnectionHeaders(HttpHead head) const;
+  /// True if a response with this status to the current request has a body.
+  bool HasBody(unsigned status) const;
 
   GatewayContext& context_;
   boost::asio::ip::tcp::socket socket_;
@@ -76,6 +78,10 @@
   bool keep_alive_ = true;
   bool disconnected_ = false;
   bool watching_ = false;
+  /// The current request is HEAD, so its response has no body.
+  bool head_request_ = false;
+  /// The response to the current request is a stream without a body.
+  bool bodiless_stream_ = false;
   base::TimePoint arrived_at_;
 };
 
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -198,8 +198,9 @@
 
 awaitable<std::optional<ResponseMetadata>> Exchange::ReadMatchingHead(HttpConnection& connection,
                                                                       bool only_request) {
+  const auto body = request_.method == "HEAD" ? ExpectedBody::kNone : ExpectedBody::kByHead;
   for (int n = 0; n < kMaxMismatchedResponses; ++n) {
-    auto head = co_await connection.ReadHead(ResponseTimeout());
+    auto head = co_await connection.ReadHead(ResponseTimeout(), body);
     if (!head) {
       RecordError(head.error());
       co_return std::nullopt;
--- a/src/persimmonstair/gateway/http.cpp
+++ b/src/persimmonstair/gateway/http.cpp
@@ -14,6 +14,10 @@
     "connection",        "keep-alive", "proxy-authenticate", "proxy-connection", "te", "trailer",
     "transfer-encoding", "upgrade",    "content-length"};
 
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
+
 }  // namespace
 
 bool EqualsIgnoreCase(std::string_view a, std::string_view b) {
@@ -47,6 +51,10 @@
   return out;
 }
 
+bool StatusHasBody(unsigned status) {
+  return status >= kFirstFinalStatus && status != kNoContent && status != kNotModified;
+}
+
 std::string SerializeHead(const HttpHead& head) {
   std::string out = fmt::format("HTTP/1.1 {} {}\r\n", head.status, head.reason);
   for (const auto& header : head.headers) out += header.name + ": " + header.value + "\r\n";
--- a/src/persimmonstair/gateway/http_connection.cpp
+++ b/src/persimmonstair/gateway/http_connection.cpp
@@ -86,9 +86,10 @@
   co_return WriteResult{ec, n};
 }
 
-asio::awaitable<tl::expected<HttpHead, error_code>> HttpConnection::ReadHead(
-    base::Duration timeout) {
+asio::awaitable<tl::expected<HttpHead, error_code>> HttpConnection::ReadHead(base::Duration timeout,
+                                                                             ExpectedBody body) {
   impl_->parser.emplace();
+  impl_->parser->skip(body == ExpectedBody::kNone);
   impl_->parser->header_limit(kMaxHeaderBytes);
   impl_->parser->body_limit(boost::none);
   impl_->stream.expires_after(timeout);
