--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -98,10 +98,11 @@
   boost::asio::awaitable<Outcome> Attempt(const dispatch::TargetEntry& target);
   boost::asio::awaitable<Outcome> SendTo(const dispatch::TargetEntry& target,
                                          std::unique_ptr<HttpConnection>& connection);
-  /// Reads heads until that of the response to this request. Sets `leaving` if one of those that
-  /// were read says that the target leaves.
+  /// Reads the response to this request and skips those to others. One without a request id
+  /// belongs to this request only if it is the `only_request` that was sent on the connection. Sets
+  /// `target_leaves_` if one of the heads says that the target leaves.
   boost::asio::awaitable<std::optional<ResponseMetadata>> ReadMatchingHead(
-      HttpConnection& connection, bool& leaving);
+      HttpConnection& connection, bool only_request);
   boost::asio::awaitable<Outcome> RelayFullResponse(HttpConnection& connection,
                                                     ResponseMetadata response);
   boost::asio::awaitable<std::optional<std::string>> ReadFullBody(HttpConnection& connection);
@@ -161,6 +162,8 @@
   std::vector<base::TargetId> may_have_run_;
   HttpConnection* active_connection_ = nullptr;
   std::string attempt_error_;
+  /// A head that was read during the attempt says that the target leaves.
+  bool target_leaves_ = false;
   /// The connection broke during the attempt, which may mean that the request crashed the target.
   bool attempt_reset_ = false;
   std::optional<dispatch::ReportedLoad> reported_load_;
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -89,7 +89,7 @@
     may_have_run_.push_back(target->id);
     if (attempt_reset_) context_.fleet.ReportCrash(fingerprint_, target->id);
     if (MayRetry() && !context_.fleet.IsPoison(fingerprint_) && !IsLate()) continue;
-    if (pending_failure_) {
+    if (pending_failure_ && !stream_started_) {
       status_ = pending_failure_->first.status;
       end_reason_ = "the target responded with an error";
       co_await caller_.Respond(std::move(pending_failure_->first),
@@ -128,7 +128,9 @@
       attempt_result_ == dispatch::AttemptResult::kUnreachable || attempt_error_ == "timeout";
   if (unresponsive) context_.pool.DropTarget(target.id);
   const bool leaving = context_.target_registry.IsLeaving(target.id, target.started_ms);
-  if (connection && !leaving) context_.pool.Release(target, std::move(connection));
+  if (connection && !leaving) {
+    context_.pool.Release(target, std::move(connection), metadata_.request_id);
+  }
   context_.target_registry.EndAttempt(Now(), target.id, attempt_result_, reported_load_);
   context_.metrics.CountAttempt(std::string(ToText(attempt_result_)));
   if (attempt_result_ != dispatch::AttemptResult::kAnswered) {
@@ -149,7 +151,7 @@
   const bool repeatable = MayRetry();
   if (!MayStillSend(target)) co_return Outcome::kNotRun;
   auto acquired = co_await context_.pool.Acquire(
-      target, repeatable ? IdleReuse::kAnyIdle : IdleReuse::kRecentlyUsed,
+      target, repeatable ? IdleReuse::kAnyIdle : IdleReuse::kRecentlyUsed, metadata_.request_id,
       std::min<base::Duration>(RemainingTimeout(), kConnectTimeout));
   if (!acquired) {
     // A target that was not tried keeps its state.
@@ -166,6 +168,7 @@
     co_return Outcome::kNotRun;
   }
   active_connection_ = connection.get();
+  const bool only_request = !connection->HasReadHead();
   const gateway::ForwardingContext forwarding{target.id, workspace_, TimeLeft(), forwarded_body_,
                                               last_event_};
   const std::string bytes =
@@ -179,14 +182,15 @@
     attempt_result_ = dispatch::AttemptResult::kUnreachable;
     co_return Outcome::kNotRun;
   }
-  bool leaving = false;
-  auto response = co_await ReadMatchingHead(*connection, leaving);
+  target_leaves_ = false;
+  auto response = co_await ReadMatchingHead(*connection, only_request);
   // A misdirected request was answered by another target.
-  if (leaving && !(response && response->misdirected)) OnTargetLeaving(target);
+  if (target_leaves_ && !(response && response->misdirected)) OnTargetLeaving(target);
   if (!response) co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
   reported_load_ = response->load;
   ApplyRateStatement(target, *response);
-  if (response->not_run || response->misdirected) {
+  const bool names_request = response->request_id == metadata_.request_id;
+  if (names_request && (response->not_run || response->misdirected)) {
     --runs_;
     attempt_result_ = response->misdirected ? dispatch::AttemptResult::kUnreachable
                                             : dispatch::AttemptResult::kRejected;
@@ -195,8 +199,7 @@
     co_return Outcome::kNotRun;
   }
   const bool success = response->head.status >= 200 && response->head.status < 300;
-  const bool is_own =
-      response->has_signature && !response->encoded && response->request_id == metadata_.request_id;
+  const bool is_own = names_request && response->has_signature && !response->encoded;
   if (success && !is_own) {
     attempt_error_ = "the response is unsigned, encoded or has no request id";
     co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
@@ -208,17 +211,20 @@
 }
 
 awaitable<std::optional<ResponseMetadata>> Exchange::ReadMatchingHead(HttpConnection& connection,
-                                                                      bool& leaving) {
+                                                                      bool only_request) {
+  const auto body = request_.method == "HEAD" ? ExpectedBody::kNone : ExpectedBody::kByHead;
   for (int n = 0; n < kMaxMismatchedResponses; ++n) {
-    auto head = co_await connection.ReadHead(ResponseTimeout());
+    auto head = co_await connection.ReadHead(ResponseTimeout(), body);
     if (!head) {
       RecordError(head.error());
       co_return std::nullopt;
     }
     ResponseMetadata reply = context_.codec.DecodeResponse(std::move(*head));
-    if (reply.leaving && !reply.misdirected) leaving = true;
+    if (reply.leaving && !reply.misdirected) target_leaves_ = true;
     if (reply.head.status < kFirstFinalStatus) continue;
-    if (reply.request_id.empty() || reply.request_id == metadata_.request_id) co_return reply;
+    if (reply.request_id == metadata_.request_id) co_return reply;
+    if (reply.request_id.empty() && only_request) co_return reply;
+    only_request = false;
     Log(Level::kWarning, "foreign_answer",
         {{"request", metadata_.request_id}, {"answers", reply.request_id}});
     if (!co_await ReadFullBody(connection)) co_return std::nullopt;
--- a/src/persimmonstair/gateway/http_connection.cpp
+++ b/src/persimmonstair/gateway/http_connection.cpp
@@ -87,9 +87,10 @@
   co_return WriteResult{ec, n};
 }
 
-asio::awaitable<tl::expected<HttpHead, error_code>> HttpConnection::ReadHead(
-    base::Duration timeout) {
+asio::awaitable<tl::expected<HttpHead, error_code>> HttpConnection::ReadHead(base::Duration timeout,
+                                                                             ExpectedBody body) {
   impl_->parser.emplace();
+  impl_->parser->skip(body == ExpectedBody::kNone);
   impl_->parser->header_limit(kMaxHeaderBytes);
   impl_->parser->body_limit(boost::none);
   impl_->stream.expires_after(timeout);
@@ -130,15 +131,21 @@
   co_return piece;
 }
 
+bool HttpConnection::HasReadHead() const { return impl_->parser.has_value(); }
+
 bool HttpConnection::HasUnreadBytes() const { return impl_->buffer.size() > 0; }
 
-void HttpConnection::MarkRelayed() { impl_->relayed = true; }
+void HttpConnection::MarkRelayed() {
+  impl_->relayed = true;
+  // The head that was read is that of the relaying instance.
+  impl_->parser.reset();
+}
 
 bool HttpConnection::IsRelayed() const { return impl_->relayed; }
 
 bool HttpConnection::Reusable() const {
-  return !impl_->relayed && impl_->parser && impl_->parser->is_done() && impl_->parser->keep_alive() &&
-         !HasUnreadBytes();
+  return !impl_->relayed && impl_->parser && impl_->parser->is_done() &&
+         impl_->parser->keep_alive() && !HasUnreadBytes();
 }
 
 bool HttpConnection::IsIdle() const {
