Don't end a broken stream by a response without a body

What callers saw: a resumable stream broke off, the next target answered with a 204, and the stream ended as if it were complete.

Cause: any success on a stream's route was relayed as a stream, and a response without a body is one that ends at once.

Evidence: the case NoContent of DiscontinuationTest failed before: the caller received the last chunk after the first event Value of: answer.ends_with("\r\n\r\n" + Chunk(kFirstEvent)) Actual: false

Why it works: after a stream has begun, a success without a body counts as a broken attempt, so the stream is continued elsewhere or ends broken off.

--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -190,6 +190,10 @@
     attempt_error_ = "the response is unsigned, encoded or has no request id";
     co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
   }
+  if (success && stream_started_ && !StatusHasBody(response->head.status)) {
+    attempt_error_ = "the response that continues the stream has no body";
+    co_return Outcome::kBroken;
+  }
   if (success && route_->retry == RetryClass::kStream) {
     co_return co_await RelayStream(*connection, std::move(*response));
   }
