--- a/src/persimmonstair/gateway/relay_server.cpp
+++ b/src/persimmonstair/gateway/relay_server.cpp
@@ -105,8 +105,8 @@
   stream.expires_after(kRequestTimeout);
   const auto [ec, n] = co_await http::async_read_header(stream, buffer, parser, kTuple);
   // The asking instance sends nothing more before the answer.
-  if (ec || buffer.size() > 0 || parser.get().method() != http::verb::connect)
-    co_return std::nullopt;
+  const bool is_connect = !ec && parser.get().method() == http::verb::connect;
+  if (!is_connect || buffer.size() > 0) co_return std::nullopt;
   const auto authority = parser.get().target();
   co_return ParseRelayAuthority({authority.data(), authority.size()});
 }
