Report the instances of a data centre in one append of a collector

Cause: each instance appended a report a second to one partition, which takes one append in 4 ms.

Change: library fleet. Instances send heartbeats by datagram to the collector of their data centre (rendezvous hashing, next one after three unanswered heartbeats or a refusal, another data centre's if none of the own reaches the store); it appends a roster when it changes (0.3 s apart at least) and a 60 B beat each 0.5 s otherwise, once, without repeats. A lease is extended from the sending time of a heartbeat whose append ended. Instances of one data centre that know no collector wait up to 0.4 s before they report themselves. While an instance of an older build reports, collectors write its format too.

--- a/include/persimmonstair/schema/entry_peer.hpp
+++ b/include/persimmonstair/schema/entry_peer.hpp
@@ -288,15 +288,64 @@
   Field(archive, value.nonce);
 }
 
+/// @brief Reports an instance to the collector of its data centre, which reports it to the fleet.
+struct InstanceHeartbeat {
+  /// Grows with each heartbeat of a process.
+  std::uint64_t sequence = 0;
+  /// Instance that sends the heartbeat.
+  base::InstanceId instance;
+  /// Identifier that differs for each start of the instance.
+  std::string process;
+  /// Data centre of the instance.
+  base::DataCentreId data_centre;
+  /// Address as address:port at which other instances reach this one.
+  std::string peer;
+  /// Newest round of shares that the instance uses.
+  std::uint64_t applied_round = 0;
+
+  bool operator==(const InstanceHeartbeat&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, InstanceHeartbeat& value) {
+  Field(archive, value.sequence);
+  Field(archive, value.instance);
+  Field(archive, value.process);
+  Field(archive, value.data_centre);
+  Field(archive, value.peer);
+  Field(archive, value.applied_round);
+}
+
+/// @brief Answer to a heartbeat.
+struct InstanceHeartbeatAck {
+  /// Copied from the heartbeat.
+  std::uint64_t sequence = 0;
+  /// Newest heartbeat of the process that the store holds; 0 for none.
+  std::uint64_t stored_sequence = 0;
+  /// True if the collector can't report the instance now.
+  bool declined = false;
+
+  bool operator==(const InstanceHeartbeatAck&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, InstanceHeartbeatAck& value) {
+  Field(archive, value.sequence);
+  Field(archive, value.stored_sequence);
+  Field(archive, value.declined);
+}
+
 /// @brief Any of the types above.
-using EntryPeerMessage = std::variant<TokenAsk, TokenAnswer, TokenCancel, ReservationAsk,
-                                      ReservationAnswer, SettlementNotice, SettlementAck,
-                                      TargetTokenAsk, TargetTokenAnswer, TargetRateNotice>;
+using EntryPeerMessage =
+    std::variant<TokenAsk, TokenAnswer, TokenCancel, ReservationAsk, ReservationAnswer,
+                 SettlementNotice, SettlementAck, TargetTokenAsk, TargetTokenAnswer,
+                 TargetRateNotice, InstanceHeartbeat, InstanceHeartbeatAck>;
 
 /// Type names in the order of the variant's alternatives.
-inline constexpr std::array<std::string_view, 10> kEntryPeerMessageTypes = {
-    "TokenAsk",         "TokenAnswer",   "TokenCancel",    "ReservationAsk",    "ReservationAnswer",
-    "SettlementNotice", "SettlementAck", "TargetTokenAsk", "TargetTokenAnswer", "TargetRateNotice"};
+inline constexpr std::array<std::string_view, 12> kEntryPeerMessageTypes = {
+    "TokenAsk",          "TokenAnswer",      "TokenCancel",       "ReservationAsk",
+    "ReservationAnswer", "SettlementNotice", "SettlementAck",     "TargetTokenAsk",
+    "TargetTokenAnswer", "TargetRateNotice", "InstanceHeartbeat", "InstanceHeartbeatAck"};
 
 }  // namespace persimmonstair::schema
 
--- a/include/persimmonstair/schema/state.hpp
+++ b/include/persimmonstair/schema/state.hpp
@@ -182,13 +182,56 @@
   Field(archive, value.expires_ms);
 }
 
+/// @brief Instances whose heartbeats one collector receives. It counts as a report of each of them.
+struct FleetRoster {
+  /// Instance that wrote the roster.
+  base::InstanceId collector;
+  /// Identifier that differs for each start of the collector.
+  std::string process;
+  /// Grows by one with each change of `members`.
+  std::uint64_t number = 0;
+  /// Last heartbeat of each instance, by instance.
+  std::vector<ShareReport> members;
+
+  bool operator==(const FleetRoster&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, FleetRoster& value) {
+  Field(archive, value.collector);
+  Field(archive, value.process);
+  Field(archive, value.number);
+  Field(archive, value.members);
+}
+
+/// @brief Repeats a roster: each of its members has sent a heartbeat recently, and none has
+/// changed.
+struct RosterBeat {
+  /// Instance that wrote the roster.
+  base::InstanceId collector;
+  /// As in the roster.
+  std::string process;
+  /// Number of the roster.
+  std::uint64_t number = 0;
+
+  bool operator==(const RosterBeat&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, RosterBeat& value) {
+  Field(archive, value.collector);
+  Field(archive, value.process);
+  Field(archive, value.number);
+}
+
 /// @brief Any of the types above.
-using StateRecord =
-    std::variant<KeptTurn, TokenReservation, ShareReport, ShareTable, CrashReport, StreamBegin>;
+using StateRecord = std::variant<KeptTurn, TokenReservation, ShareReport, ShareTable, CrashReport,
+                                 StreamBegin, FleetRoster, RosterBeat>;
 
 /// Type names in the order of the variant's alternatives.
-inline constexpr std::array<std::string_view, 6> kStateRecordTypes = {
-    "KeptTurn", "TokenReservation", "ShareReport", "ShareTable", "CrashReport", "StreamBegin"};
+inline constexpr std::array<std::string_view, 8> kStateRecordTypes = {
+    "KeptTurn",    "TokenReservation", "ShareReport", "ShareTable",
+    "CrashReport", "StreamBegin",      "FleetRoster", "RosterBeat"};
 
 }  // namespace persimmonstair::schema
 
--- a/src/persimmonstair/gateway/fleet_registry.cpp
+++ b/src/persimmonstair/gateway/fleet_registry.cpp
@@ -1,10 +1,14 @@
 #include "fleet_registry.hpp"
 
 #include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
 #include <utility>
 #include <vector>
 
 #include "clock.hpp"
+#include "nonce.hpp"
 #include "persimmonstair/base/rendezvous.hpp"
 #include "persimmonstair/diagnostics/log.hpp"
 #include "persimmonstair/gateway/settings_load.hpp"
@@ -21,8 +25,21 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kPollInterval{1000};
-/// Poll interval until the instance holds shares. It is shorter, so that the start is quick.
+/// Timeout of an append of reports. The next one replaces it.
+constexpr milliseconds kReportTimeout{1500};
+/// Interval at which a collector checks whether an append is due.
+constexpr milliseconds kCollectCheckInterval{100};
+/// Largest delay of the first report of an instance that knows no collector. Of instances that start
+/// together, the first few report themselves, and the others find them.
+constexpr milliseconds kMaxFirstDelay{400};
+constexpr milliseconds kStartCheckInterval{20};
+/// Time after a failed append for which others are asked to collect.
+constexpr milliseconds kCollectRetryTime{3000};
+/// Poll interval until the instance holds shares and for some time after its start. All holders
+/// must read a table before the next one is written, so that instances which start together need
+/// quick reads until the last of them is a holder.
 constexpr milliseconds kStartPollInterval{200};
+constexpr std::chrono::seconds kStartTime{4};
 constexpr milliseconds kCallTimeout{900};
 /// Timeout of the first read, which isn't begun anew while the store is busy.
 constexpr std::chrono::seconds kSnapshotTimeout{60};
@@ -34,6 +51,21 @@
 
 constexpr char kTableKey[] = "table";
 
+std::vector<KeyedRecord> Encode(std::vector<fleet::ReportEntry> entries) {
+  std::vector<KeyedRecord> records;
+  records.reserve(entries.size());
+  for (auto& entry : entries) {
+    std::optional<std::string> value;
+    if (entry.record) value = schema::EncodeState(*entry.record);
+    records.push_back({std::move(entry.key), std::move(value)});
+  }
+  return records;
+}
+
+std::string ToText(const dispatch::Endpoint& endpoint) {
+  return endpoint.address + ":" + std::to_string(endpoint.port);
+}
+
 std::string CrashKey(const schema::CrashReport& report) {
   return "crash/" + std::to_string(report.fingerprint) + "/" + report.target.value;
 }
@@ -56,14 +88,23 @@
 
 }  // namespace
 
-FleetRegistry::FleetRegistry(RetryingRecordStore& store, const GatewaySettings& settings,
-                             std::string process)
+FleetRegistry::FleetRegistry(const boost::asio::any_io_executor& executor,
+                             RetryingRecordStore& store, PeerSocket& socket,
+                             const GatewaySettings& settings, std::string process)
     : store_(store),
+      socket_(socket),
       instance_(settings.instance),
       data_centre_(settings.data_centre),
       process_(std::move(process)),
       peer_(settings.peer_listen),
-      shares_(settings.instance) {}
+      shares_(settings.instance),
+      heartbeats_(settings.instance, settings.data_centre.value, RandomNonce()),
+      collector_(settings.instance, process_),
+      report_timer_(executor) {
+  socket_.OnMessage([this](const schema::EntryPeerMessage& message, const PeerEndpoint& sender) {
+    Handle(message, sender);
+  });
+}
 
 ReachableCoordinators FleetRegistry::FindCoordinators(const base::WorkspaceId& workspace) {
   const schema::ShareTable& table = allocator_.Table();
@@ -151,16 +192,34 @@
   return candidates;
 }
 
-void FleetRegistry::UpdatePeer(const schema::ShareReport& report) {
+std::vector<fleet::CollectorCandidate> FleetRegistry::CollectorCandidates() const {
+  std::vector<fleet::CollectorCandidate> candidates;
+  for (const auto& [instance, peer] : peers_) {
+    if (!peer.may_collect || instance == instance_ || !IsLive(instance)) continue;
+    candidates.push_back({instance, ToText(peer.endpoint), peer.data_centre == data_centre_});
+  }
+  return candidates;
+}
+
+void FleetRegistry::UpdatePeer(const schema::ShareReport& report, const base::InstanceId& collector,
+                               bool may_collect) {
+  const auto known = peers_.find(report.instance);
+  if (known != peers_.end() && known->second.process == report.process && !report.stopping) {
+    known->second.last_heard_at = Now();
+    known->second.collector = collector;
+    return;
+  }
   const auto endpoint = ParseEndpoint(report.peer);
   if (report.stopping || !endpoint) {
     peers_.erase(report.instance);
     return;
   }
-  peers_[report.instance] = {*endpoint, report.data_centre, Now()};
+  peers_[report.instance] = {*endpoint, report.data_centre, report.process, Now(),
+                             collector, may_collect};
 }
 
 awaitable<void> FleetRegistry::Run() {
+  const base::TimePoint started_at = Now();
   for (;;) {
     const base::TimePoint deadline = Now() + kCallTimeout;
     const bool tables_read = co_await ReadNew(tables_, deadline);
@@ -173,19 +232,101 @@
       // No reports can be read, so a missing report does not show that a peer has stopped.
       for (auto& [instance, peer] : peers_) peer.last_heard_at = Now();
     }
-    if (Now() - reported_at_ >= kPollInterval) {
-      co_await Report(false, Now() + kCallTimeout);
-    }
+    if (!unsent_crashes_.empty()) co_await WriteCrashes();
     if (tables_read && reports_read) {
       co_await WriteTable();
     }
     ExpireCrashes();
-    co_await Sleep(shares_.HasLease(Now()) ? kPollInterval : kStartPollInterval);
+    const bool settled = shares_.HasLease(Now()) && Now() - started_at >= kStartTime;
+    co_await Sleep(settled ? kPollInterval : kStartPollInterval);
+  }
+}
+
+awaitable<void> FleetRegistry::RunReports() {
+  while (!reports_.loaded) co_await Sleep(kStartCheckInterval);
+  const auto first_candidates = CollectorCandidates();
+  const bool knows_collector = std::any_of(first_candidates.begin(), first_candidates.end(),
+                                           [](const auto& one) { return one.is_local; });
+  if (!knows_collector) {
+    std::uniform_int_distribution<int> delay_ms(0, static_cast<int>(kMaxFirstDelay.count()));
+    std::random_device random;
+    co_await Sleep(milliseconds{delay_ms(random)});
+  }
+  while (!stopping_) {
+    const base::TimePoint now = Now();
+    const bool may_collect = store_.Up() && now >= cannot_collect_until_;
+    std::vector<fleet::CollectorCandidate> candidates;
+    if (now >= heartbeats_.NextAt()) candidates = CollectorCandidates();
+    const auto step = heartbeats_.Next(now, candidates, may_collect);
+    if (step.send) SendHeartbeat(step.send->first, step.send->second);
+    const bool collects = step.collects || collector_.HasMembers(now);
+    if (collects && store_.Up()) co_await Collect();
+    if (!collects && !heartbeats_.Collector().empty()) co_await RetireRoster();
+    const base::TimePoint until = collects ? now + kCollectCheckInterval : step.next_at;
+    report_timer_.expires_after(std::min<base::Duration>(until - Now(), kPollInterval));
+    co_await report_timer_.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+  }
+}
+
+schema::ShareReport FleetRegistry::OwnReport(bool stopping) const {
+  return {instance_, process_, data_centre_, ToText(peer_), shares_.Round(), stopping};
+}
+
+void FleetRegistry::SendHeartbeat(const std::string& collector, std::uint64_t sequence) {
+  const auto endpoint = ParseEndpoint(collector);
+  const auto peer = endpoint ? ToPeerEndpoint(*endpoint) : std::nullopt;
+  if (!peer) return;
+  const schema::InstanceHeartbeat heartbeat{sequence,     instance_,     process_,
+                                    data_centre_, ToText(peer_), shares_.Round()};
+  socket_.Send(heartbeat, *peer);
+}
+
+void FleetRegistry::Handle(const schema::EntryPeerMessage& message, const PeerEndpoint& sender) {
+  if (const auto* heartbeat = std::get_if<schema::InstanceHeartbeat>(&message)) {
+    const bool collected = collector_.HasMembers(Now());
+    schema::InstanceHeartbeatAck ack{heartbeat->sequence, 0, true};
+    if (store_.Up() && !stopping_) ack = collector_.OnHeartbeat(Now(), *heartbeat);
+    socket_.Send(ack, sender);
+    if (!collected) report_timer_.cancel();
+  } else if (const auto* ack = std::get_if<schema::InstanceHeartbeatAck>(&message)) {
+    const std::string before = heartbeats_.Collector();
+    heartbeats_.OnAck(Now(), *ack);
+    const auto stored = heartbeats_.StoredSentAt();
+    if (stored) shares_.OnReportStored(*stored);
+    if (heartbeats_.Collector() != before) {
+      Log(Level::kInfo, "collector_changed",
+          {{"before", before}, {"collector", heartbeats_.Collector()}});
+    }
+  }
+}
+
+awaitable<void> FleetRegistry::Collect() {
+  auto entries = collector_.Next(Now(), OwnReport(false), Now() < plain_reports_until_);
+  if (!entries) co_return;
+  const base::TimePoint sent_at = Now();
+  const auto result =
+      co_await store_.AppendOnce(reports_.partition, Encode(std::move(*entries)), kReportTimeout);
+  collector_.OnAppended(Now(), result.has_value());
+  if (result) {
+    shares_.OnReportStored(sent_at);
+  } else {
+    cannot_collect_until_ = Now() + kCollectRetryTime;
+    Log(Level::kWarning, "roster_not_stored",
+        {{"members", collector_.Members()}, {"error", result.error().message}});
   }
 }
 
+awaitable<void> FleetRegistry::RetireRoster() {
+  auto entries = collector_.Retire();
+  if (entries.empty()) co_return;
+  co_await store_.AppendOnce(reports_.partition, Encode(std::move(entries)), kReportTimeout);
+}
+
 awaitable<void> FleetRegistry::ReportStopping(base::TimePoint deadline) {
-  co_await Report(true, deadline);
+  stopping_ = true;
+  auto entries = collector_.Retire();
+  entries.push_back({fleet::ReportKey(instance_), OwnReport(true)});
+  co_await store_.Append(reports_.partition, Encode(std::move(entries)), deadline);
 }
 
 awaitable<bool> FleetRegistry::ReadNew(FollowedPartition& source, base::TimePoint deadline) {
@@ -215,18 +356,14 @@
     Log(Level::kWarning, "record_skipped", {{"key", record.key}});
     return;
   }
-  const base::TimePoint now = Now();
   if (const auto* report = std::get_if<schema::ShareReport>(&*decoded)) {
-    allocator_.OnReport(now, *report);
-    UpdatePeer(*report);
+    Apply(record.key, *report);
+  } else if (const auto* roster = std::get_if<schema::FleetRoster>(&*decoded)) {
+    Apply(roster->collector, rosters_.OnRoster(Now(), *roster));
+  } else if (const auto* beat = std::get_if<schema::RosterBeat>(&*decoded)) {
+    Apply(beat->collector, rosters_.OnBeat(*beat));
   } else if (const auto* table = std::get_if<schema::ShareTable>(&*decoded)) {
-    allocator_.OnTable(now, *table);
-    const bool had_lease = shares_.HasLease(now);
-    shares_.Apply(*table);
-    if (!had_lease) {
-      Log(Level::kInfo, "shares_applied",
-          {{"round", table->round}, {"holders", table->holders.size()}});
-    }
+    Apply(*table);
   } else if (const auto* crash = std::get_if<schema::CrashReport>(&*decoded)) {
     Crashes& crashes = crashes_[crash->fingerprint];
     crashes.targets.insert(crash->target);
@@ -234,24 +371,57 @@
   }
 }
 
-awaitable<void> FleetRegistry::Report(bool stopping, base::TimePoint deadline) {
-  const base::TimePoint sent_at = Now();
-  reported_at_ = sent_at;
-  const schema::ShareReport report{
-      instance_,       process_, data_centre_, peer_.address + ":" + std::to_string(peer_.port),
-      shares_.Round(), stopping};
-  std::vector<KeyedRecord> records;
-  records.push_back({"report/" + instance_.value, schema::EncodeState(report)});
+void FleetRegistry::Apply(const std::string& key, const schema::ShareReport& report) {
+  const bool is_plain = key.starts_with(fleet::kPlainReportPrefix);
+  // Records of the first read may be old.
+  if (is_plain && reports_.loaded && !report.stopping) {
+    plain_reports_until_ = Now() + quota::kHolderTimeout;
+  }
+  if (report.stopping) {
+    rosters_.OnStopped(Now(), report.process);
+    collector_.OnStopped(report.instance, report.process);
+  }
+  allocator_.OnReport(Now(), report);
+  UpdatePeer(report, {}, !is_plain);
+}
+
+void FleetRegistry::Apply(const base::InstanceId& collector, const fleet::RosterNews& news) {
+  for (const auto* report : news.running) {
+    allocator_.OnReport(Now(), *report);
+    UpdatePeer(*report, collector, true);
+  }
+  for (const auto& instance : news.silent) {
+    const auto it = peers_.find(instance);
+    if (it != peers_.end() && it->second.collector == collector) it->second.last_heard_at = {};
+  }
+}
+
+void FleetRegistry::Apply(const schema::ShareTable& table) {
+  const base::TimePoint now = Now();
+  allocator_.OnTable(now, table);
+  const bool had_lease = shares_.HasLease(now);
+  const std::uint64_t round = shares_.Round();
+  shares_.Apply(table);
+  if (shares_.Round() != round) {
+    heartbeats_.ReportNow();
+    report_timer_.cancel();
+  }
+  if (!had_lease) {
+    Log(Level::kInfo, "shares_applied",
+        {{"round", table.round}, {"holders", table.holders.size()}});
+  }
+}
+
+awaitable<void> FleetRegistry::WriteCrashes() {
   const auto crashes = std::exchange(unsent_crashes_, {});
+  std::vector<KeyedRecord> records;
   for (const auto& crash : crashes) {
     records.push_back({CrashKey(crash), schema::EncodeState(crash)});
   }
-  const auto result = co_await store_.Append(reports_.partition, std::move(records), deadline);
-  if (result) {
-    shares_.OnReportStored(sent_at);
-  } else {
-    unsent_crashes_.insert(unsent_crashes_.end(), crashes.begin(), crashes.end());
-  }
+  const auto result =
+      co_await store_.Append(reports_.partition, std::move(records), Now() + kCallTimeout);
+  if (result) co_return;
+  unsent_crashes_.insert(unsent_crashes_.end(), crashes.begin(), crashes.end());
 }
 
 awaitable<void> FleetRegistry::WriteTable() {
--- a/src/persimmonstair/gateway/fleet_registry.hpp
+++ b/src/persimmonstair/gateway/fleet_registry.hpp
@@ -1,6 +1,7 @@
 #ifndef PERSIMMONSTAIR_SRC_GATEWAY_FLEET_REGISTRY_HPP_
 #define PERSIMMONSTAIR_SRC_GATEWAY_FLEET_REGISTRY_HPP_
 
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -9,7 +10,11 @@
 #include <unordered_map>
 #include <vector>
 
+#include "peer_socket.hpp"
 #include "persimmonstair/dispatch/target_registry.hpp"
+#include "persimmonstair/fleet/heartbeat_sender.hpp"
+#include "persimmonstair/fleet/roster_collector.hpp"
+#include "persimmonstair/fleet/roster_reader.hpp"
 #include "persimmonstair/gateway/settings.hpp"
 #include "persimmonstair/quota/local_shares.hpp"
 #include "persimmonstair/quota/share_allocator.hpp"
@@ -50,14 +55,20 @@
 /// @brief Exchanges state between the instances through the record store: share reports, share
 /// tables and reports of requests that crash targets.
 ///
+/// Instances send heartbeats to a collector of their data centre, which reports them all in one
+/// append (fleet::RosterCollector), because a partition takes one append at a time.
+///
 /// Tables have their own partition. A table is written only if there is no newer one, and reports
 /// in the same partition would make that condition fail.
 class FleetRegistry {
  public:
-  FleetRegistry(RetryingRecordStore& store, const GatewaySettings& settings, std::string process);
+  FleetRegistry(const boost::asio::any_io_executor& executor, RetryingRecordStore& store,
+                PeerSocket& socket, const GatewaySettings& settings, std::string process);
 
-  /// Reads new records and writes a report about once a second; never returns.
+  /// Reads new records and writes tables; never returns.
   boost::asio::awaitable<void> Run();
+  /// Sends heartbeats and reports the instances that send them to this one; never returns.
+  boost::asio::awaitable<void> RunReports();
 
   /// Releases the shares by a final report; used by a planned stop.
   boost::asio::awaitable<void> ReportStopping(base::TimePoint deadline);
@@ -102,15 +113,30 @@
 
   /// Applies new records; false if the store did not answer.
   boost::asio::awaitable<bool> ReadNew(FollowedPartition& source, base::TimePoint deadline);
-  boost::asio::awaitable<void> Report(bool stopping, base::TimePoint deadline);
   boost::asio::awaitable<void> WriteTable();
+  boost::asio::awaitable<void> WriteCrashes();
+  /// Reports this instance and those that send it heartbeats, if an append is due.
+  boost::asio::awaitable<void> Collect();
+  /// Deletes this instance's roster, because another collector reports it.
+  boost::asio::awaitable<void> RetireRoster();
+  schema::ShareReport OwnReport(bool stopping) const;
+  void SendHeartbeat(const std::string& collector, std::uint64_t sequence);
+  void Handle(const schema::EntryPeerMessage& message, const PeerEndpoint& sender);
   void Apply(const KeyedRecord& record);
+  void Apply(const std::string& key, const schema::ShareReport& report);
+  void Apply(const schema::ShareTable& table);
+  void Apply(const base::InstanceId& collector, const fleet::RosterNews& news);
+  /// Returns the other live instances that may collect heartbeats.
+  std::vector<fleet::CollectorCandidate> CollectorCandidates() const;
   /// True if the instance reported recently or is this one.
   bool IsLive(const base::InstanceId& instance) const;
-  void UpdatePeer(const schema::ShareReport& report);
+  /// `collector` is empty if the instance wrote the report itself.
+  void UpdatePeer(const schema::ShareReport& report, const base::InstanceId& collector,
+                  bool may_collect);
   void ExpireCrashes();
 
   RetryingRecordStore& store_;
+  PeerSocket& socket_;
   base::InstanceId instance_;
   base::DataCentreId data_centre_;
   std::string process_;
@@ -119,12 +145,27 @@
   quota::ShareAllocator allocator_;
   FollowedPartition tables_{{{"fleet"}, 0}, false, {}};
   FollowedPartition reports_{{{"fleet"}, 1}, false, {}};
-  base::TimePoint reported_at_;
+  fleet::HeartbeatSender heartbeats_;
+  fleet::RosterCollector collector_;
+  fleet::RosterReader rosters_;
+  boost::asio::steady_timer report_timer_;
+  /// Set by a planned stop.
+  bool stopping_ = false;
+  /// Time until which this instance leaves collecting to others, because its appends fail.
+  base::TimePoint cannot_collect_until_;
+  /// Time until which reports are also written for builds that read no rosters.
+  base::TimePoint plain_reports_until_;
   base::TimePoint last_outage_end_;
   struct Peer {
     dispatch::Endpoint endpoint;
     base::DataCentreId data_centre;
+    /// Identifier of the process that reported last.
+    std::string process;
     base::TimePoint last_heard_at;
+    /// Collector that reported the instance last.
+    base::InstanceId collector;
+    /// True if it understands heartbeats.
+    bool may_collect = false;
   };
   std::map<base::InstanceId, Peer> peers_;
   /// Holders by partition, best first by rendezvous hashing; valid for the table of
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -219,6 +219,7 @@
   impl.Spawn(impl.context.configuration.Run());
   impl.Spawn(impl.context.targets.Run());
   impl.Spawn(impl.context.fleet.Run());
+  impl.Spawn(impl.context.fleet.RunReports());
   impl.Spawn(impl.context.turns.DropExpired());
   impl.Spawn(impl.context.budget_manager.DropExpired());
   impl.Spawn(impl.RunMaintenance());
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -38,14 +38,14 @@
         store(records, metrics),
         configuration(store, codec),
         target_registry(settings.data_centre),
-        fleet(store, settings, std::move(process)),
+        peers(executor),
+        fleet(executor, store, peers, settings, std::move(process)),
         connector(executor, fleet),
         relays(target_registry, connector, stopping),
         pool(connector),
         targets(store, codec, target_registry, pool),
         turns(executor, store, {"turns", kTurnStreams, settings.parts_of_stream},
               settings.turn_cache_bytes),
-        peers(executor),
         quota(executor, peers, fleet, configuration),
         target_limits(executor, peers, fleet, target_registry, metrics),
         budget_layout(MakeBudgetLayout(settings.parts_of_stream, settings.store_writes_per_s)),
@@ -63,13 +63,13 @@
   RetryingRecordStore store;
   ConfigurationFollower configuration;
   dispatch::TargetRegistry target_registry;
+  PeerSocket peers;
   FleetRegistry fleet;
   TargetConnector connector;
   RelayServer relays;
   TargetConnectionPool pool;
   TargetFollower targets;
   TurnStore turns;
-  PeerSocket peers;
   QuotaLimiter quota;
   TargetLimiter target_limits;
   BudgetLayout budget_layout;
--- a/src/persimmonstair/gateway/retrying_record_store.cpp
+++ b/src/persimmonstair/gateway/retrying_record_store.cpp
@@ -198,6 +198,14 @@
       });
 }
 
+awaitable<Result<base::Offset>> RetryingRecordStore::AppendOnce(Partition partition,
+                                                                std::vector<KeyedRecord> records,
+                                                                base::Duration timeout) {
+  const base::TimePoint sent_at = Now();
+  const auto result = co_await store_.Append(partition, records, timeout, std::nullopt);
+  co_return TrackResult(StoreCall::kAppend, result, sent_at, {});
+}
+
 awaitable<Result<base::Offset>> RetryingRecordStore::AppendIf(Partition partition,
                                                               std::vector<KeyedRecord> records,
                                                               base::Offset expected) {
--- a/src/persimmonstair/gateway/retrying_record_store.hpp
+++ b/src/persimmonstair/gateway/retrying_record_store.hpp
@@ -33,6 +33,10 @@
   boost::asio::awaitable<base::Result<base::Offset>> Append(Partition partition,
                                                             std::vector<KeyedRecord> records,
                                                             base::TimePoint deadline);
+  /// Appends with a single attempt, for records that a later append replaces.
+  boost::asio::awaitable<base::Result<base::Offset>> AppendOnce(Partition partition,
+                                                                std::vector<KeyedRecord> records,
+                                                                base::Duration timeout);
   /// Appends with a single attempt, only if the partition still ends at `expected`; otherwise fails
   /// with kConflict.
   boost::asio::awaitable<base::Result<base::Offset>> AppendIf(Partition partition,
--- a/src/persimmonstair/quota/share_allocator.cpp
+++ b/src/persimmonstair/quota/share_allocator.cpp
@@ -9,7 +9,10 @@
     holders_.erase(report.instance);
     return;
   }
-  holders_[report.instance] = {report, now};
+  // Assigned in place: a report of each instance comes about twice a second.
+  Holder& holder = holders_[report.instance];
+  holder.report = report;
+  holder.last_heard_at = now;
 }
 
 void ShareAllocator::OnTable(base::TimePoint now, const schema::ShareTable& table) {
