Spread requests over targets by hash, and give conversations a home target

Cause: of targets with equal costs Choose() took the first by name. And each instance knew only the prompts that it had sent itself.

Change: rendezvous hashing names a home target for each conversation, where instances expect its prompt to be cached; a small part of the cost is random by request.

--- a/include/persimmonstair/dispatch/target_registry.hpp
+++ b/include/persimmonstair/dispatch/target_registry.hpp
@@ -66,6 +66,11 @@
   bool only_unlimited = false;
   /// Software version that the target must have; empty if any will do.
   base::SoftwareVersion version{};
+  /// Names what the requests of one conversation have in common. All instances prefer the same
+  /// target for it, its home target; empty for none.
+  std::string conversation{};
+  /// Differs for each request. Spreads requests over targets whose costs hardly differ.
+  std::string request{};
 };
 
 /// @brief How an attempt to run a request at a target ended.
@@ -85,6 +90,12 @@
 
 /// @brief Registry of the targets of all services that chooses a target for each request.
 ///
+/// Callers bring the requests of a conversation to any instance, and each instance knows only the
+/// prompts that it sent itself. So the instances expect a conversation's prompt to be cached at its
+/// home target, which rendezvous hashing names, and which gets the conversation unless it is busy.
+/// Many instances that each know little of a target's load would also all choose the same one for
+/// other requests, so a part of the cost is random by request.
+///
 /// Each instance has its own registry. It counts its own attempts exactly; the load that other
 /// instances put on a target is taken from the target's last response and counts less the older
 /// that response is.
@@ -192,8 +203,14 @@
   static double Load(base::TimePoint now, const Target& target);
   /// Number of requests for which the target has no slot if it gets one more.
   static double Excess(base::TimePoint now, const Target& target);
+  /// Returns the home target of the conversation among those that meet the criteria, in this data
+  /// centre if there is one; null without a conversation.
+  const Target* FindHome(const TargetCriteria& criteria) const;
   /// Expected delay in milliseconds if the request is sent to the target.
-  double Cost(base::TimePoint now, const Target& target, const TargetCriteria& criteria) const;
+  double Cost(base::TimePoint now, const Target& target, const TargetCriteria& criteria,
+              bool is_home) const;
+  /// The part of the delay that caches at the target decide.
+  static double MissCost(const Target& target, const TargetCriteria& criteria, bool is_home);
   /// True if the target may be chosen by the criteria.
   static bool Meets(const Target& target, const TargetCriteria& criteria);
   /// Sets the time of last use of the request's prompt parts and affinity value.
--- a/src/persimmonstair/dispatch/target_registry.cpp
+++ b/src/persimmonstair/dispatch/target_registry.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
+
+#include "persimmonstair/base/rendezvous.hpp"
 
 namespace persimmonstair::dispatch {
 namespace {
@@ -37,6 +40,10 @@
 constexpr double kMsPerSecond = 1000;
 /// For prefilling one prompt token that the target hasn't cached.
 constexpr double kPromptTokenMs = 1.0 / 200;
+/// For a target that isn't the conversation's home, where later turns are expected.
+constexpr double kNotHomeMs = 3;
+/// Largest random part. Less than the cost of another data centre, more than that of a request.
+constexpr double kSpreadMs = 2;
 /// For a plain service's target that didn't handle the affinity value recently.
 constexpr double kMissMs = 25;
 
@@ -109,19 +116,48 @@
   return std::max(0.0, Load(now, target) + 1 - slots);
 }
 
+const TargetRegistry::Target* TargetRegistry::FindHome(const TargetCriteria& criteria) const {
+  if (criteria.conversation.empty()) return nullptr;
+  const Target* home = nullptr;
+  std::pair<bool, std::uint64_t> best;
+  for (const auto& [id, target] : targets_) {
+    if (!Meets(target, criteria)) continue;
+    const bool is_local = target.entry.data_centre == local_data_centre_;
+    const std::pair rank{is_local, base::RendezvousWeight(criteria.conversation, id.value)};
+    if (home != nullptr && rank <= best) continue;
+    home = &target;
+    best = rank;
+  }
+  return home;
+}
+
+double TargetRegistry::MissCost(const Target& target, const TargetCriteria& criteria,
+                                bool is_home) {
+  double cost = 0;
+  bool prefix_cached = true;
+  for (const auto& part : criteria.prompt) {
+    prefix_cached = prefix_cached && (is_home || target.last_used.contains(part.id));
+    if (!prefix_cached) cost += kPromptTokenMs * part.tokens;
+  }
+  const bool misses = !criteria.affinity.empty() && !target.last_used.contains(criteria.affinity);
+  if (misses && !is_home) cost += kMissMs;
+  if (!criteria.conversation.empty() && !is_home) cost += kNotHomeMs;
+  return cost;
+}
+
 double TargetRegistry::Cost(base::TimePoint now, const Target& target,
-                            const TargetCriteria& criteria) const {
+                            const TargetCriteria& criteria, bool is_home) const {
   double cost = kRunningRequestMs * Load(now, target) + kQueuedRequestMs * Excess(now, target);
   if (target.entry.data_centre != local_data_centre_) cost += kRemoteDataCentreMs;
   cost += kRetryMs * target.failure_rate;
   if (now < target.avoid_until) cost += kAvoidMs;
   cost += kMsPerSecond * base::ToSeconds(WaitForToken(now, target));
-  bool prefix_cached = true;
-  for (const auto& part : criteria.prompt) {
-    prefix_cached = prefix_cached && target.last_used.contains(part.id);
-    if (!prefix_cached) cost += kPromptTokenMs * part.tokens;
+  cost += MissCost(target, criteria, is_home);
+  if (!criteria.request.empty()) {
+    const auto weight = base::RendezvousWeight(criteria.request, target.entry.id.value);
+    cost += kSpreadMs * static_cast<double>(weight) /
+            static_cast<double>(std::numeric_limits<std::uint64_t>::max());
   }
-  if (!criteria.affinity.empty() && !target.last_used.contains(criteria.affinity)) cost += kMissMs;
   return cost;
 }
 
@@ -140,11 +176,12 @@
 
 std::optional<TargetEntry> TargetRegistry::Choose(base::TimePoint now,
                                                   const TargetCriteria& criteria) const {
+  const Target* const home = FindHome(criteria);
   const Target* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   for (const auto& [id, target] : targets_) {
     if (!Meets(target, criteria)) continue;
-    const double cost = Cost(now, target, criteria);
+    const double cost = Cost(now, target, criteria, &target == home);
     if (cost >= best_cost) continue;
     best = &target;
     best_cost = cost;
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -226,6 +226,9 @@
 void Exchange::PrepareCriteria() {
   criteria_.prompt = metadata_.prompt;
   criteria_.affinity = metadata_.affinity;
+  const bool is_turn = route_->retry == RetryClass::kStream;
+  criteria_.conversation = is_turn ? metadata_.program.value : metadata_.affinity;
+  criteria_.request = metadata_.request_id;
   std::uint64_t total = 0;
   for (const auto& one : route_->services) total += one.weight;
   if (total == 0) return;
