Reach the store through another instance while it turns this one away

Cause: the store may turn some instances away and serve the others.

Change: StorePath (pure) decides from failures and silence that the direct way is in doubt and probes through another instance; if that answers, all calls go over connections that other instances relay (CONNECT to the store at the peer port), until a direct probe answers. Probes of an outage for all become rarer up to 2.4 s. Instances that need a relay, stop, or have lost the store relay for no other. Older builds refuse the CONNECT, which counts as a failed try.

--- a/include/persimmonstair/fleet/roster_collector.hpp
+++ b/include/persimmonstair/fleet/roster_collector.hpp
@@ -42,7 +42,8 @@
       : self_(std::move(self)), process_(std::move(process)) {}
 
   /// Registers the sender and returns the answer.
-  schema::InstanceHeartbeatAck OnHeartbeat(base::TimePoint now, const schema::InstanceHeartbeat& heartbeat);
+  schema::InstanceHeartbeatAck OnHeartbeat(base::TimePoint now,
+                                           const schema::InstanceHeartbeat& heartbeat);
 
   /// Removes a process that has stopped.
   void OnStopped(const base::InstanceId& instance, const std::string& process);
--- a/include/persimmonstair/gateway/record_store.hpp
+++ b/include/persimmonstair/gateway/record_store.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -60,6 +61,8 @@
   base::Duration timeout{0};
 };
 
+class StoreConnector;
+
 /// @brief The platform's store of keyed records. Acknowledged records are durable, and all readers
 /// see the records of a partition in the same order.
 ///
@@ -82,6 +85,10 @@
 
   virtual boost::asio::awaitable<base::Result<RecordSnapshot>> ReadNewest(
       const Partition& partition, base::Duration timeout) = 0;
+
+  /// Returns the same store over connections that `connector` opens, which must outlive it; null if
+  /// the store uses no connections.
+  virtual std::unique_ptr<RecordStore> Through(StoreConnector& /*connector*/) { return nullptr; }
 };
 
 }  // namespace persimmonstair::gateway
--- a/include/persimmonstair/gateway/settings.hpp
+++ b/include/persimmonstair/gateway/settings.hpp
@@ -25,6 +25,8 @@
   dispatch::Endpoint metrics_listen;
   /// UDP address for other instances.
   dispatch::Endpoint peer_listen;
+  /// Address of the record store, to which this instance relays connections for others.
+  dispatch::Endpoint store;
   /// Number of partitions in each stream of the store.
   std::uint32_t parts_of_stream = 8;
   /// Write calls a second that the store accepts from all instances together.
--- a/src/persimmonstair/fleet/fleet_test.cpp
+++ b/src/persimmonstair/fleet/fleet_test.cpp
@@ -191,7 +191,8 @@
 // more after its stop.
 TEST(RosterReaderTest, IgnoresProcessesThatHaveStopped) {
   RosterReader reader;
-  const schema::FleetRoster roster{{"c"}, "p-c", 1, {kOwn, {{"a"}, "p-a", {"dc"}, "a:1", 1, false}}};
+  const schema::FleetRoster roster{
+      {"c"}, "p-c", 1, {kOwn, {{"a"}, "p-a", {"dc"}, "a:1", 1, false}}};
   EXPECT_EQ(reader.OnRoster(At({}), roster).running.size(), 2U);
   reader.OnStopped(At({}), "p-a");
   EXPECT_EQ(reader.OnBeat({{"c"}, "p-c", 1}).running.size(), 1U);
--- a/src/persimmonstair/fleet/roster_collector.cpp
+++ b/src/persimmonstair/fleet/roster_collector.cpp
@@ -13,8 +13,8 @@
 
 }  // namespace
 
-schema::InstanceHeartbeatAck RosterCollector::OnHeartbeat(base::TimePoint now,
-                                                  const schema::InstanceHeartbeat& heartbeat) {
+schema::InstanceHeartbeatAck RosterCollector::OnHeartbeat(
+    base::TimePoint now, const schema::InstanceHeartbeat& heartbeat) {
   const bool has_room = members_.size() < kMaxMembers || members_.contains(heartbeat.instance);
   const bool failed = failed_at_ && now - *failed_at_ < kFailedTime;
   if (failed || !has_room) return {heartbeat.sequence, 0, true};
--- a/src/persimmonstair/fleet/simulated_fleet_test.cpp
+++ b/src/persimmonstair/fleet/simulated_fleet_test.cpp
@@ -68,9 +68,8 @@
 std::size_t SimulatedInstance::LiveInstances() const {
   const base::TimePoint now = fleet_.time.Now();
   return static_cast<std::size_t>(
-      std::count_if(heard_.begin(), heard_.end(), [now](const auto& one) {
-        return now - one.second.second < kPeerTimeout;
-      }));
+      std::count_if(heard_.begin(), heard_.end(),
+                    [now](const auto& one) { return now - one.second.second < kPeerTimeout; }));
 }
 
 schema::ShareReport SimulatedInstance::OwnReport() const {
@@ -151,8 +150,8 @@
   const HeartbeatStep step = sender_.Next(now, candidates, may_collect);
   if (step.send) {
     const schema::ShareReport own = OwnReport();
-    const schema::InstanceHeartbeat heartbeat{
-        step.send->second, id_, process_, data_centre_, own.peer, own.applied_round};
+    const schema::InstanceHeartbeat heartbeat{step.send->second, id_,      process_,
+                                              data_centre_,      own.peer, own.applied_round};
     fleet_.Send(step.send->first, [heartbeat](auto& peer) { peer.Receive(heartbeat); });
   }
   const bool collects = step.collects || collector_.HasMembers(now);
@@ -192,8 +191,7 @@
   for (std::size_t n = 0; n < instances.size(); ++n) {
     if (instances[n] && !instances[n]->Killed()) continue;
     if (instances[n]) replaced_.push_back(std::move(instances[n]));
-    instances[n] =
-        std::make_unique<SimulatedInstance>(*this, n, "p" + std::to_string(++starts_));
+    instances[n] = std::make_unique<SimulatedInstance>(*this, n, "p" + std::to_string(++starts_));
     const int delay_ms = std::uniform_int_distribution<int>(0, 300)(random);
     time.After(milliseconds{delay_ms}, [instance = instances[n].get()] { instance->Start(); });
   }
--- a/src/persimmonstair/gateway/fleet_registry.cpp
+++ b/src/persimmonstair/gateway/fleet_registry.cpp
@@ -29,8 +29,8 @@
 constexpr milliseconds kReportTimeout{1500};
 /// Interval at which a collector checks whether an append is due.
 constexpr milliseconds kCollectCheckInterval{100};
-/// Largest delay of the first report of an instance that knows no collector. Of instances that start
-/// together, the first few report themselves, and the others find them.
+/// Largest delay of the first report of an instance that knows no collector. Of instances that
+/// start together, the first few report themselves, and the others find them.
 constexpr milliseconds kMaxFirstDelay{400};
 constexpr milliseconds kStartCheckInterval{20};
 /// Time after a failed append for which others are asked to collect.
@@ -214,8 +214,8 @@
     peers_.erase(report.instance);
     return;
   }
-  peers_[report.instance] = {*endpoint, report.data_centre, report.process, Now(),
-                             collector, may_collect};
+  peers_[report.instance] = {*endpoint, report.data_centre, report.process,
+                             Now(),     collector,          may_collect};
 }
 
 awaitable<void> FleetRegistry::Run() {
@@ -277,7 +277,7 @@
   const auto peer = endpoint ? ToPeerEndpoint(*endpoint) : std::nullopt;
   if (!peer) return;
   const schema::InstanceHeartbeat heartbeat{sequence,     instance_,     process_,
-                                    data_centre_, ToText(peer_), shares_.Round()};
+                                            data_centre_, ToText(peer_), shares_.Round()};
   socket_.Send(heartbeat, *peer);
 }
 
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -156,6 +156,8 @@
           "Reservations and settlements of other instances that are not in the store yet",
           static_cast<double>(context.budget_coordinator.Pending()));
     gauge("persimmonstair_store_reachable", "1 if the store answers", context.store.Up() ? 1 : 0);
+    gauge("persimmonstair_store_path_relayed", "1 if calls of the store go through other instances",
+          context.record_store.IsRelayed() ? 1 : 0);
     gauge("persimmonstair_log_lines_dropped", "Log lines lost for want of room",
           static_cast<double>(diagnostics::DroppedLines()));
     return {200, context.metrics.Text()};
@@ -220,6 +222,7 @@
   impl.Spawn(impl.context.targets.Run());
   impl.Spawn(impl.context.fleet.Run());
   impl.Spawn(impl.context.fleet.RunReports());
+  impl.Spawn(impl.context.record_store.RunProbes());
   impl.Spawn(impl.context.turns.DropExpired());
   impl.Spawn(impl.context.budget_manager.DropExpired());
   impl.Spawn(impl.RunMaintenance());
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -20,7 +20,9 @@
 #include "quota_limiter.hpp"
 #include "recent_programs.hpp"
 #include "relay_server.hpp"
+#include "relayed_record_store.hpp"
 #include "retrying_record_store.hpp"
+#include "store_relay_connector.hpp"
 #include "target_connection_pool.hpp"
 #include "target_connector.hpp"
 #include "target_limiter.hpp"
@@ -35,13 +37,15 @@
       : executor(executor_used),
         settings(std::move(settings_used)),
         codec(codec_used),
-        store(records, metrics),
+        store_connector(executor),
+        record_store(records, records.Through(store_connector)),
+        store(record_store, metrics),
         configuration(store, codec),
         target_registry(settings.data_centre),
         peers(executor),
         fleet(executor, store, peers, settings, std::move(process)),
         connector(executor, fleet),
-        relays(target_registry, connector, stopping),
+        relays(target_registry, connector, settings.store, stopping),
         pool(connector),
         targets(store, codec, target_registry, pool),
         turns(executor, store, {"turns", kTurnStreams, settings.parts_of_stream},
@@ -54,12 +58,17 @@
         budget_coordinator(executor, peers, budget_manager, store, settings.reservation_timeout),
         budgets(executor, peers, fleet, budget_manager, settings.peer_answer_timeout) {
     connector.OnHangingPath([this] { pool.DropAll(); });
+    store_connector.SetCandidates([this] { return fleet.RelayCandidates(); });
+    record_store.OnChanged([this] { store.OnPathChanged(); });
+    relays.SetReachesStore([this] { return store.Up() && !record_store.IsRelayed(); });
   }
 
   boost::asio::any_io_executor executor;
   GatewaySettings settings;
   const PlatformCodec& codec;
   diagnostics::Metrics metrics;
+  StoreRelayConnector store_connector;
+  RelayedRecordStore record_store;
   RetryingRecordStore store;
   ConfigurationFollower configuration;
   dispatch::TargetRegistry target_registry;
--- a/src/persimmonstair/gateway/relay_protocol.cpp
+++ b/src/persimmonstair/gateway/relay_protocol.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t kMaxIdBytes = 200;
+constexpr std::string_view kStoreAuthority = "~record-store:0";
 
 bool IsAuthorityCharacter(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
@@ -23,6 +24,12 @@
          std::all_of(id.begin(), id.end(), IsAuthorityCharacter);
 }
 
+std::string SerializeStoreRelayRequest() {
+  return fmt::format("CONNECT {0} HTTP/1.1\r\nHost: {0}\r\n\r\n", kStoreAuthority);
+}
+
+bool IsStoreAuthority(std::string_view authority) { return authority == kStoreAuthority; }
+
 std::string SerializeRelayRequest(const RelayRequest& request) {
   const std::string authority = fmt::format("{}:{}", request.target.value, request.started_ms);
   return fmt::format("CONNECT {0} HTTP/1.1\r\nHost: {0}\r\n\r\n", authority);
--- a/src/persimmonstair/gateway/relay_protocol.hpp
+++ b/src/persimmonstair/gateway/relay_protocol.hpp
@@ -33,6 +33,13 @@
 /// @brief True if the id consists of characters that an authority may hold.
 bool IsRelayable(const base::TargetId& target);
 
+/// @brief Asks an instance to open a connection to the record store. The authority is none that a
+/// target can have.
+std::string SerializeStoreRelayRequest();
+
+/// @brief True if the authority of a CONNECT names the record store.
+bool IsStoreAuthority(std::string_view authority);
+
 std::string SerializeRelayRequest(const RelayRequest& request);
 
 /// @brief Parses the authority of a CONNECT; nothing if it isn't one of SerializeRelayRequest().
--- a/src/persimmonstair/gateway/relay_server.cpp
+++ b/src/persimmonstair/gateway/relay_server.cpp
@@ -98,7 +98,8 @@
   co_return !ec;
 }
 
-asio::awaitable<std::optional<RelayRequest>> ReadRequest(beast::tcp_stream& stream) {
+// Returns the authority of a CONNECT; empty if the request is another one.
+asio::awaitable<std::string> ReadRequest(beast::tcp_stream& stream) {
   beast::flat_buffer buffer;
   http::request_parser<http::empty_body> parser;
   parser.header_limit(kMaxRequestBytes);
@@ -106,9 +107,9 @@
   const auto [ec, n] = co_await http::async_read_header(stream, buffer, parser, kTuple);
   // The asking instance sends nothing more before the answer.
   const bool is_connect = !ec && parser.get().method() == http::verb::connect;
-  if (!is_connect || buffer.size() > 0) co_return std::nullopt;
+  if (!is_connect || buffer.size() > 0) co_return std::string{};
   const auto authority = parser.get().target();
-  co_return ParseRelayAuthority({authority.data(), authority.size()});
+  co_return std::string(authority.data(), authority.size());
 }
 
 asio::awaitable<error_code> ConnectTarget(beast::tcp_stream& stream,
@@ -149,27 +150,48 @@
 asio::awaitable<void> RelayServer::Serve(tcp::socket socket) {
   SetTcpOptions(socket);
   const auto tunnel = std::make_shared<Tunnel>(std::move(socket));
-  const auto request = co_await ReadRequest(tunnel->caller);
-  if (!request) co_return;
-  if (const unsigned refusal = Check(*request); refusal != 0) {
+  const std::string authority = co_await ReadRequest(tunnel->caller);
+  if (IsStoreAuthority(authority)) {
+    co_await ServeStore(tunnel);
+  } else if (const auto request = ParseRelayAuthority(authority)) {
+    co_await ServeTarget(tunnel, *request);
+  }
+}
+
+asio::awaitable<void> RelayServer::ServeTarget(std::shared_ptr<Tunnel> tunnel,
+                                               RelayRequest request) {
+  if (const unsigned refusal = Check(request); refusal != 0) {
     co_await Respond(tunnel->caller, refusal);
     co_return;
   }
-  const dispatch::Endpoint endpoint = targets_.Find(request->target)->endpoint;
+  const dispatch::Endpoint endpoint = targets_.Find(request.target)->endpoint;
   ++open_;
-  co_await Relay(tunnel, *request, endpoint);
-  --open_;
-}
-
-asio::awaitable<void> RelayServer::Relay(std::shared_ptr<Tunnel> tunnel, RelayRequest request,
-                                         dispatch::Endpoint endpoint) {
   const auto ec = co_await ConnectTarget(tunnel->target, endpoint);
   connector_.OnDirect(request.target, !ec);
   diagnostics::Log(diagnostics::Level::kInfo, "target_connection_relayed",
                    {{"target", request.target.value}, {"connected", !ec}, {"open", open_}});
+  co_await Relay(tunnel, !ec);
+  --open_;
+}
+
+asio::awaitable<void> RelayServer::ServeStore(std::shared_ptr<Tunnel> tunnel) {
+  const bool reaches_store = reaches_store_ && reaches_store_();
+  if (stopping_ || open_ >= kMaxOpen || !reaches_store) {
+    co_await Respond(tunnel->caller, kRelayUnavailable);
+    co_return;
+  }
+  ++open_;
+  const auto ec = co_await ConnectTarget(tunnel->target, store_endpoint_);
+  diagnostics::Log(diagnostics::Level::kInfo, "store_connection_relayed",
+                   {{"connected", !ec}, {"open", open_}});
+  co_await Relay(tunnel, !ec);
+  --open_;
+}
+
+asio::awaitable<void> RelayServer::Relay(std::shared_ptr<Tunnel> tunnel, bool connected) {
   const bool answered =
-      co_await Respond(tunnel->caller, ec ? kRelayTargetUnreachable : kRelayOpened);
-  if (ec || !answered) co_return;
+      co_await Respond(tunnel->caller, connected ? kRelayOpened : kRelayTargetUnreachable);
+  if (!connected || !answered) co_return;
   ++opened_;
   asio::co_spawn(co_await asio::this_coro::executor, PumpRequests(tunnel), asio::detached);
   co_await PumpResponses(tunnel);
--- a/src/persimmonstair/gateway/relay_server.hpp
+++ b/src/persimmonstair/gateway/relay_server.hpp
@@ -4,7 +4,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <utility>
 
 #include "persimmonstair/dispatch/target_registry.hpp"
 #include "relay_protocol.hpp"
@@ -15,15 +17,26 @@
 /// @brief Opens connections to targets for instances that have lost their own links to them, and
 /// passes bytes on both ways until one side closes.
 ///
-/// It connects only directly and only to targets of its own list that take new requests. It reads
+/// It also opens connections to the record store, for instances that have lost only that.
+///
+/// It connects only directly and only to the store and to targets of its own list that take new
+/// requests. It reads
 /// nothing of what it passes on. An end of the target's connection by a reset is passed on as a
 /// reset, so that a response which broke off doesn't look complete.
 class RelayServer {
  public:
-  /// `stopping` is true once a planned stop has begun.
+  /// `store` is the address of the record store. `stopping` is true once a planned stop has begun.
   RelayServer(const dispatch::TargetRegistry& targets, TargetConnector& connector,
-              const bool& stopping)
-      : targets_(targets), connector_(connector), stopping_(stopping) {}
+              dispatch::Endpoint store, const bool& stopping)
+      : targets_(targets),
+        connector_(connector),
+        store_endpoint_(std::move(store)),
+        stopping_(stopping) {}
+
+  /// Sets the function that says whether this instance reaches the store directly.
+  void SetReachesStore(std::function<bool()> reaches_store) {
+    reaches_store_ = std::move(reaches_store);
+  }
 
   /// Accepts connections until the acceptor is closed.
   boost::asio::awaitable<void> Run(boost::asio::ip::tcp::acceptor& acceptor);
@@ -38,13 +51,17 @@
   struct Tunnel;
 
   boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
-  boost::asio::awaitable<void> Relay(std::shared_ptr<Tunnel> tunnel, RelayRequest request,
-                                     dispatch::Endpoint endpoint);
+  boost::asio::awaitable<void> ServeTarget(std::shared_ptr<Tunnel> tunnel, RelayRequest request);
+  boost::asio::awaitable<void> ServeStore(std::shared_ptr<Tunnel> tunnel);
+  /// Answers the asking instance and, if the target is connected, passes bytes on.
+  boost::asio::awaitable<void> Relay(std::shared_ptr<Tunnel> tunnel, bool connected);
   /// Returns the status to answer instead of relaying; 0 if the target may be connected to.
   unsigned Check(const RelayRequest& request) const;
 
   const dispatch::TargetRegistry& targets_;
   TargetConnector& connector_;
+  dispatch::Endpoint store_endpoint_;
+  std::function<bool()> reaches_store_;
   const bool& stopping_;
   std::uint32_t open_ = 0;
   std::uint64_t opened_ = 0;
--- a/src/persimmonstair/gateway/retrying_record_store.cpp
+++ b/src/persimmonstair/gateway/retrying_record_store.cpp
@@ -61,6 +61,8 @@
   return !failing_ || Now() - failing_since_ < kUnreachableAfter;
 }
 
+void RetryingRecordStore::OnPathChanged() { newest_answered_sent_at_ = Now(); }
+
 base::Duration RetryingRecordStore::Timeout(int attempt) const {
   const base::Duration first =
       std::max<base::Duration>(kMinTimeout, kTimeoutFactor * smoothed_latency_);
--- a/src/persimmonstair/gateway/retrying_record_store.hpp
+++ b/src/persimmonstair/gateway/retrying_record_store.hpp
@@ -52,6 +52,9 @@
   boost::asio::awaitable<base::Result<RecordBatch>> Poll(Partition partition, base::Offset from,
                                                          base::Duration wait);
 
+  /// Makes reads in progress count as overtaken, because their connections are lost.
+  void OnPathChanged();
+
   /// False once calls have failed for 400 ms without a success. Requests that need the store are
   /// then refused at once.
   bool Up() const;
--- a/src/persimmonstair/gateway/settings_load.cpp
+++ b/src/persimmonstair/gateway/settings_load.cpp
@@ -94,6 +94,7 @@
   out.readiness_listen = *ParseEndpoint(settings.readiness_listen);
   out.metrics_listen = *ParseEndpoint(settings.metrics_listen);
   out.peer_listen = *ParseEndpoint(settings.peer_listen);
+  out.store = *ParseEndpoint(settings.store);
   out.parts_of_stream = settings.parts_of_stream;
   out.store_writes_per_s = settings.store_writes_per_s;
   out.turn_cache_bytes = std::size_t{settings.turn_cache_mb} << 20U;
