--- a/src/persimmonstair/gateway/fleet_registry.hpp
+++ b/src/persimmonstair/gateway/fleet_registry.hpp
@@ -74,6 +74,8 @@
   boost::asio::awaitable<void> ReportStopping(base::TimePoint deadline);
 
   quota::LocalShares& Shares() { return shares_; }
+  /// Number of instances in the share table; 0 if there is no table yet.
+  std::size_t Holders() const { return allocator_.Table().holders.size(); }
 
   /// Returns the coordinators of the workspace that reported recently.
   ReachableCoordinators FindCoordinators(const base::WorkspaceId& workspace);
--- a/src/persimmonstair/gateway/followers.cpp
+++ b/src/persimmonstair/gateway/followers.cpp
@@ -6,6 +6,7 @@
 
 #include "clock.hpp"
 #include "persimmonstair/diagnostics/log.hpp"
+#include "poll_intervals.hpp"
 
 namespace persimmonstair::gateway {
 namespace {
@@ -16,13 +17,8 @@
 using diagnostics::Log;
 using std::chrono::milliseconds;
 
-/// Longest time that the store holds a read open until a record arrives. A lost answer delays a
-/// change by this time and the patience of a read.
-constexpr milliseconds kConfigurationWait{500};
+/// Longest time that the store holds a read of the target list open.
 constexpr milliseconds kTargetWait{400};
-/// Pause between reads of the target list, whose entries change constantly. It delays the
-/// detection of a draining target by at most this time, a small part of its drain period.
-constexpr milliseconds kTargetPollPause{120};
 constexpr milliseconds kRetryPause{80};
 /// Time after which a snapshot is asked for again although no other read was answered either.
 constexpr std::chrono::seconds kSnapshotTimeout{60};
@@ -46,14 +42,15 @@
     base::Offset next = snapshot->next;
     for (;;) {
       const base::TimePoint asked_at = Now();
-      const auto batch = co_await store_.Poll(partition, next, kConfigurationWait);
+      const base::Duration wait = ConfigurationWait(instances_ ? instances_() : 0);
+      const auto batch = co_await store_.Poll(partition, next, wait);
       if (!batch && batch.error().code == ErrorCode::kNotFound) break;
       if (!batch) {
         co_await Sleep(kRetryPause);
         continue;
       }
       Apply(batch->records);
-      Confirm(asked_at, kConfigurationWait);
+      Confirm(asked_at, wait);
       next = batch->next;
     }
     Log(Level::kInfo, "configuration_history_dropped", {{"next", next.value}});
@@ -114,7 +111,8 @@
         for (const auto& stored : batch->records) Apply(stored);
         next = batch->next;
       }
-      co_await Sleep(batch ? kTargetPollPause : kRetryPause);
+      const base::Duration pause = TargetPollPause(instances_ ? instances_() : 0);
+      co_await Sleep(batch ? pause : kRetryPause);
     }
     Log(Level::kInfo, "target_history_dropped", {{"next", next.value}});
   }
--- a/src/persimmonstair/gateway/followers.hpp
+++ b/src/persimmonstair/gateway/followers.hpp
@@ -1,7 +1,10 @@
 #ifndef PERSIMMONSTAIR_SRC_GATEWAY_FOLLOWERS_HPP_
 #define PERSIMMONSTAIR_SRC_GATEWAY_FOLLOWERS_HPP_
 
+#include <cstddef>
+#include <functional>
 #include <string>
+#include <utility>
 
 #include "persimmonstair/dispatch/deferred_removals.hpp"
 #include "persimmonstair/dispatch/target_registry.hpp"
@@ -19,6 +22,9 @@
   ConfigurationFollower(RetryingRecordStore& store, const PlatformCodec& codec)
       : store_(store), codec_(codec) {}
 
+  /// Sets the function that returns the number of instances, on which the polls depend.
+  void SetFleetSize(std::function<std::size_t()> instances) { instances_ = std::move(instances); }
+
   /// Never returns.
   boost::asio::awaitable<void> Run();
 
@@ -35,6 +41,7 @@
 
   RetryingRecordStore& store_;
   const PlatformCodec& codec_;
+  std::function<std::size_t()> instances_;
   ConfigurationPtr current_;
   base::TimePoint confirmed_at_;
 };
@@ -49,6 +56,9 @@
                  dispatch::TargetRegistry& target_registry, TargetConnectionPool& pool)
       : store_(store), codec_(codec), target_registry_(target_registry), pool_(pool) {}
 
+  /// Sets the function that returns the number of instances, on which the polls depend.
+  void SetFleetSize(std::function<std::size_t()> instances) { instances_ = std::move(instances); }
+
   /// Never returns.
   boost::asio::awaitable<void> Run();
 
@@ -63,6 +73,7 @@
   const PlatformCodec& codec_;
   dispatch::TargetRegistry& target_registry_;
   TargetConnectionPool& pool_;
+  std::function<std::size_t()> instances_;
   dispatch::DeferredRemovals deferred_removals_;
   base::TimePoint recovered_at_;
 };
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -58,6 +58,8 @@
         budget_coordinator(executor, peers, budget_manager, store, settings.reservation_timeout),
         budgets(executor, peers, fleet, budget_manager, settings.peer_answer_timeout) {
     connector.OnHangingPath([this] { pool.DropAll(); });
+    configuration.SetFleetSize([this] { return fleet.Holders(); });
+    targets.SetFleetSize([this] { return fleet.Holders(); });
     store_connector.SetCandidates([this] { return fleet.RelayCandidates(); });
     record_store.OnChanged([this] { store.OnPathChanged(); });
     relays.SetReachesStore([this] { return store.Up() && !record_store.IsRelayed(); });
