--- a/src/persimmonstair/gateway/fleet_registry.hpp
+++ b/src/persimmonstair/gateway/fleet_registry.hpp
@@ -41,6 +41,8 @@
   bool is_self = false;
   /// Its address; empty if this instance is the coordinator or none is known.
   std::optional<dispatch::Endpoint> endpoint;
+  /// Number of other instances that send heartbeats to this one.
+  std::size_t CollectedInstances() const { return collector_.Members(); }
   /// Number of instances in the share table; 0 if there is no table yet.
   std::size_t instances = 0;
 };
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -156,6 +156,10 @@
           "Reservations and settlements of other instances that are not in the store yet",
           static_cast<double>(context.budget_coordinator.Pending()));
     gauge("persimmonstair_store_reachable", "1 if the store answers", context.store.Up() ? 1 : 0);
+    gauge("persimmonstair_fleet_holders", "Instances in the share table",
+          static_cast<double>(context.fleet.Holders()));
+    gauge("persimmonstair_fleet_collected", "Instances whose heartbeats this one reports",
+          static_cast<double>(context.fleet.CollectedInstances()));
     gauge("persimmonstair_store_path_relayed", "1 if calls of the store go through other instances",
           context.record_store.IsRelayed() ? 1 : 0);
     gauge("persimmonstair_log_lines_dropped", "Log lines lost for want of room",
