Ignore the stop record of an earlier process after reports of the next one

Cause (found by reading): an instance's stop stays in the store under its own key, because collectors report the next process in their rosters. A reader that starts gets both in the order of keys; a stop that it applies last takes the running holder off its list for up to half a second, in which a table may be written without it.

Change: a stop counts only for its own process, in the allocator and the list of peers, and the first read is applied in the order of offsets. Test: ShareAllocatorTest.StopOfAnEarlierProcessEndsNoShare (without the change the holder is erased).

--- a/src/persimmonstair/gateway/fleet_registry.cpp
+++ b/src/persimmonstair/gateway/fleet_registry.cpp
@@ -211,7 +211,7 @@
   }
   const auto endpoint = ParseEndpoint(report.peer);
   if (report.stopping || !endpoint) {
-    peers_.erase(report.instance);
+    if (known != peers_.end() && known->second.process == report.process) peers_.erase(known);
     return;
   }
   peers_[report.instance] = {*endpoint, report.data_centre, report.process,
@@ -331,8 +331,11 @@
 
 awaitable<bool> FleetRegistry::ReadNew(FollowedPartition& source, base::TimePoint deadline) {
   if (!source.loaded) {
-    const auto snapshot = co_await store_.ReadNewest(source.partition, Now() + kSnapshotTimeout);
+    auto snapshot = co_await store_.ReadNewest(source.partition, Now() + kSnapshotTimeout);
     if (!snapshot) co_return false;
+    // The stop of a process comes before the reports of the next one.
+    std::sort(snapshot->records.begin(), snapshot->records.end(),
+              [](const auto& a, const auto& b) { return a.offset < b.offset; });
     for (const auto& stored : snapshot->records) Apply(stored.record);
     source.next = snapshot->next;
     source.loaded = true;
--- a/src/persimmonstair/quota/quota_test.cpp
+++ b/src/persimmonstair/quota/quota_test.cpp
@@ -380,6 +380,19 @@
   EXPECT_TRUE(allocator.NextTable(At(kWriterTimeout), {"b"}));
 }
 
+// Guards against a holder that looks stopped, because the record of its earlier process is read
+// after the first reports of the one that runs now.
+TEST(ShareAllocatorTest, StopOfAnEarlierProcessEndsNoShare) {
+  ShareAllocator allocator;
+  schema::ShareReport stop = Report("a", 1);
+  stop.process = "earlier";
+  stop.stopping = true;
+  allocator.OnReport(At({}), Report("a", 1));
+  allocator.OnReport(At({}), stop);
+  ASSERT_TRUE(allocator.NextTable(At({}), {"a"}));
+  EXPECT_EQ(allocator.NextTable(At({}), {"a"})->holders.size(), 1U);
+}
+
 // Guards against the loss of shares after a store outage: no instance can report during it, so all
 // others look dead to the first one that reads the log again.
 TEST(ShareAllocatorTest, StoreOutageEndsNoShare) {
--- a/src/persimmonstair/quota/share_allocator.cpp
+++ b/src/persimmonstair/quota/share_allocator.cpp
@@ -1,12 +1,17 @@
 #include "persimmonstair/quota/share_allocator.hpp"
 
 #include <algorithm>
+#include <string>
 
 namespace persimmonstair::quota {
 
 void ShareAllocator::OnReport(base::TimePoint now, const schema::ShareReport& report) {
   if (report.stopping) {
-    holders_.erase(report.instance);
+    const auto it = holders_.find(report.instance);
+    if (it == holders_.end()) return;
+    // The record of an earlier process may be read after reports of the one that runs now.
+    const std::string& known = it->second.report.process;
+    if (known.empty() || known == report.process) holders_.erase(it);
     return;
   }
   // Assigned in place: a report of each instance comes about twice a second.
