--- a/src/persimmonstair/gateway/fleet_registry.hpp
+++ b/src/persimmonstair/gateway/fleet_registry.hpp
@@ -41,8 +41,6 @@
   bool is_self = false;
   /// Its address; empty if this instance is the coordinator or none is known.
   std::optional<dispatch::Endpoint> endpoint;
-  /// Number of other instances that send heartbeats to this one.
-  std::size_t CollectedInstances() const { return collector_.Members(); }
   /// Number of instances in the share table; 0 if there is no table yet.
   std::size_t instances = 0;
 };
@@ -76,6 +74,8 @@
   boost::asio::awaitable<void> ReportStopping(base::TimePoint deadline);
 
   quota::LocalShares& Shares() { return shares_; }
+  /// Number of other instances that send heartbeats to this one.
+  std::size_t CollectedInstances() const { return collector_.Members(); }
   /// Number of instances in the share table; 0 if there is no table yet.
   std::size_t Holders() const { return allocator_.Table().holders.size(); }
 
--- a/src/persimmonstair/gateway/relay_server.hpp
+++ b/src/persimmonstair/gateway/relay_server.hpp
@@ -20,9 +20,8 @@
 /// It also opens connections to the record store, for instances that have lost only that.
 ///
 /// It connects only directly and only to the store and to targets of its own list that take new
-/// requests. It reads
-/// nothing of what it passes on. An end of the target's connection by a reset is passed on as a
-/// reset, so that a response which broke off doesn't look complete.
+/// requests. It reads nothing of what it passes on. An end of the target's connection by a reset is
+/// passed on as a reset, so that a response which broke off doesn't look complete.
 class RelayServer {
  public:
   /// `store` is the address of the record store. `stopping` is true once a planned stop has begun.
