--- a/src/persimmonstair/gateway/fleet_registry.cpp
+++ b/src/persimmonstair/gateway/fleet_registry.cpp
@@ -232,7 +232,9 @@
       // No reports can be read, so a missing report does not show that a peer has stopped.
       for (auto& [instance, peer] : peers_) peer.last_heard_at = Now();
     }
-    if (!unsent_crashes_.empty()) co_await WriteCrashes();
+    if (!unsent_crashes_.empty()) {
+      co_await WriteCrashes();
+    }
     if (tables_read && reports_read) {
       co_await WriteTable();
     }
@@ -243,7 +245,9 @@
 }
 
 awaitable<void> FleetRegistry::RunReports() {
-  while (!reports_.loaded) co_await Sleep(kStartCheckInterval);
+  while (!reports_.loaded) {
+    co_await Sleep(kStartCheckInterval);
+  }
   const auto first_candidates = CollectorCandidates();
   const bool knows_collector = std::any_of(first_candidates.begin(), first_candidates.end(),
                                            [](const auto& one) { return one.is_local; });
@@ -260,8 +264,12 @@
     const auto step = heartbeats_.Next(now, candidates, may_collect);
     if (step.send) SendHeartbeat(step.send->first, step.send->second);
     const bool collects = step.collects || collector_.HasMembers(now);
-    if (collects && store_.Up()) co_await Collect();
-    if (!collects && !heartbeats_.Collector().empty()) co_await RetireRoster();
+    if (collects && store_.Up()) {
+      co_await Collect();
+    }
+    if (!collects && !heartbeats_.Collector().empty()) {
+      co_await RetireRoster();
+    }
     const base::TimePoint until = collects ? now + kCollectCheckInterval : step.next_at;
     report_timer_.expires_after(std::min<base::Duration>(until - Now(), kPollInterval));
     co_await report_timer_.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
@@ -418,6 +426,7 @@
 awaitable<void> FleetRegistry::WriteCrashes() {
   const auto crashes = std::exchange(unsent_crashes_, {});
   std::vector<KeyedRecord> records;
+  records.reserve(crashes.size());
   for (const auto& crash : crashes) {
     records.push_back({CrashKey(crash), schema::EncodeState(crash)});
   }
--- a/src/persimmonstair/gateway/relayed_record_store.cpp
+++ b/src/persimmonstair/gateway/relayed_record_store.cpp
@@ -79,7 +79,9 @@
 
 awaitable<void> RelayedRecordStore::RunProbes() {
   while (relayed_) {
-    if (path_.TakeProbe(Now())) co_await Probe();
+    if (path_.TakeProbe(Now())) {
+      co_await Probe();
+    }
     co_await Sleep(kProbeCheckInterval);
   }
 }
