--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
   libspdlog-dev libexpected-dev nlohmann-json3-dev libvalijson-dev libssl-dev libxxhash-dev \
   libgtest-dev libgmock-dev libbenchmark-dev
 CHECK_PACKAGES = clang-format clang-tidy clang libclang-rt-14-dev python3 curl jq
+# Time limit of one test program, in seconds. It only ends programs that hang.
+TEST_TIMEOUT_S = 900
 SUDO = $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 
 .PHONY: all build packages check-packages test format lint generate-check demo bench capacity clean
@@ -22,7 +24,7 @@
 	cmake --build build
 
 test: packages build
-	cd build && ctest --output-on-failure --no-tests=error -j 4
+	cd build && ctest --output-on-failure --no-tests=error --timeout $(TEST_TIMEOUT_S) -j 4
 
 format:
 	tools/check_format
--- a/daemon/instance_test.cpp
+++ b/daemon/instance_test.cpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "test_socket.hpp"
+#include "test_wait.hpp"
 
 namespace persimmonstair::daemon {
 namespace {
@@ -172,7 +173,7 @@
   });
   TestSocket client(instance->runtime().CallerPort());
   client.Send(kTurn);
-  while (target.Connections() == 0) std::this_thread::yield();
+  ASSERT_TRUE(net::Eventually([&] { return target.Connections() > 0; }));
   client.Reset();
   const auto failure = failed.Pop();
   EXPECT_EQ(failure.kind, scheduler::FailureKind::kCancelled);
@@ -190,7 +191,7 @@
   client.Send(kReadProgram);
   EXPECT_EQ(client.ReadResponse().body, "read");
   const auto port = instance->runtime().AdminPort();
-  while (CallAdmin(port, "/readyz") != "200 ready\n") std::this_thread::yield();
+  ASSERT_TRUE(net::Eventually([&] { return CallAdmin(port, "/readyz") == "200 ready\n"; }));
   EXPECT_EQ(CallAdmin(port, "/healthz"), "200 ok\n");
   const auto status = nlohmann::json::parse(CallAdmin(port, "/status").substr(4));
   EXPECT_EQ(status["instance"], "i1");
@@ -273,20 +274,19 @@
   std::atomic<bool> hanging{false};
   auto instance = StartInstance(std::move(options), [&](const Event& event) -> Actions {
     hanging = true;
-    while (hang) std::this_thread::yield();
+    EXPECT_TRUE(net::Eventually([&] { return !hang; }));
     return Proxy(event, 1);
   });
   // The scheduler thread now blocks in its first event, so further events stay in the queue.
-  while (!hanging) std::this_thread::yield();
+  EXPECT_TRUE(net::Eventually([&] { return hanging.load(); }));
   const auto port = instance->runtime().CallerPort();
   std::vector<std::unique_ptr<TestSocket>> clients;
   for (int n = 0; n < 3; ++n) {
     clients.push_back(std::make_unique<TestSocket>(port));
     clients.back()->Send(kReadProgram);
     if (n < 2) {
-      while (instance->runtime().events().size() != static_cast<std::size_t>(n) + 1) {
-        std::this_thread::yield();
-      }
+      EXPECT_TRUE(net::Eventually(
+          [&] { return instance->runtime().events().size() == static_cast<std::size_t>(n) + 1; }));
     }
   }
   const auto refused = clients[2]->ReadResponse();
