--- a/include/persimmonstair/gateway/record_store.hpp
+++ b/include/persimmonstair/gateway/record_store.hpp
@@ -47,6 +47,8 @@
   std::vector<StoredRecord> records;
   /// Offset from which to read on.
   base::Offset next;
+  /// Offset after the last record of the partition.
+  base::Offset end;
 };
 
 /// @brief The newest record of each key. Later records start at `next`.
--- a/src/persimmonstair/gateway/busy_store_test.hpp
+++ b/src/persimmonstair/gateway/busy_store_test.hpp
@@ -45,6 +45,7 @@
       if (stored.offset >= from) batch.records.push_back(stored);
     }
     batch.next = std::max(from, content_.next);
+    batch.end = batch.next;
     co_return batch;
   }
 
