--- a/src/persimmonstair/gateway/peer_socket.cpp
+++ b/src/persimmonstair/gateway/peer_socket.cpp
@@ -3,15 +3,19 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <exception>
 #include <memory>
 #include <string>
 
+#include "persimmonstair/diagnostics/log.hpp"
 #include "persimmonstair/schema/entry_peer_codec.hpp"
 
 namespace persimmonstair::gateway {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
+using diagnostics::Level;
+using diagnostics::Log;
 
 std::optional<PeerEndpoint> ToPeerEndpoint(const dispatch::Endpoint& endpoint) {
   error_code ec;
@@ -39,8 +43,21 @@
     // The error refers to an earlier datagram that was not delivered; the socket stays usable.
     if (ec) continue;
     const auto message = schema::DecodeEntryPeer({buffer_.data(), n});
-    if (!message) continue;
-    for (const auto& handler : handlers_) handler(*message, sender);
+    if (message) Handle(*message, sender);
+  }
+}
+
+void PeerSocket::Handle(const schema::EntryPeerMessage& message, const PeerEndpoint& sender) {
+  for (const auto& handler : handlers_) {
+    // A datagram must not end the process, whatever it holds.
+    try {
+      handler(message, sender);
+    } catch (const std::exception& error) {
+      Log(Level::kError, "datagram_failed",
+          {{"type", message.index()},
+           {"sender", sender.address().to_string()},
+           {"error", error.what()}});
+    }
   }
 }
 
--- a/src/persimmonstair/gateway/peer_socket.hpp
+++ b/src/persimmonstair/gateway/peer_socket.hpp
@@ -48,6 +48,8 @@
   bool Send(const schema::EntryPeerMessage& message, const PeerEndpoint& peer);
 
  private:
+  void Handle(const schema::EntryPeerMessage& message, const PeerEndpoint& sender);
+
   boost::asio::ip::udp::socket socket_;
   std::vector<Handler> handlers_;
   std::array<char, kMaxDatagramBytes> buffer_{};
--- a/src/persimmonstair/schema/codec.cpp
+++ b/src/persimmonstair/schema/codec.cpp
@@ -67,7 +67,7 @@
       return Fail(ErrorCode::kInvalidRequest, "trailing bytes after a " + what);
     }
     return message;
-  } catch (const cereal::Exception& error) {
+  } catch (const std::exception& error) {
     return Fail(ErrorCode::kInvalidRequest, what + ": " + error.what());
   }
 }
