Read new records of the store through the collector of the data centre

Change: an instance that a collector reports asks it by datagram for what the collector has read since (SharedReads, fleet::RecordTail, fleet::FeedPath). The store is read instead if the collector is silent, declines, is more than 0.9 s old or does not hold the records (longer than a datagram), and every 2 s anyway, so that each instance knows whether it reaches the store. A read that reached the end is not followed by a second one. Older builds never answer and are asked more and more rarely.

--- a/include/persimmonstair/diagnostics/metrics.hpp
+++ b/include/persimmonstair/diagnostics/metrics.hpp
@@ -38,6 +38,9 @@
   /// Counts a token of a target's rate by its result ("granted" or "refused") and by who decided:
   /// the rate's "coordinator", or this instance from its "own_part".
   void CountTargetToken(const std::string& result, const std::string& source);
+  /// Counts a message that asked another instance for new records of the store, by its result, for
+  /// example "answered".
+  void CountFeedAsk(const std::string& result);
   /// Counts a request that was refused because half of the event queue was in use.
   void CountRingFull();
   /// Sets a gauge. The first call with a name creates it; later calls ignore `help`.
@@ -65,6 +68,7 @@
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Family<prometheus::Counter>& store_bytes_;
   prometheus::Family<prometheus::Counter>& target_tokens_;
+  prometheus::Family<prometheus::Counter>& feed_asks_;
   prometheus::Counter& ring_full_;
   std::map<std::pair<std::string, std::string>, Series> series_;
   std::map<std::string, prometheus::Counter*> by_result_;
--- a/include/persimmonstair/schema/entry_peer.hpp
+++ b/include/persimmonstair/schema/entry_peer.hpp
@@ -335,17 +335,85 @@
   Field(archive, value.declined);
 }
 
+/// @brief A record of the store.
+struct FeedRecord {
+  /// Key of the record.
+  std::string key;
+  /// True if the record deletes its key.
+  bool deleted = false;
+  /// Value of the record; empty if it deletes its key.
+  std::string value;
+
+  bool operator==(const FeedRecord&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, FeedRecord& value) {
+  Field(archive, value.key);
+  Field(archive, value.deleted);
+  Field(archive, value.value);
+}
+
+/// @brief Asks the collector for records of a partition that it has read from the store and the
+/// sender has not.
+struct FeedAsk {
+  /// Number that matches the answer to this message.
+  std::uint64_t nonce = 0;
+  /// Stream of the partition.
+  base::StreamName stream;
+  /// Number of the partition.
+  std::uint32_t part = 0;
+  /// Offset of the first record that the sender has not read.
+  base::Offset from;
+
+  bool operator==(const FeedAsk&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, FeedAsk& value) {
+  Field(archive, value.nonce);
+  Field(archive, value.stream);
+  Field(archive, value.part);
+  Field(archive, value.from);
+}
+
+/// @brief Answer to FeedAsk.
+struct FeedAnswer {
+  /// Copied from the request.
+  std::uint64_t nonce = 0;
+  /// True if the collector does not follow the partition or does not reach the store.
+  bool declined = false;
+  /// Consecutive records; empty if there is none, or if the collector does not hold the first one.
+  std::vector<FeedRecord> records;
+  /// Offset after the last record that the collector has read.
+  base::Offset end;
+  /// Time since the store confirmed that there were no more, in milliseconds.
+  std::uint32_t age_ms = 0;
+
+  bool operator==(const FeedAnswer&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, FeedAnswer& value) {
+  Field(archive, value.nonce);
+  Field(archive, value.declined);
+  Field(archive, value.records);
+  Field(archive, value.end);
+  Field(archive, value.age_ms);
+}
+
 /// @brief Any of the types above.
 using EntryPeerMessage =
     std::variant<TokenAsk, TokenAnswer, TokenCancel, ReservationAsk, ReservationAnswer,
                  SettlementNotice, SettlementAck, TargetTokenAsk, TargetTokenAnswer,
-                 TargetRateNotice, InstanceHeartbeat, InstanceHeartbeatAck>;
+                 TargetRateNotice, InstanceHeartbeat, InstanceHeartbeatAck, FeedAsk, FeedAnswer>;
 
 /// Type names in the order of the variant's alternatives.
-inline constexpr std::array<std::string_view, 12> kEntryPeerMessageTypes = {
+inline constexpr std::array<std::string_view, 14> kEntryPeerMessageTypes = {
     "TokenAsk",          "TokenAnswer",      "TokenCancel",       "ReservationAsk",
     "ReservationAnswer", "SettlementNotice", "SettlementAck",     "TargetTokenAsk",
-    "TargetTokenAnswer", "TargetRateNotice", "InstanceHeartbeat", "InstanceHeartbeatAck"};
+    "TargetTokenAnswer", "TargetRateNotice", "InstanceHeartbeat", "InstanceHeartbeatAck",
+    "FeedAsk",           "FeedAnswer"};
 
 }  // namespace persimmonstair::schema
 
--- a/src/persimmonstair/diagnostics/metrics.cpp
+++ b/src/persimmonstair/diagnostics/metrics.cpp
@@ -42,6 +42,10 @@
                          .Name("persimmonstair_target_tokens_total")
                          .Help("Tokens of targets' rates by result and by who decided")
                          .Register(registry_)),
+      feed_asks_(prometheus::BuildCounter()
+                     .Name("persimmonstair_feed_asks_total")
+                     .Help("Messages that asked the collector for new records, by result")
+                     .Register(registry_)),
       ring_full_(prometheus::BuildCounter()
                      .Name("persimmonstair_ring_full_total")
                      .Help("Requests refused because the event ring was full")
@@ -102,6 +106,11 @@
   target_tokens_.Add({{"result", result}, {"source", source}}).Increment();
 }
 
+void Metrics::CountFeedAsk(const std::string& result) {
+  const std::lock_guard lock(mutex_);
+  feed_asks_.Add({{"result", result}}).Increment();
+}
+
 void Metrics::CountRingFull() { ring_full_.Increment(); }
 
 void Metrics::SetGauge(const std::string& name, const std::string& help, double value) {
--- a/src/persimmonstair/gateway/cold_start_test.cpp
+++ b/src/persimmonstair/gateway/cold_start_test.cpp
@@ -45,11 +45,17 @@
 
 /// The part of an instance that reads the configuration.
 struct StartingInstance {
-  StartingInstance(RecordStore& records, const PlatformCodec& codec)
-      : store(records, metrics), configuration(store, codec) {}
+  StartingInstance(const boost::asio::any_io_executor& executor, RecordStore& records,
+                   const PlatformCodec& codec)
+      : store(records, metrics),
+        socket(executor),
+        reads(executor, store, socket, metrics, SharedReads::kStartTime),
+        configuration(store, reads, codec) {}
 
   diagnostics::Metrics metrics;
   RetryingRecordStore store;
+  PeerSocket socket;
+  SharedReads reads;
   ConfigurationFollower configuration;
 };
 
@@ -68,7 +74,7 @@
  public:
   Fleet(std::size_t size, BusyStore& store) {
     for (std::size_t n = 0; n < size; ++n) {
-      instances_.push_back(std::make_unique<StartingInstance>(store, codec_));
+      instances_.push_back(std::make_unique<StartingInstance>(io_.get_executor(), store, codec_));
       StartingInstance& instance = *instances_.back();
       boost::asio::co_spawn(io_, instance.configuration.Run(), boost::asio::detached);
       boost::asio::co_spawn(io_, WriteReports(instance.store), boost::asio::detached);
@@ -89,8 +95,8 @@
 
  private:
   OneConfigurationCodec codec_;
-  std::vector<std::unique_ptr<StartingInstance>> instances_;
   boost::asio::io_context io_{1};
+  std::vector<std::unique_ptr<StartingInstance>> instances_;
 };
 
 constexpr std::size_t kInstances = 40;
--- a/src/persimmonstair/gateway/fleet_registry.cpp
+++ b/src/persimmonstair/gateway/fleet_registry.cpp
@@ -25,6 +25,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kPollInterval{1000};
+/// The same for a collector, which reads for the instances that it reports.
+constexpr milliseconds kCollectorPollInterval{500};
 /// Timeout of an append of reports. The next one replaces it.
 constexpr milliseconds kReportTimeout{1500};
 /// Interval at which a collector checks whether an append is due.
@@ -89,9 +91,10 @@
 }  // namespace
 
 FleetRegistry::FleetRegistry(const boost::asio::any_io_executor& executor,
-                             RetryingRecordStore& store, PeerSocket& socket,
+                             RetryingRecordStore& store, SharedReads& reads, PeerSocket& socket,
                              const GatewaySettings& settings, std::string process)
     : store_(store),
+      reads_(reads),
       socket_(socket),
       instance_(settings.instance),
       data_centre_(settings.data_centre),
@@ -218,6 +221,19 @@
                              Now(),     collector,          may_collect};
 }
 
+std::optional<dispatch::Endpoint> FleetRegistry::Collector() const {
+  if (heartbeats_.Collector().empty()) return std::nullopt;
+  const auto endpoint = ParseEndpoint(heartbeats_.Collector());
+  if (!endpoint) return std::nullopt;
+  return *endpoint;
+}
+
+std::size_t FleetRegistry::StoreReaders() const { return Holders() / (collector_.Members() + 1); }
+
+base::Duration FleetRegistry::PollInterval() const {
+  return collector_.HasMembers(Now()) ? kCollectorPollInterval : kPollInterval;
+}
+
 awaitable<void> FleetRegistry::Run() {
   const base::TimePoint started_at = Now();
   for (;;) {
@@ -240,7 +256,7 @@
     }
     ExpireCrashes();
     const bool settled = shares_.HasLease(Now()) && Now() - started_at >= kStartTime;
-    co_await Sleep(settled ? kPollInterval : kStartPollInterval);
+    co_await Sleep(settled ? PollInterval() : kStartPollInterval);
   }
 }
 
@@ -349,14 +365,14 @@
     source.loaded = true;
   }
   for (;;) {
-    const auto batch = co_await store_.Read(source.partition, source.next, deadline);
+    const auto batch = co_await reads_.Read(source.partition, source.next, deadline);
     if (!batch) {
       if (batch.error().code == ErrorCode::kNotFound) source.loaded = false;
       co_return false;
     }
     for (const auto& stored : batch->records) Apply(stored.record);
-    if (batch->records.empty()) co_return true;
     source.next = batch->next;
+    if (batch->next >= batch->end) co_return true;
   }
 }
 
--- a/src/persimmonstair/gateway/fleet_registry.hpp
+++ b/src/persimmonstair/gateway/fleet_registry.hpp
@@ -19,6 +19,7 @@
 #include "persimmonstair/quota/local_shares.hpp"
 #include "persimmonstair/quota/share_allocator.hpp"
 #include "retrying_record_store.hpp"
+#include "shared_reads.hpp"
 
 namespace persimmonstair::gateway {
 
@@ -63,7 +64,8 @@
 class FleetRegistry {
  public:
   FleetRegistry(const boost::asio::any_io_executor& executor, RetryingRecordStore& store,
-                PeerSocket& socket, const GatewaySettings& settings, std::string process);
+                SharedReads& reads, PeerSocket& socket, const GatewaySettings& settings,
+                std::string process);
 
   /// Reads new records and writes tables; never returns.
   boost::asio::awaitable<void> Run();
@@ -76,6 +78,11 @@
   quota::LocalShares& Shares() { return shares_; }
   /// Number of other instances that send heartbeats to this one.
   std::size_t CollectedInstances() const { return collector_.Members(); }
+  /// Returns the address of the collector that reports this instance; nothing if it reports itself.
+  std::optional<dispatch::Endpoint> Collector() const;
+  /// Estimates how many instances read the store themselves: collectors read it for those that send
+  /// them heartbeats.
+  std::size_t StoreReaders() const;
   /// Number of instances in the share table; 0 if there is no table yet.
   std::size_t Holders() const { return allocator_.Table().holders.size(); }
 
@@ -115,6 +122,8 @@
     base::Offset next;
   };
 
+  /// Time between two reads of tables and reports.
+  base::Duration PollInterval() const;
   /// Applies new records; false if the store did not answer.
   boost::asio::awaitable<bool> ReadNew(FollowedPartition& source, base::TimePoint deadline);
   boost::asio::awaitable<void> WriteTable();
@@ -140,6 +149,7 @@
   void ExpireCrashes();
 
   RetryingRecordStore& store_;
+  SharedReads& reads_;
   PeerSocket& socket_;
   base::InstanceId instance_;
   base::DataCentreId data_centre_;
--- a/src/persimmonstair/gateway/followers.cpp
+++ b/src/persimmonstair/gateway/followers.cpp
@@ -22,47 +22,36 @@
 constexpr milliseconds kRetryPause{80};
 /// Time after which a snapshot is asked for again although no other read was answered either.
 constexpr std::chrono::seconds kSnapshotTimeout{60};
-/// Delay of an answer up to which it counts as made when it arrived.
-constexpr milliseconds kMaxUsualDelay{300};
 
 }  // namespace
 
 awaitable<void> ConfigurationFollower::Run() {
-  const Partition partition{codec_.ConfigurationStream(), 0};
   for (;;) {
     const base::TimePoint begun_at = Now();
-    const auto snapshot = co_await store_.ReadNewest(partition, begun_at + kSnapshotTimeout);
+    const auto snapshot = co_await store_.ReadNewest(partition_, begun_at + kSnapshotTimeout);
     if (!snapshot) {
       Log(Level::kWarning, "configuration_not_read", {{"error", snapshot.error().message}});
       co_await Sleep(kRetryPause);
       continue;
     }
     Apply(snapshot->records);
-    Confirm(begun_at, {});
+    snapshot_at_ = begun_at;
     base::Offset next = snapshot->next;
     for (;;) {
-      const base::TimePoint asked_at = Now();
-      const base::Duration wait = ConfigurationWait(instances_ ? instances_() : 0);
-      const auto batch = co_await store_.Poll(partition, next, wait);
+      const base::Duration wait = ConfigurationWait(readers_ ? readers_() : 0);
+      const auto batch = co_await reads_.Poll(partition_, next, wait);
       if (!batch && batch.error().code == ErrorCode::kNotFound) break;
       if (!batch) {
         co_await Sleep(kRetryPause);
         continue;
       }
       Apply(batch->records);
-      Confirm(asked_at, wait);
       next = batch->next;
     }
     Log(Level::kInfo, "configuration_history_dropped", {{"next", next.value}});
   }
 }
 
-void ConfigurationFollower::Confirm(base::TimePoint asked_at, base::Duration wait) {
-  // A late answer may have been made right after it was asked for.
-  const bool late = Now() - asked_at > wait + kMaxUsualDelay;
-  confirmed_at_ = std::max(confirmed_at_, late ? asked_at : Now());
-}
-
 void ConfigurationFollower::Apply(const std::vector<StoredRecord>& records) {
   // Each record holds the whole configuration, so only the newest readable one is applied.
   for (auto it = records.rbegin(); it != records.rend(); ++it) {
@@ -104,14 +93,14 @@
     }
     base::Offset next = snapshot->next;
     for (;;) {
-      const auto batch = co_await store_.Poll(partition, next, kTargetWait);
+      const auto batch = co_await reads_.Poll(partition, next, kTargetWait);
       RemoveDue();
       if (!batch && batch.error().code == ErrorCode::kNotFound) break;
       if (batch) {
         for (const auto& stored : batch->records) Apply(stored);
         next = batch->next;
       }
-      const base::Duration pause = TargetPollPause(instances_ ? instances_() : 0);
+      const base::Duration pause = TargetPollPause(readers_ ? readers_() : 0);
       co_await Sleep(batch ? pause : kRetryPause);
     }
     Log(Level::kInfo, "target_history_dropped", {{"next", next.value}});
--- a/src/persimmonstair/gateway/followers.hpp
+++ b/src/persimmonstair/gateway/followers.hpp
@@ -1,6 +1,7 @@
 #ifndef PERSIMMONSTAIR_SRC_GATEWAY_FOLLOWERS_HPP_
 #define PERSIMMONSTAIR_SRC_GATEWAY_FOLLOWERS_HPP_
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <string>
@@ -11,6 +12,7 @@
 #include "persimmonstair/gateway/configuration.hpp"
 #include "persimmonstair/gateway/platform_codec.hpp"
 #include "retrying_record_store.hpp"
+#include "shared_reads.hpp"
 #include "target_connection_pool.hpp"
 
 namespace persimmonstair::gateway {
@@ -19,11 +21,12 @@
 /// version never decreases.
 class ConfigurationFollower {
  public:
-  ConfigurationFollower(RetryingRecordStore& store, const PlatformCodec& codec)
-      : store_(store), codec_(codec) {}
+  ConfigurationFollower(RetryingRecordStore& store, SharedReads& reads, const PlatformCodec& codec)
+      : store_(store), reads_(reads), codec_(codec), partition_{codec.ConfigurationStream(), 0} {}
 
-  /// Sets the function that returns the number of instances, on which the polls depend.
-  void SetFleetSize(std::function<std::size_t()> instances) { instances_ = std::move(instances); }
+  /// Sets the function that returns the number of instances that read the store themselves, on
+  /// which the polls depend.
+  void SetReaders(std::function<std::size_t()> readers) { readers_ = std::move(readers); }
 
   /// Never returns.
   boost::asio::awaitable<void> Run();
@@ -31,19 +34,21 @@
   /// The configuration in force; null until one has been read.
   const ConfigurationPtr& Current() const { return current_; }
   /// Time at which the store last confirmed that the configuration is current.
-  base::TimePoint ConfirmedAt() const { return confirmed_at_; }
+  base::TimePoint ConfirmedAt() const {
+    return std::max(snapshot_at_, reads_.ConfirmedAt(partition_));
+  }
 
  private:
   void Apply(const std::vector<StoredRecord>& records);
-  /// Records that the store had no newer version when it answered a read that was asked for at
-  /// `asked_at` and could wait for `wait`.
-  void Confirm(base::TimePoint asked_at, base::Duration wait);
 
   RetryingRecordStore& store_;
+  SharedReads& reads_;
   const PlatformCodec& codec_;
-  std::function<std::size_t()> instances_;
+  Partition partition_;
+  std::function<std::size_t()> readers_;
   ConfigurationPtr current_;
-  base::TimePoint confirmed_at_;
+  /// Time at which the last snapshot was asked for.
+  base::TimePoint snapshot_at_;
 };
 
 /// @brief Reads the platform's list of targets from the store and updates the target registry.
@@ -52,12 +57,17 @@
 /// that are read shortly after an outage are therefore delayed.
 class TargetFollower {
  public:
-  TargetFollower(RetryingRecordStore& store, const PlatformCodec& codec,
+  TargetFollower(RetryingRecordStore& store, SharedReads& reads, const PlatformCodec& codec,
                  dispatch::TargetRegistry& target_registry, TargetConnectionPool& pool)
-      : store_(store), codec_(codec), target_registry_(target_registry), pool_(pool) {}
+      : store_(store),
+        reads_(reads),
+        codec_(codec),
+        target_registry_(target_registry),
+        pool_(pool) {}
 
-  /// Sets the function that returns the number of instances, on which the polls depend.
-  void SetFleetSize(std::function<std::size_t()> instances) { instances_ = std::move(instances); }
+  /// Sets the function that returns the number of instances that read the store themselves, on
+  /// which the polls depend.
+  void SetReaders(std::function<std::size_t()> readers) { readers_ = std::move(readers); }
 
   /// Never returns.
   boost::asio::awaitable<void> Run();
@@ -70,10 +80,11 @@
   void CheckStoreRecovery();
 
   RetryingRecordStore& store_;
+  SharedReads& reads_;
   const PlatformCodec& codec_;
   dispatch::TargetRegistry& target_registry_;
   TargetConnectionPool& pool_;
-  std::function<std::size_t()> instances_;
+  std::function<std::size_t()> readers_;
   dispatch::DeferredRemovals deferred_removals_;
   base::TimePoint recovered_at_;
 };
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -22,6 +22,7 @@
 #include "relay_server.hpp"
 #include "relayed_record_store.hpp"
 #include "retrying_record_store.hpp"
+#include "shared_reads.hpp"
 #include "store_relay_connector.hpp"
 #include "target_connection_pool.hpp"
 #include "target_connector.hpp"
@@ -40,14 +41,15 @@
         store_connector(executor),
         record_store(records, records.Through(store_connector)),
         store(record_store, metrics),
-        configuration(store, codec),
-        target_registry(settings.data_centre),
         peers(executor),
-        fleet(executor, store, peers, settings, std::move(process)),
+        reads(executor, store, peers, metrics, SharedReads::kStartTime),
+        configuration(store, reads, codec),
+        target_registry(settings.data_centre),
+        fleet(executor, store, reads, peers, settings, std::move(process)),
         connector(executor, fleet),
         relays(target_registry, connector, settings.store, stopping),
         pool(connector),
-        targets(store, codec, target_registry, pool),
+        targets(store, reads, codec, target_registry, pool),
         turns(executor, store, {"turns", kTurnStreams, settings.parts_of_stream},
               settings.turn_cache_bytes),
         quota(executor, peers, fleet, configuration),
@@ -58,8 +60,9 @@
         budget_coordinator(executor, peers, budget_manager, store, settings.reservation_timeout),
         budgets(executor, peers, fleet, budget_manager, settings.peer_answer_timeout) {
     connector.OnHangingPath([this] { pool.DropAll(); });
-    configuration.SetFleetSize([this] { return fleet.Holders(); });
-    targets.SetFleetSize([this] { return fleet.Holders(); });
+    reads.SetCollector([this] { return fleet.Collector(); });
+    configuration.SetReaders([this] { return fleet.StoreReaders(); });
+    targets.SetReaders([this] { return fleet.StoreReaders(); });
     store_connector.SetCandidates([this] { return fleet.RelayCandidates(); });
     record_store.OnChanged([this] { store.OnPathChanged(); });
     relays.SetReachesStore([this] { return store.Up() && !record_store.IsRelayed(); });
@@ -72,9 +75,10 @@
   StoreRelayConnector store_connector;
   RelayedRecordStore record_store;
   RetryingRecordStore store;
+  PeerSocket peers;
+  SharedReads reads;
   ConfigurationFollower configuration;
   dispatch::TargetRegistry target_registry;
-  PeerSocket peers;
   FleetRegistry fleet;
   TargetConnector connector;
   RelayServer relays;
--- a/src/persimmonstair/gateway/target_limiter_test.cpp
+++ b/src/persimmonstair/gateway/target_limiter_test.cpp
@@ -59,7 +59,8 @@
   RetryingRecordStore store_{records_, metrics_};
   GatewaySettings settings_;
   PeerSocket socket_{io_.get_executor()};
-  FleetRegistry fleet_{io_.get_executor(), store_, socket_, settings_, "process"};
+  SharedReads reads_{io_.get_executor(), store_, socket_, metrics_, SharedReads::kStartTime};
+  FleetRegistry fleet_{io_.get_executor(), store_, reads_, socket_, settings_, "process"};
   dispatch::TargetEntry target_{{"t"}, {"s"}, {"127.0.0.1", 1}, {"here"}, 8, false, 1, {"v1"}};
   dispatch::TargetRegistry targets_{{"here"}};
   TargetLimiter limiter_{io_.get_executor(), socket_, fleet_, targets_, metrics_};
