--- a/src/persimmonstair/gateway/shared_reads.cpp
+++ b/src/persimmonstair/gateway/shared_reads.cpp
@@ -70,8 +70,10 @@
   auto shared = co_await ReadFromCollector(partition, from);
   if (shared) co_return std::move(*shared);
   const base::TimePoint asked_at = Now();
-  auto batch = co_await store_.Poll(partition, from, wait);
-  if (batch) KeepFromStore(partition, from, *batch, asked_at, wait);
+  // With a collector, the store is not to hold the read open: the next one goes to the collector.
+  const base::Duration store_wait = uses_collector_ ? base::Duration{0} : wait;
+  auto batch = co_await store_.Poll(partition, from, store_wait);
+  if (batch) KeepFromStore(partition, from, *batch, asked_at, store_wait);
   co_return batch;
 }
 
--- a/src/persimmonstair/gateway/shared_reads.hpp
+++ b/src/persimmonstair/gateway/shared_reads.hpp
@@ -99,7 +99,7 @@
   std::map<Partition, Followed> followed_;
   std::uint64_t next_nonce_;
   std::map<std::uint64_t, std::shared_ptr<PendingAsk>> asks_;
-  /// What was logged last.
+  /// True if the collector's last answer could be used.
   bool uses_collector_ = false;
 };
 
