--- a/include/persimmonstair/turns/turn_cache.hpp
+++ b/include/persimmonstair/turns/turn_cache.hpp
@@ -4,9 +4,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "persimmonstair/base/ids.hpp"
@@ -22,10 +23,7 @@
 struct Chain {
   /// Turns of the chain whose records are not cached; empty if the chain is complete.
   std::vector<base::TurnId> missing;
-  /// True if a turn of the chain belongs to another workspace.
-  bool other_workspace = false;
-  /// Inputs and outputs of the whole chain, oldest first; empty if the chain is incomplete or
-  /// `other_workspace` is true.
+  /// Inputs and outputs of the whole chain, oldest first; empty if the chain is incomplete.
   std::string history;
   /// The chain's turns, most recent first, as the record of a continuing turn lists them.
   std::vector<base::TurnId> ancestors;
@@ -33,6 +31,9 @@
 
 /// @brief Least recently used (LRU) cache of the stored turns that this instance wrote or read.
 ///
+/// A turn is known by its workspace and its id, which callers choose: turns of two workspaces may
+/// have the same.
+///
 /// Only the expiry time of a record changes, and only to a later one, so a cached record is valid
 /// until it expires.
 ///
@@ -48,38 +49,41 @@
   /// least recently used records while the size limit is exceeded, but never the new one.
   void Put(schema::KeptTurn record);
 
-  /// Returns the chain that ends with `last`. Turns that expired before `now_ms` (Unix
+  /// Returns the workspace's chain that ends with `last`. Turns that expired before `now_ms` (Unix
   /// milliseconds) count as missing.
   Chain Find(const base::WorkspaceId& workspace, const base::TurnId& last, std::int64_t now_ms);
 
   /// Sets the expiry of turns that would expire before `needed_ms` to `until_ms` (both in Unix
   /// milliseconds). Turns that are not cached are skipped. Returns the changed records, which have
   /// to be written to the store again.
-  std::vector<schema::KeptTurn> Extend(const std::vector<base::TurnId>& chain,
+  std::vector<schema::KeptTurn> Extend(const base::WorkspaceId& workspace,
+                                       const std::vector<base::TurnId>& chain,
                                        std::int64_t needed_ms, std::int64_t until_ms);
 
   /// Removes the record of a turn, if cached.
-  void Forget(const base::TurnId& turn);
+  void Forget(const base::WorkspaceId& workspace, const base::TurnId& turn);
 
   /// Removes records that expired before `now_ms` (Unix milliseconds) and returns their turns.
   std::vector<base::TurnId> Expire(std::int64_t now_ms);
 
   /// Total size of the cached inputs and outputs.
   std::size_t Bytes() const { return bytes_; }
-  std::size_t size() const { return by_turn_.size(); }
+  std::size_t size() const { return by_key_.size(); }
 
  private:
   using RecordList = std::list<schema::KeptTurn>;
+  using Key = std::pair<base::WorkspaceId, base::TurnId>;
 
+  static Key KeyOf(const schema::KeptTurn& record) { return {record.workspace, record.turn}; }
   /// Returns the record and marks it as most recently used; null if missing or expired.
-  const schema::KeptTurn* Touch(const base::TurnId& turn, std::int64_t now_ms);
+  const schema::KeptTurn* Touch(const Key& key, std::int64_t now_ms);
   void Erase(RecordList::iterator it);
 
   std::size_t max_bytes_;
   std::size_t bytes_ = 0;
   /// Most recently used first.
   RecordList recent_;
-  std::unordered_map<base::TurnId, RecordList::iterator> by_turn_;
+  std::map<Key, RecordList::iterator> by_key_;
 };
 
 }  // namespace persimmonstair::turns
--- a/src/persimmonstair/gateway/turn_store.hpp
+++ b/src/persimmonstair/gateway/turn_store.hpp
@@ -54,7 +54,7 @@
   /// Reads turns from their partitions into the cache. Returns those that the store doesn't hold or
   /// that have expired; fails with kLogUnavailable if the store did not answer.
   boost::asio::awaitable<base::Result<PartitionReads::KeySet>> Fetch(
-      std::vector<base::TurnId> turns, base::TimePoint deadline);
+      base::WorkspaceId workspace, std::vector<base::TurnId> turns, base::TimePoint deadline);
   /// Caches those of the `wanted` turns that a snapshot holds, and returns them.
   PartitionReads::KeySet CacheTurns(const Partition& partition, const RecordSnapshot& snapshot,
                                     const PartitionReads::KeySet& wanted);
@@ -65,7 +65,8 @@
   turns::TurnCache cache_;
   PartitionReads reads_;
   boost::asio::awaitable<void> DropExpiredFrom(Partition partition);
-  boost::asio::awaitable<base::Result<void>> ExtendChain(std::vector<base::TurnId> chain,
+  boost::asio::awaitable<base::Result<void>> ExtendChain(base::WorkspaceId workspace,
+                                                         std::vector<base::TurnId> chain,
                                                          std::int64_t retention_ms,
                                                          base::TimePoint deadline);
 
