Keep reservations of two workspaces with one request id apart, and end a read at the partition's end

Each read of reservations was followed by a second, empty one. A read that reaches the end that the store names is the last one.

--- a/src/persimmonstair/gateway/budget_manager.cpp
+++ b/src/persimmonstair/gateway/budget_manager.cpp
@@ -1,8 +1,11 @@
 #include "budget_manager.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <cstdint>
 #include <initializer_list>
 #include <iterator>
 #include <string>
@@ -37,10 +40,6 @@
 /// Age up to which the known records of a partition count as complete when records are deleted.
 constexpr std::chrono::seconds kMaxDropViewAge{1};
 
-KeyedRecord Encode(const schema::TokenReservation& reservation) {
-  return {reservation.turn.value, schema::EncodeState(reservation)};
-}
-
 // Returns a name that differs for different lists of parts.
 std::string JoinParts(std::initializer_list<std::string_view> parts) {
   std::string name;
@@ -51,6 +50,19 @@
   return name;
 }
 
+// Key of a reservation's record: the id of the turn, which the caller chose, and a hash of
+// workspace and program, so that an id that is used elsewhere too doesn't replace the record.
+std::string KeyOf(const schema::TokenReservation& reservation) {
+  constexpr std::uint64_t kHashMask = (std::uint64_t{1} << 40U) - 1;
+  const std::string name = JoinParts({reservation.workspace.value, reservation.program.value});
+  const std::uint64_t hash = XXH3_64bits(name.data(), name.size());
+  return fmt::format("{}#{:010x}", reservation.turn.value, hash & kHashMask);
+}
+
+KeyedRecord Encode(const schema::TokenReservation& reservation) {
+  return {KeyOf(reservation), schema::EncodeState(reservation)};
+}
+
 // Key of a stream's record. It depends on the workspace and the program too, so that an id that
 // another workspace uses as well doesn't replace the record, and on the version, so that the
 // records of an id that began streams at two versions both remain.
@@ -270,11 +282,11 @@
       continue;
     }
     for (const auto& stored : batch->records) Apply(state, stored.record);
-    if (batch->records.empty()) {
+    state.next = batch->next;
+    if (batch->next >= batch->end) {
       state.current_at = Now();
       co_return true;
     }
-    state.next = batch->next;
   }
 }
 
