Register the instance's own read in the test of a collector that declines

Change: the test registers a read of the store then, as an instance makes it; its checks are the same.

--- a/src/persimmonstair/fleet/record_feed_test.cpp
+++ b/src/persimmonstair/fleet/record_feed_test.cpp
@@ -131,6 +131,7 @@
   ASSERT_TRUE(path.IsOpen(At({}), "c:1"));
   path.OnRefusal(At({}));
   EXPECT_FALSE(path.IsOpen(At(milliseconds{500}), "c:1"));
+  path.OnStoreRead(At(milliseconds{1500}));
   EXPECT_TRUE(path.IsOpen(At(milliseconds{1500}), "c:1"));
 }
 
