--- a/src/persimmonstair/gateway/busy_store_test.hpp
+++ b/src/persimmonstair/gateway/busy_store_test.hpp
@@ -39,6 +39,7 @@
   boost::asio::awaitable<base::Result<RecordBatch>> Read(const Partition& /*partition*/,
                                                          base::Offset from,
                                                          ReadOptions options) override {
+    ++polls_;
     if (from >= content_.next) co_await Sleep(std::min(options.wait, options.timeout));
     RecordBatch batch;
     for (const auto& stored : log_) {
@@ -62,6 +63,8 @@
 
   /// Number of reads of the newest records, abandoned ones included.
   std::size_t Reads() const { return reads_; }
+  /// Number of reads from an offset.
+  std::size_t Polls() const { return polls_; }
   std::size_t Appends() const { return appends_; }
   /// The newest records.
   const RecordSnapshot& Content() const { return content_; }
@@ -73,6 +76,7 @@
   std::vector<StoredRecord> log_;
   base::TimePoint served_until_;
   std::size_t reads_ = 0;
+  std::size_t polls_ = 0;
   std::size_t appends_ = 0;
 };
 
