Move the masks of hashes in keys to where the linter expects constants

Change: two constants move to their file's list, with the reason of their size. No behaviour changes.

--- a/src/persimmonstair/gateway/budget_manager.cpp
+++ b/src/persimmonstair/gateway/budget_manager.cpp
@@ -39,6 +39,9 @@
 constexpr std::size_t kMaxDropsPerAppend = 100;
 /// Age up to which the known records of a partition count as complete when records are deleted.
 constexpr std::chrono::seconds kMaxDropViewAge{1};
+/// Bits of the hash of workspace and program in a key, so that key and longest name of a turn fit
+/// into 255 bytes.
+constexpr std::uint64_t kProgramHashMask = (std::uint64_t{1} << 40U) - 1;
 
 // Returns a name that differs for different lists of parts.
 std::string JoinParts(std::initializer_list<std::string_view> parts) {
@@ -53,10 +56,9 @@
 // Key of a reservation's record: the id of the turn, which the caller chose, and a hash of
 // workspace and program, so that an id that is used elsewhere too doesn't replace the record.
 std::string KeyOf(const schema::TokenReservation& reservation) {
-  constexpr std::uint64_t kHashMask = (std::uint64_t{1} << 40U) - 1;
   const std::string name = JoinParts({reservation.workspace.value, reservation.program.value});
   const std::uint64_t hash = XXH3_64bits(name.data(), name.size());
-  return fmt::format("{}#{:010x}", reservation.turn.value, hash & kHashMask);
+  return fmt::format("{}#{:010x}", reservation.turn.value, hash & kProgramHashMask);
 }
 
 KeyedRecord Encode(const schema::TokenReservation& reservation) {
--- a/src/persimmonstair/gateway/turn_store.cpp
+++ b/src/persimmonstair/gateway/turn_store.cpp
@@ -36,14 +36,15 @@
 /// Maximum number of read rounds for one chain. Each round reads the ancestors that the previous
 /// round found.
 constexpr int kMaxFetchRounds = 20;
+/// Bits of the workspace's hash in a key, so that key and longest request id fit into 255 bytes.
+constexpr std::uint64_t kWorkspaceHashMask = (std::uint64_t{1} << 56U) - 1;
 
 // Returns the key of a turn's record: its id, which the caller chose, and a hash of its workspace,
 // so that a workspace can't overwrite the turns of another one. Builds before used the id alone;
 // all builds go by the record and not by its key.
 std::string KeyOf(const base::WorkspaceId& workspace, const base::TurnId& turn) {
-  constexpr std::uint64_t kHashMask = (std::uint64_t{1} << 56U) - 1;
   const std::uint64_t hash = XXH64(workspace.value.data(), workspace.value.size(), 0);
-  return fmt::format("{}#{:014x}", turn.value, hash & kHashMask);
+  return fmt::format("{}#{:014x}", turn.value, hash & kWorkspaceHashMask);
 }
 
 std::string KeyOf(const schema::KeptTurn& record) { return KeyOf(record.workspace, record.turn); }
