--- a/src/persimmonstair/gateway/followers.cpp
+++ b/src/persimmonstair/gateway/followers.cpp
@@ -75,14 +75,17 @@
 }
 
 awaitable<void> TargetFollower::Run() {
-  const Partition partition{codec_.TargetStream(), 0};
+  const base::TimePoint started_at = Now();
   for (;;) {
-    const auto snapshot = co_await store_.ReadNewest(partition, Now() + kSnapshotTimeout);
+    const base::TimePoint begun_at = Now();
+    const auto snapshot = co_await store_.ReadNewest(partition_, begun_at + kSnapshotTimeout);
     if (!snapshot) {
       Log(Level::kWarning, "targets_not_read", {{"error", snapshot.error().message}});
       co_await Sleep(kRetryPause);
       continue;
     }
+    confirmed_before_ = std::max(started_at, ConfirmedAt());
+    snapshot_at_ = begun_at;
     std::set<base::TargetId> present;
     for (const auto& stored : snapshot->records) {
       if (stored.record.value) present.insert({stored.record.key});
@@ -93,7 +96,8 @@
     }
     base::Offset next = snapshot->next;
     for (;;) {
-      const auto batch = co_await reads_.Poll(partition, next, kTargetWait);
+      confirmed_before_ = std::max(started_at, ConfirmedAt());
+      const auto batch = co_await reads_.Poll(partition_, next, kTargetWait);
       RemoveDue();
       if (!batch && batch.error().code == ErrorCode::kNotFound) break;
       if (batch) {
@@ -150,7 +154,8 @@
         {{"target", entry.id.value},
          {"started_ms", entry.started_ms},
          {"source", "entry"},
-         {"offset", offset.value}});
+         {"offset", offset.value},
+         {"age_ms", base::ToMillis(Now() - confirmed_before_)}});
   }
   const bool restarted = known != nullptr && known->started_ms != entry.started_ms;
   if (restarted || begins_to_leave) pool_.DropTarget(entry.id);
--- a/src/persimmonstair/gateway/followers.hpp
+++ b/src/persimmonstair/gateway/followers.hpp
@@ -63,7 +63,8 @@
         reads_(reads),
         codec_(codec),
         target_registry_(target_registry),
-        pool_(pool) {}
+        pool_(pool),
+        partition_{codec.TargetStream(), 0} {}
 
   /// Sets the function that returns the number of instances that read the store themselves, on
   /// which the polls depend.
@@ -72,6 +73,11 @@
   /// Never returns.
   boost::asio::awaitable<void> Run();
 
+  /// Time at which the list was last known to be current.
+  base::TimePoint ConfirmedAt() const {
+    return std::max(snapshot_at_, reads_.ConfirmedAt(partition_));
+  }
+
  private:
   void Apply(const StoredRecord& stored);
   void ApplyEntry(base::Offset offset, const dispatch::TargetEntry& entry);
@@ -84,7 +90,12 @@
   const PlatformCodec& codec_;
   dispatch::TargetRegistry& target_registry_;
   TargetConnectionPool& pool_;
+  Partition partition_;
   std::function<std::size_t()> readers_;
+  /// Time at which the last snapshot was asked for.
+  base::TimePoint snapshot_at_;
+  /// ConfirmedAt() before the records that are applied now were read.
+  base::TimePoint confirmed_before_;
   dispatch::DeferredRemovals deferred_removals_;
   base::TimePoint recovered_at_;
 };
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -134,6 +134,13 @@
           static_cast<double>(context.open_requests));
     gauge("persimmonstair_targets", "Targets in the list",
           static_cast<double>(context.target_registry.size()));
+    const base::TimePoint now = Now();
+    gauge("persimmonstair_targets_age_seconds",
+          "Time since the list of targets was known to be current",
+          base::ToSeconds(now - context.targets.ConfirmedAt()));
+    gauge("persimmonstair_configuration_age_seconds",
+          "Time since the configuration was known to be current",
+          base::ToSeconds(now - context.configuration.ConfirmedAt()));
     gauge("persimmonstair_targets_rate_limited", "Targets that name a rate limit",
           static_cast<double>(context.target_registry.LimitedTargets()));
     gauge("persimmonstair_targets_leaving_unlisted",
