Ask other instances while a read of the store is late, and use records that are not the newest

Cause: an instance had one way to the news at a time and waited on it without a limit. Class: a belief whose age nothing bounds. Now a read of the store goes on by itself: 0.3 s after it should have been answered, one other instance after the other is asked, each 0.25 s, and what comes first counts. Records of an old or declining answer are used; only whether they are the last ones isn't concluded from it. All partitions that instances follow go this way: targets, configuration, tables, reports. No new message.

--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -61,6 +61,7 @@
         budgets(executor, peers, fleet, budget_manager, settings.peer_answer_timeout) {
     connector.OnHangingPath([this] { pool.DropAll(); });
     reads.SetCollector([this] { return fleet.Collector(); });
+    reads.SetPeers([this] { return fleet.RecentPeers(); });
     configuration.SetReaders([this] { return fleet.StoreReaders(); });
     targets.SetReaders([this] { return fleet.StoreReaders(); });
     store_connector.SetCandidates([this] { return fleet.RelayCandidates(); });
--- a/src/persimmonstair/gateway/shared_reads.cpp
+++ b/src/persimmonstair/gateway/shared_reads.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cstdint>
 #include <limits>
@@ -25,8 +27,11 @@
 constexpr milliseconds kAskInterval{400};
 /// Time after which the store is read in place of a collector that has not answered.
 constexpr milliseconds kAnswerTimeout{250};
-/// Delay of an answer of the store up to which it counts as made when it arrived.
+/// Delay of an answer of the store up to which it counts as made when it arrived. Beyond it the
+/// read is late.
 constexpr milliseconds kMaxUsualDelay{300};
+/// Interval at which other instances are asked while a read is late.
+constexpr milliseconds kAskPeerInterval{250};
 
 std::vector<schema::FeedRecord> ToFeed(const std::vector<StoredRecord>& records) {
   std::vector<schema::FeedRecord> out;
@@ -69,21 +74,97 @@
                                                  base::Duration wait) {
   auto shared = co_await ReadFromCollector(partition, from);
   if (shared) co_return std::move(*shared);
-  const base::TimePoint asked_at = Now();
   // With a collector, the store is not to hold the read open: the next one goes to the collector.
   const base::Duration store_wait = uses_collector_ ? base::Duration{0} : wait;
-  auto batch = co_await store_.Poll(partition, from, store_wait);
-  if (batch) KeepFromStore(partition, from, *batch, asked_at, store_wait);
-  co_return batch;
+  const StoreReadPtr read = BeginStoreRead(
+      partition, from, store_wait, [=, this] { return store_.Poll(partition, from, store_wait); });
+  co_return co_await AwaitStoreRead(partition, from, read);
 }
 
 awaitable<Result<RecordBatch>> SharedReads::Read(Partition partition, base::Offset from,
                                                  base::TimePoint deadline) {
   auto shared = co_await ReadFromCollector(partition, from);
   if (shared) co_return std::move(*shared);
+  const StoreReadPtr read = BeginStoreRead(
+      partition, from, {}, [=, this] { return store_.Read(partition, from, deadline); });
+  co_return co_await AwaitStoreRead(partition, from, read);
+}
+
+template <class Send>
+SharedReads::StoreReadPtr SharedReads::BeginStoreRead(const Partition& partition, base::Offset from,
+                                                      base::Duration wait, Send send) {
+  StoreReadPtr& read = followed_[partition].store_read;
+  const bool outdated = read && read->result && read->from != from;
+  if (read && !outdated) return read;
+  read = std::make_shared<StoreRead>(executor_, from, wait);
+  read->asked_at = Now();
+  read->ask_peer_at = read->asked_at + wait + kMaxUsualDelay;
+  boost::asio::co_spawn(executor_, RunStoreRead(read, std::move(send)), boost::asio::detached);
+  return read;
+}
+
+template <class Send>
+awaitable<void> SharedReads::RunStoreRead(StoreReadPtr read, Send send) {
+  Result<RecordBatch> batch = co_await send();
+  read->answered_at = Now();
+  if (batch) path_.OnStoreRead(read->answered_at);
+  read->result = std::move(batch);
+  read->changed.cancel();
+}
+
+awaitable<Result<RecordBatch>> SharedReads::AwaitStoreRead(Partition partition, base::Offset from,
+                                                           StoreReadPtr read) {
+  while (!read->result) {
+    if (Now() >= read->ask_peer_at) {
+      read->ask_peer_at = Now() + kAskPeerInterval;
+      auto batch = co_await ReadFromPeer(partition, from);
+      if (batch) co_return std::move(*batch);
+      continue;
+    }
+    read->changed.expires_after(read->ask_peer_at - Now());
+    co_await read->changed.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+  }
+  followed_[partition].store_read.reset();
+  co_return TakeResult(partition, from, *read);
+}
+
+Result<RecordBatch> SharedReads::TakeResult(const Partition& partition, base::Offset from,
+                                            const StoreRead& read) {
+  if (!*read.result) return *read.result;
+  RecordBatch batch = **read.result;
+  // Other instances may have brought the first records meanwhile.
+  std::erase_if(batch.records, [from](const auto& stored) { return stored.offset < from; });
+  batch.next = std::max(batch.next, from);
+  batch.end = std::max(batch.end, from);
+  // A late answer may have been made right after it was asked for.
+  const bool late = read.answered_at - read.asked_at > read.wait + kMaxUsualDelay;
+  const bool complete = batch.next >= batch.end;
+  const base::TimePoint confirmed_at = late ? read.asked_at : read.answered_at;
+  Keep(partition, from, batch, complete ? confirmed_at : base::TimePoint{});
+  return batch;
+}
+
+awaitable<std::optional<RecordBatch>> SharedReads::ReadFromPeer(Partition partition,
+                                                                base::Offset from) {
+  const auto peers = find_peers_ ? find_peers_() : std::vector<dispatch::Endpoint>();
+  if (peers.empty()) co_return std::nullopt;
+  std::uniform_int_distribution<std::size_t> pick(0, peers.size() - 1);
+  const auto endpoint = ToPeerEndpoint(peers[pick(random_)]);
+  if (!endpoint) co_return std::nullopt;
   const base::TimePoint asked_at = Now();
-  auto batch = co_await store_.Read(partition, from, deadline);
-  if (batch) KeepFromStore(partition, from, *batch, asked_at, {});
+  schema::FeedAsk ask{++next_nonce_, partition.stream, partition.part, from};
+  auto answer = co_await Ask(*endpoint, std::move(ask));
+  metrics_.CountFeedAsk(answer ? "late_read_answered" : "late_read_unanswered");
+  if (!answer) co_return std::nullopt;
+  const std::uint32_t age_ms = answer->age_ms;
+  RecordBatch batch = KeepFromAnswer(partition, from, std::move(*answer), asked_at);
+  if (batch.records.empty()) co_return std::nullopt;
+  Log(Level::kInfo, "records_of_peer",
+      {{"stream", partition.stream.value},
+       {"peer", endpoint->address().to_string()},
+       {"records", batch.records.size()},
+       {"next", batch.next.value},
+       {"age_ms", age_ms}});
   co_return batch;
 }
 
@@ -116,19 +197,30 @@
   const base::TimePoint asked_at = Now();
   schema::FeedAsk ask{++next_nonce_, partition.stream, partition.part, from};
   auto answer = co_await Ask(*collector, std::move(ask));
-  if (!Accept(answer)) co_return std::nullopt;
+  const bool current = Accept(answer);
+  if (!answer) co_return std::nullopt;
   const bool is_behind = answer->end < from;
   const bool lacks_records = answer->records.empty() && answer->end > from;
-  const milliseconds age{answer->age_ms};
-  RecordBatch batch = FromFeed(std::move(*answer), from);
+  RecordBatch batch = KeepFromAnswer(partition, from, std::move(*answer), asked_at);
   const bool complete = !is_behind && batch.next >= batch.end;
   const bool has_more = !batch.records.empty() && !complete;
-  if (!has_more) followed_[partition].next_ask_at = asked_at + kAskInterval;
-  if (lacks_records) co_return std::nullopt;
-  Keep(partition, from, batch, complete ? asked_at - age : base::TimePoint{});
+  if (current && !has_more) followed_[partition].next_ask_at = asked_at + kAskInterval;
+  // Records are news even if the collector can't say whether they are the last ones.
+  if (!batch.records.empty()) co_return batch;
+  if (!current || lacks_records) co_return std::nullopt;
   co_return batch;
 }
 
+RecordBatch SharedReads::KeepFromAnswer(const Partition& partition, base::Offset from,
+                                        schema::FeedAnswer answer, base::TimePoint asked_at) {
+  const bool tells_end = !answer.declined && answer.end >= from;
+  const milliseconds age{answer.age_ms};
+  RecordBatch batch = FromFeed(std::move(answer), from);
+  const bool complete = tells_end && batch.next >= batch.end;
+  Keep(partition, from, batch, complete ? asked_at - age : base::TimePoint{});
+  return batch;
+}
+
 awaitable<std::optional<schema::FeedAnswer>> SharedReads::Ask(PeerEndpoint collector,
                                                               schema::FeedAsk ask) {
   const auto pending = std::make_shared<PendingAsk>(executor_);
@@ -170,16 +262,6 @@
   tail.Confirm(confirmed_at);
 }
 
-void SharedReads::KeepFromStore(const Partition& partition, base::Offset from,
-                                const RecordBatch& batch, base::TimePoint asked_at,
-                                base::Duration wait) {
-  path_.OnStoreRead(Now());
-  // A late answer may have been made right after it was asked for.
-  const bool late = Now() - asked_at > wait + kMaxUsualDelay;
-  const bool complete = batch.next >= batch.end;
-  Keep(partition, from, batch, complete ? (late ? asked_at : Now()) : base::TimePoint{});
-}
-
 void SharedReads::Handle(const schema::EntryPeerMessage& message, const PeerEndpoint& sender) {
   if (const auto* ask = std::get_if<schema::FeedAsk>(&message)) {
     socket_.Send(MakeAnswer(*ask), sender);
@@ -194,12 +276,12 @@
 schema::FeedAnswer SharedReads::MakeAnswer(const schema::FeedAsk& ask) const {
   schema::FeedAnswer answer{ask.nonce, true, {}, {}, 0};
   const auto it = followed_.find({ask.stream, ask.part});
-  // While single calls fail, the age of the records tells whether they can be used. Declining then
-  // would send all its members to a store that is busy already.
-  if (it == followed_.end() || !store_.Up()) return answer;
+  if (it == followed_.end()) return answer;
   const fleet::RecordTail& tail = it->second.tail;
   const base::Duration age = Now() - tail.ConfirmedAt();
-  answer.declined = false;
+  // While single calls fail, the age of the records tells whether they can be used. Declining then
+  // would send all its members to a store that is busy already.
+  answer.declined = !store_.Up();
   answer.records = tail.Since(ask.from);
   answer.end = tail.End();
   answer.age_ms = static_cast<std::uint32_t>(
--- a/src/persimmonstair/gateway/shared_reads.hpp
+++ b/src/persimmonstair/gateway/shared_reads.hpp
@@ -10,7 +10,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
+#include <vector>
 
 #include "peer_socket.hpp"
 #include "persimmonstair/diagnostics/metrics.hpp"
@@ -28,12 +30,15 @@
 /// An instance that is reported by a collector asks it by datagram for what the collector has read
 /// since. The store itself is read instead if the collector does not answer at once, has lost the
 /// store, is behind, or does not hold the records, and every second anyway, so that each
-/// instance knows whether it reaches the store. An offset means the same everywhere, so the two
-/// ways may alternate.
+/// instance knows whether it reaches the store. While a read of the store is late, other instances
+/// are asked one after the other, because what they have read may be newer. An offset means the
+/// same everywhere, so the ways may alternate.
 class SharedReads {
  public:
   /// Returns the address of the collector that reports this instance; nothing without one.
   using FindCollector = std::function<std::optional<dispatch::Endpoint>()>;
+  /// Returns the addresses of the other instances.
+  using FindPeers = std::function<std::vector<dispatch::Endpoint>()>;
 
   /// Time after the start in which instances read the store directly, because the tables of shares
   /// that they must read before they are ready follow each other quickly.
@@ -45,6 +50,8 @@
 
   /// Until this is called, all reads go to the store.
   void SetCollector(FindCollector find) { find_collector_ = std::move(find); }
+  /// Until this is called, late reads are only waited for.
+  void SetPeers(FindPeers find) { find_peers_ = std::move(find); }
 
   /// Returns the records from `from` on; waits up to `wait` if there are none yet. Returns
   /// kNotFound if the records at `from` were dropped.
@@ -58,11 +65,29 @@
   base::TimePoint ConfirmedAt(const Partition& partition) const;
 
  private:
+  /// A read of the store, which may outlast the call that began it.
+  struct StoreRead {
+    StoreRead(const boost::asio::any_io_executor& executor, base::Offset from_offset,
+              base::Duration held_open)
+        : from(from_offset), wait(held_open), changed(executor) {}
+    base::Offset from;
+    /// Time for which the store holds the read open.
+    base::Duration wait;
+    base::TimePoint asked_at;
+    /// Time at which another instance is next asked.
+    base::TimePoint ask_peer_at;
+    std::optional<base::Result<RecordBatch>> result;
+    base::TimePoint answered_at;
+    boost::asio::steady_timer changed;
+  };
+  using StoreReadPtr = std::shared_ptr<StoreRead>;
   /// A partition that this instance follows.
   struct Followed {
     fleet::RecordTail tail;
     /// Time at which the collector is next asked.
     base::TimePoint next_ask_at;
+    /// Read that has not been used up; null if there is none.
+    StoreReadPtr store_read;
   };
   /// A message to the collector that waits for its answer.
   struct PendingAsk {
@@ -78,13 +103,32 @@
                                                                        base::Offset from);
   boost::asio::awaitable<std::optional<schema::FeedAnswer>> Ask(PeerEndpoint collector,
                                                                 schema::FeedAsk ask);
-  /// True if the answer can be used; updates the path to the collector.
+  /// True if the collector can be relied on; updates the path to it.
   bool Accept(const std::optional<schema::FeedAnswer>& answer);
+  /// Keeps what the answer holds from `from` on, and returns it.
+  RecordBatch KeepFromAnswer(const Partition& partition, base::Offset from,
+                             schema::FeedAnswer answer, base::TimePoint asked_at);
+  /// Returns the read of the partition that has not been used up; begins one by `send` if there is
+  /// none.
+  template <class Send>
+  StoreReadPtr BeginStoreRead(const Partition& partition, base::Offset from, base::Duration wait,
+                              Send send);
+  template <class Send>
+  boost::asio::awaitable<void> RunStoreRead(StoreReadPtr read, Send send);
+  /// Waits for the read, and asks other instances while it is late. Returns what comes first.
+  boost::asio::awaitable<base::Result<RecordBatch>> AwaitStoreRead(Partition partition,
+                                                                   base::Offset from,
+                                                                   StoreReadPtr read);
+  /// Returns the records that another instance, chosen at random, has read from `from` on; nothing
+  /// if it has none or does not answer.
+  boost::asio::awaitable<std::optional<RecordBatch>> ReadFromPeer(Partition partition,
+                                                                  base::Offset from);
+  /// Uses the read's result up: keeps and returns its records from `from` on.
+  base::Result<RecordBatch> TakeResult(const Partition& partition, base::Offset from,
+                                       const StoreRead& read);
   /// Keeps what was read for the instances that ask this one.
   void Keep(const Partition& partition, base::Offset from, const RecordBatch& batch,
             base::TimePoint confirmed_at);
-  void KeepFromStore(const Partition& partition, base::Offset from, const RecordBatch& batch,
-                     base::TimePoint asked_at, base::Duration wait);
   void Handle(const schema::EntryPeerMessage& message, const PeerEndpoint& sender);
   schema::FeedAnswer MakeAnswer(const schema::FeedAsk& ask) const;
   void LogChange(bool uses_collector, const char* reason);
@@ -94,6 +138,8 @@
   PeerSocket& socket_;
   diagnostics::Metrics& metrics_;
   FindCollector find_collector_;
+  FindPeers find_peers_;
+  std::minstd_rand random_{std::random_device{}()};
   base::TimePoint direct_until_;
   fleet::FeedPath path_;
   std::map<Partition, Followed> followed_;
