Answer requests that are open at the end of a planned stop, and refuse late ones that may outlast it

Now a stop sets the time by which all requests end. Waits that begin later are bounded by it; those under way are ended then, and their callers get 504 (may have run), 503 (has not run), or an incomplete stream. Once no connections are accepted, a request whose deadline lies beyond that time gets 503 with Retry-After at once; others are served. A target is not blamed for an attempt that the stop ended.

--- a/src/persimmonstair/gateway/caller_connection.cpp
+++ b/src/persimmonstair/gateway/caller_connection.cpp
@@ -269,6 +269,10 @@
   stop_watching_.emit(asio::cancellation_type::terminal);
 }
 
+void CallerConnection::EndRequest() {
+  if (on_end_request_) on_end_request_();
+}
+
 void CallerConnection::CloseIfIdle() {
   if (!idle_) return;
   keep_alive_ = false;
--- a/src/persimmonstair/gateway/caller_connection.hpp
+++ b/src/persimmonstair/gateway/caller_connection.hpp
@@ -28,6 +28,8 @@
 
   /// Closes the connection if no request is in progress on it; used for a planned stop.
   void CloseIfIdle();
+  /// Ends the request in progress because the instance stops; its caller gets an error.
+  void EndRequest();
 
   // The functions below write the response to the current request. They return false, or do
   // nothing, after the caller has disconnected.
@@ -44,6 +46,8 @@
   bool Disconnected() const { return disconnected_; }
   /// Sets the function that is called once when the caller disconnects; empty for none.
   void OnDisconnect(std::function<void()> callback) { on_disconnect_ = std::move(callback); }
+  /// Sets the function that EndRequest() calls; empty for none.
+  void OnEndRequest(std::function<void()> callback) { on_end_request_ = std::move(callback); }
 
  private:
   struct ReadFailure {
@@ -72,6 +76,7 @@
   boost::beast::flat_buffer buffer_;
   boost::asio::cancellation_signal stop_watching_;
   std::function<void()> on_disconnect_;
+  std::function<void()> on_end_request_;
   std::uint64_t timer_generation_ = 0;
   bool timed_out_ = false;
   bool idle_ = true;
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -44,11 +44,24 @@
   caller_.OnDisconnect([this] {
     if (active_connection_ != nullptr) active_connection_->Close();
   });
+  caller_.OnEndRequest([this] { OnStop(); });
 }
 
-Exchange::~Exchange() { caller_.OnDisconnect(nullptr); }
+Exchange::~Exchange() {
+  caller_.OnDisconnect(nullptr);
+  caller_.OnEndRequest(nullptr);
+}
+
+void Exchange::OnStop() {
+  stopped_ = true;
+  if (active_connection_ != nullptr) active_connection_->Close();
+}
+
+base::TimePoint Exchange::ExpiresAt() const {
+  return std::min(expires_at_, context_.requests_end_at);
+}
 
-base::Duration Exchange::TimeLeft() const { return expires_at_ - Now(); }
+base::Duration Exchange::TimeLeft() const { return ExpiresAt() - Now(); }
 
 awaitable<void> Exchange::Run() {
   metadata_ = context_.codec.DecodeRequest(request_);
@@ -94,6 +107,7 @@
   }
   const base::Duration max_wait = metadata_.deadline.value_or(route_->timeout);
   expires_at_ = arrived_at_ + std::min(max_wait, route_->timeout);
+  if (auto error = CheckStop()) return error;
   if (auto error = FindWorkspace()) return error;
   fingerprint_ = XXH64(metadata_.path.data(), metadata_.path.size(), 0);
   fingerprint_ = XXH64(workspace_.value.data(), workspace_.value.size(), fingerprint_);
@@ -105,6 +119,14 @@
   return CheckStore();
 }
 
+std::optional<Error> Exchange::CheckStop() const {
+  if (!context_.refuses_long_requests || expires_at_ <= context_.requests_end_at) {
+    return std::nullopt;
+  }
+  return Deny(ErrorCode::kOverloaded, "the instance stops before the request's deadline",
+              kShortRetryAfter);
+}
+
 std::optional<Error> Exchange::FindWorkspace() {
   quota_workspace_ = configuration_->FindWorkspace(metadata_.key);
   if (quota_workspace_ != nullptr) {
@@ -143,7 +165,7 @@
 
 awaitable<std::optional<Error>> Exchange::LoadHistory() {
   if (!route_->keeps_turns || metadata_.previous_turn.empty()) co_return std::nullopt;
-  auto history = co_await context_.turns.Find(workspace_, metadata_.previous_turn, expires_at_);
+  auto history = co_await context_.turns.Find(workspace_, metadata_.previous_turn, ExpiresAt());
   if (!history) {
     Error error = history.error();
     if (error.code != ErrorCode::kNotFound) error.retry_after = kShortRetryAfter;
@@ -163,7 +185,7 @@
   const bool optional = !metadata_.token_budget && !takes_up;
   if (optional && !context_.store.Up()) co_return std::nullopt;
   const base::TimePoint deadline =
-      std::min(expires_at_, Now() + context_.settings.reservation_timeout);
+      std::min(ExpiresAt(), Now() + context_.settings.reservation_timeout);
   const ReservationOutcome outcome = co_await context_.budgets.Reserve(MakeReservation(), deadline);
   if (outcome.result == ReservationResult::kBudgetExhausted) {
     denied_usage_ = outcome.usage;
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -51,6 +51,8 @@
 
   // Admission, in exchange.cpp.
   std::optional<base::Error> Admit();
+  /// Returns an error if a planned stop may cut the request off.
+  std::optional<base::Error> CheckStop() const;
   std::optional<base::Error> FindWorkspace();
   boost::asio::awaitable<std::optional<base::Error>> ChargeQuota();
   std::optional<base::Error> CheckStore() const;
@@ -129,6 +131,10 @@
   boost::asio::awaitable<bool> BeginStream(ResponseMetadata& response);
   boost::asio::awaitable<bool> FinishStream();
 
+  /// Ends the attempt that is under way because the instance stops.
+  void OnStop();
+  /// The caller's deadline, or the end of a planned stop if that comes first.
+  base::TimePoint ExpiresAt() const;
   base::Duration TimeLeft() const;
   boost::asio::awaitable<void> Fail(base::Error error);
   void LogResult();
@@ -162,6 +168,8 @@
   std::vector<base::TargetId> may_have_run_;
   HttpConnection* active_connection_ = nullptr;
   std::string attempt_error_;
+  /// The instance has ended the request because it stops.
+  bool stopped_ = false;
   /// A head that was read during the attempt says that the target leaves.
   bool target_leaves_ = false;
   /// The connection broke during the attempt, which may mean that the request crashed the target.
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -123,7 +123,8 @@
   if (relayed) ++relayed_sends_;
   // The end of a relayed connection may be that of the relaying instance.
   if (relayed) attempt_reset_ = false;
-  if (caller_.Disconnected()) attempt_result_ = dispatch::AttemptResult::kCancelled;
+  const bool cancelled = caller_.Disconnected() || stopped_;
+  if (cancelled) attempt_result_ = dispatch::AttemptResult::kCancelled;
   const bool unresponsive =
       attempt_result_ == dispatch::AttemptResult::kUnreachable || attempt_error_ == "timeout";
   if (unresponsive) context_.pool.DropTarget(target.id);
@@ -282,6 +283,10 @@
 }
 
 void Exchange::RecordError(const boost::system::error_code& ec) {
+  if (stopped_) {
+    attempt_error_ = "the instance stops";
+    return;
+  }
   const bool timeout = ec == boost::beast::error::timeout;
   attempt_error_ = timeout ? "timeout" : ec.message();
   // A connection that the network has cut ends with ETIMEDOUT; a crash ends it at once.
--- a/src/persimmonstair/gateway/exchange_stream.cpp
+++ b/src/persimmonstair/gateway/exchange_stream.cpp
@@ -100,7 +100,7 @@
     schema::KeptTurn record{{metadata_.request_id}, workspace_,
                             std::move(ancestors_),  std::move(request_.body),
                             std::move(output_),     UnixMillis() + base::ToMillis(keep)};
-    const auto kept = co_await context_.turns.Save(std::move(record), expires_at_,
+    const auto kept = co_await context_.turns.Save(std::move(record), ExpiresAt(),
                                                    base::ToMillis(route_->retention));
     if (!kept) {
       base::Error error{
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -36,8 +36,10 @@
 /// Time from the start of a stop until the listening socket is closed. The platform checks
 /// readiness once a second and redirects callers after two failed checks.
 constexpr milliseconds kStopAcceptTime{3200};
-/// Time reserved for the final writes before the process is killed.
+/// Time reserved for the last answers and the final writes before the process is killed.
 constexpr milliseconds kStopMargin{900};
+/// Time in which requests that are ended by the stop write their answers.
+constexpr milliseconds kLastAnswersTime{200};
 constexpr milliseconds kFinalWriteTimeout{500};
 constexpr milliseconds kStopPollInterval{40};
 
@@ -174,20 +176,36 @@
     return {200, context.metrics.Text()};
   }
 
+  template <class Function>
+  void ForEachConnection(Function function) {
+    for (const auto& one : connections) {
+      if (const auto connection = one.lock()) function(*connection);
+    }
+  }
+
+  /// Waits until no request is open, and with `relays_too` no relayed connection, or until `end`.
+  awaitable<void> AwaitRequests(base::TimePoint end, bool relays_too) {
+    while (Now() < end) {
+      const std::uint64_t relayed = relays_too ? context.relays.Open() : 0;
+      if (context.open_requests + relayed == 0) co_return;
+      co_await Sleep(kStopPollInterval);
+    }
+  }
+
   awaitable<void> Stop(std::function<void()> stopped) {
     const base::TimePoint begun_at = Now();
+    const base::TimePoint end = begun_at + context.settings.stop_grace_period - kStopMargin;
     context.stopping = true;
+    context.requests_end_at = end;
     context.budget_coordinator.Stop();
     Log(Level::kInfo, "stop_begun", {{"open_requests", context.open_requests}});
     co_await Sleep(kStopAcceptTime);
     callers->close();
-    for (const auto& one : connections) {
-      if (const auto connection = one.lock()) connection->CloseIfIdle();
-    }
-    const base::TimePoint end = begun_at + context.settings.stop_grace_period - kStopMargin;
-    while (context.open_requests + context.relays.Open() > 0 && Now() < end) {
-      co_await Sleep(kStopPollInterval);
-    }
+    context.refuses_long_requests = true;
+    ForEachConnection([](CallerConnection& one) { one.CloseIfIdle(); });
+    co_await AwaitRequests(end, true);
+    ForEachConnection([](CallerConnection& one) { one.EndRequest(); });
+    co_await AwaitRequests(Now() + kLastAnswersTime, false);
     const base::TimePoint deadline = Now() + kFinalWriteTimeout;
     co_await context.budgets.Flush(deadline);
     co_await context.fleet.ReportStopping(deadline);
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -95,6 +95,11 @@
   RecentPrograms programs;
   /// Set by a planned stop; responses then ask callers to open new connections.
   bool stopping = false;
+  /// Time by which a planned stop ends all requests; without one, there is no such time.
+  base::TimePoint requests_end_at = base::TimePoint::max();
+  /// Set by a planned stop once no new connections are accepted. Requests that may last longer than
+  /// until `requests_end_at` are then refused.
+  bool refuses_long_requests = false;
   /// Requests that were read at least in part and not yet answered.
   std::uint64_t open_requests = 0;
 };
