Bound what all requests together keep of targets' responses, and the size of a kept turn

EndlessResponseTest held already for 16 shapes of one response, but two ways were open. Events without end of a kept turn are each whole, so no limit was met, and their data was kept until the deadline: an instance of 88 MB has less than a turn of 3 s on a fast link brings. And each response may have 8 MB in memory, which a dozen of them at once multiply. Now all requests together keep 16 MB (ResponseMemory, HeldBytes), what is beyond ends its own request with 502, and the data of a kept turn may have 2 MB.

--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -40,7 +40,11 @@
 
 Exchange::Exchange(GatewayContext& context, CallerConnection& caller, HttpRequest request,
                    base::TimePoint arrived_at)
-    : context_(context), caller_(caller), request_(std::move(request)), arrived_at_(arrived_at) {
+    : context_(context),
+      caller_(caller),
+      request_(std::move(request)),
+      arrived_at_(arrived_at),
+      held_bytes_(context.response_memory) {
   caller_.OnDisconnect([this] {
     if (active_connection_ != nullptr) active_connection_->Close();
   });
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "budget_manager.hpp"
 #include "event_splitter.hpp"
@@ -128,6 +129,10 @@
   boost::asio::awaitable<Outcome> RelayStream(HttpConnection& connection,
                                               ResponseMetadata response);
   boost::asio::awaitable<bool> ForwardEvents(ResponseMetadata& response, std::string_view bytes);
+  /// Returns why the stream can't go on: it is too large or too late; empty if it can.
+  std::string_view LimitReached() const;
+  /// Adds the data of an event to what is stored with the turn.
+  void KeepOutput(std::string_view data);
   boost::asio::awaitable<bool> BeginStream(ResponseMetadata& response);
   boost::asio::awaitable<bool> FinishStream();
 
@@ -203,6 +208,10 @@
   std::string last_event_;
   /// Data of the forwarded events; stored with the turn.
   std::string output_;
+  /// An event's data had no room, so the turn can't be stored.
+  bool output_full_ = false;
+  /// Bytes of bodies and of `output_`, those of earlier attempts included.
+  HeldBytes held_bytes_;
   /// Tokens in the forwarded events.
   std::uint64_t tokens_ = 0;
   base::TimePoint first_event_at_;
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -298,6 +298,10 @@
   std::string body;
   for (;;) {
     BodyPiece piece = co_await connection.ReadBody(ResponseTimeout());
+    if (!held_bytes_.Add(piece.data.size())) {
+      attempt_error_ = "responses of targets fill the memory for them";
+      co_return std::nullopt;
+    }
     body += piece.data;
     if (piece.error) {
       RecordError(piece.error);
--- a/src/persimmonstair/gateway/exchange_stream.cpp
+++ b/src/persimmonstair/gateway/exchange_stream.cpp
@@ -22,6 +22,8 @@
 /// conversations needn't be rewritten when a later turn extends their retention.
 constexpr int kRetentionFactor = 2;
 constexpr milliseconds kRetentionMargin{10'000};
+/// Largest size of the data of a kept turn's events.
+constexpr std::size_t kMaxTurnBytes = std::size_t{2} << 20U;
 
 std::uint64_t EventNumber(const std::string& id) {
   std::uint64_t number = 0;
@@ -50,8 +52,9 @@
       co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
     }
     if (piece.end) break;
-    if (splitter_.TooLarge() || TimeLeft() <= base::Duration{0}) {
-      attempt_error_ = splitter_.TooLarge() ? "an event is too large" : "timeout";
+    const std::string_view limit = LimitReached();
+    if (!limit.empty()) {
+      attempt_error_ = limit;
       co_return stream_started_ ? Outcome::kBroken : Outcome::kLost;
     }
   }
@@ -66,6 +69,14 @@
   co_return Outcome::kFinished;
 }
 
+std::string_view Exchange::LimitReached() const {
+  if (splitter_.TooLarge()) return "an event is too large";
+  if (output_.size() > kMaxTurnBytes) return "the turn is too large";
+  if (output_full_) return "responses of targets fill the memory for them";
+  if (TimeLeft() <= base::Duration{0}) return "timeout";
+  return {};
+}
+
 awaitable<bool> Exchange::ForwardEvents(ResponseMetadata& response, std::string_view bytes) {
   std::string out;
   for (StreamEvent& event : splitter_.Feed(bytes)) {
@@ -76,7 +87,7 @@
     if (!event.id.empty()) last_event_ = event.id;
     if (event.has_data) {
       if (service_ != nullptr) tokens_ += service_->tokens_per_event;
-      if (route_->keeps_turns) output_ += event.data + '\n';
+      if (route_->keeps_turns) KeepOutput(event.data);
     }
     out += event.bytes;
   }
@@ -85,6 +96,13 @@
   co_return co_await caller_.SendChunk(out);
 }
 
+void Exchange::KeepOutput(std::string_view data) {
+  output_full_ = output_full_ || !held_bytes_.Add(data.size() + 1);
+  if (output_full_) return;
+  output_ += data;
+  output_ += '\n';
+}
+
 awaitable<bool> Exchange::BeginStream(ResponseMetadata& response) {
   stream_started_ = true;
   began_at_ = last_version_;
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -21,6 +21,7 @@
 #include "recent_programs.hpp"
 #include "relay_server.hpp"
 #include "relayed_record_store.hpp"
+#include "response_memory.hpp"
 #include "retrying_record_store.hpp"
 #include "shared_reads.hpp"
 #include "store_relay_connector.hpp"
@@ -93,6 +94,7 @@
   BudgetCoordinator budget_coordinator;
   BudgetClient budgets;
   RecentPrograms programs;
+  ResponseMemory response_memory;
   /// Set by a planned stop; responses then ask callers to open new connections.
   bool stopping = false;
   /// Time by which a planned stop ends all requests; without one, there is no such time.
