Let a planned stop with a short grace period take connections for half of it at most

With stop_ms below 4,100 the stop took new connections for 3.2 s, longer than the time after which it ends all requests. With 8 s, as deployed, nothing changes (3.2 s).

--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "persimmonstair/gateway/gateway.hpp"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -199,7 +200,8 @@
     context.requests_end_at = end;
     context.budget_coordinator.Stop();
     Log(Level::kInfo, "stop_begun", {{"open_requests", context.open_requests}});
-    co_await Sleep(kStopAcceptTime);
+    // A short grace period leaves half of its time to the requests.
+    co_await Sleep(std::min<base::Duration>(kStopAcceptTime, (end - begun_at) / 2));
     callers->close();
     context.refuses_long_requests = true;
     ForEachConnection([](CallerConnection& one) { one.CloseIfIdle(); });
