Spread the instances' reads of a long record, so that other reads do not wait behind them

Now a member whose collector can't pass a record on waits a random part of the time in which all instances together can read one like the last long one at four fifths of the store's rate (new setting store_read_mb_per_s), 1 s at most. The size of the new record isn't known before, so a first large one isn't spread.

--- a/include/persimmonstair/schema/entry_settings.hpp
+++ b/include/persimmonstair/schema/entry_settings.hpp
@@ -39,6 +39,8 @@
   std::uint32_t parts_of_stream = 8;
   /// Write calls a second that the store accepts from all instances together; 10 to 1000000.
   double store_writes_per_s = 800;
+  /// Megabytes (10^6 bytes) a second that the store sends to all instances together; 1 to 1000000.
+  double store_read_mb_per_s = 80;
   /// Memory for cached turns in mebibytes (2^20 bytes); 1 to 4096.
   std::uint32_t turn_cache_mb = 24;
   /// Time from SIGTERM until the platform kills the process, in milliseconds; 2000 to 600000.
@@ -60,6 +62,7 @@
       {"store", value.store},
       {"parts_of_stream", value.parts_of_stream},
       {"store_writes_per_s", value.store_writes_per_s},
+      {"store_read_mb_per_s", value.store_read_mb_per_s},
       {"turn_cache_mb", value.turn_cache_mb},
       {"stop_ms", value.stop_ms},
       {"log_level", value.log_level},
@@ -80,6 +83,8 @@
     it->get_to(value.parts_of_stream);
   if (const auto it = json.find("store_writes_per_s"); it != json.end())
     it->get_to(value.store_writes_per_s);
+  if (const auto it = json.find("store_read_mb_per_s"); it != json.end())
+    it->get_to(value.store_read_mb_per_s);
   if (const auto it = json.find("turn_cache_mb"); it != json.end()) it->get_to(value.turn_cache_mb);
   if (const auto it = json.find("stop_ms"); it != json.end()) it->get_to(value.stop_ms);
   if (const auto it = json.find("log_level"); it != json.end()) it->get_to(value.log_level);
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -15,6 +15,7 @@
 #include "peer_socket.hpp"
 #include "persimmonstair/diagnostics/metrics.hpp"
 #include "persimmonstair/dispatch/target_registry.hpp"
+#include "persimmonstair/fleet/bulk_pace.hpp"
 #include "persimmonstair/gateway/platform_codec.hpp"
 #include "persimmonstair/gateway/settings.hpp"
 #include "quota_limiter.hpp"
@@ -63,6 +64,9 @@
     connector.OnHangingPath([this] { pool.DropAll(); });
     reads.SetCollector([this] { return fleet.Collector(); });
     reads.SetPeers([this] { return fleet.RecentPeers(); });
+    reads.SetBulkPace([this](std::size_t bytes) {
+      return fleet::BulkReadSpread(fleet.Holders(), bytes, settings.store_read_bytes_per_s);
+    });
     configuration.SetReaders([this] { return fleet.StoreReaders(); });
     targets.SetReaders([this] { return fleet.StoreReaders(); });
     store_connector.SetCandidates([this] { return fleet.RelayCandidates(); });
--- a/src/persimmonstair/gateway/shared_reads.cpp
+++ b/src/persimmonstair/gateway/shared_reads.cpp
@@ -132,6 +132,7 @@
                                             const StoreRead& read) {
   if (!*read.result) return *read.result;
   RecordBatch batch = **read.result;
+  NoteRecordSizes(partition, batch.records);
   // Other instances may have brought the first records meanwhile.
   std::erase_if(batch.records, [from](const auto& stored) { return stored.offset < from; });
   batch.next = std::max(batch.next, from);
@@ -207,8 +208,27 @@
   if (current && !has_more) followed_[partition].next_ask_at = asked_at + kAskInterval;
   // Records are news even if the collector can't say whether they are the last ones.
   if (!batch.records.empty()) co_return batch;
-  if (!current || lacks_records) co_return std::nullopt;
-  co_return batch;
+  if (!current) co_return std::nullopt;
+  if (!lacks_records) co_return batch;
+  co_await DelayBulkRead(partition);
+  co_return std::nullopt;
+}
+
+awaitable<void> SharedReads::DelayBulkRead(Partition partition) {
+  const std::size_t bytes = followed_[partition].long_record_bytes;
+  const base::Duration spread = bulk_spread_ ? bulk_spread_(bytes) : base::Duration{0};
+  if (spread <= base::Duration{0}) co_return;
+  std::uniform_int_distribution<base::Duration::rep> delay(0, spread.count());
+  co_await Sleep(base::Duration{delay(random_)});
+}
+
+void SharedReads::NoteRecordSizes(const Partition& partition,
+                                  const std::vector<StoredRecord>& records) {
+  for (const auto& stored : records) {
+    if (!stored.record.value) continue;
+    const std::size_t bytes = stored.record.value->size();
+    if (bytes > fleet::kMaxFeedRecordBytes) followed_[partition].long_record_bytes = bytes;
+  }
 }
 
 RecordBatch SharedReads::KeepFromAnswer(const Partition& partition, base::Offset from,
--- a/src/persimmonstair/gateway/shared_reads.hpp
+++ b/src/persimmonstair/gateway/shared_reads.hpp
@@ -39,6 +39,8 @@
   using FindCollector = std::function<std::optional<dispatch::Endpoint>()>;
   /// Returns the addresses of the other instances.
   using FindPeers = std::function<std::vector<dispatch::Endpoint>()>;
+  /// Returns the time over which the instances spread their reads of a record of `bytes` bytes.
+  using BulkSpread = std::function<base::Duration(std::size_t bytes)>;
 
   /// Time after the start in which instances read the store directly, because the tables of shares
   /// that they must read before they are ready follow each other quickly.
@@ -52,6 +54,8 @@
   void SetCollector(FindCollector find) { find_collector_ = std::move(find); }
   /// Until this is called, late reads are only waited for.
   void SetPeers(FindPeers find) { find_peers_ = std::move(find); }
+  /// Until this is called, records that the collector can't pass on are read at once.
+  void SetBulkPace(BulkSpread spread) { bulk_spread_ = std::move(spread); }
 
   /// Returns the records from `from` on; waits up to `wait` if there are none yet. Returns
   /// kNotFound if the records at `from` were dropped.
@@ -61,6 +65,9 @@
   boost::asio::awaitable<base::Result<RecordBatch>> Read(Partition partition, base::Offset from,
                                                          base::TimePoint deadline);
 
+  /// Remembers the size of the last long record. Also for records that were read by other means.
+  void NoteRecordSizes(const Partition& partition, const std::vector<StoredRecord>& records);
+
   /// Time at which the records returned so far were last known to be all of the partition.
   base::TimePoint ConfirmedAt(const Partition& partition) const;
 
@@ -86,6 +93,8 @@
     fleet::RecordTail tail;
     /// Time at which the collector is next asked.
     base::TimePoint next_ask_at;
+    /// Size of the last record that was too long to be passed on; 0 if there was none.
+    std::size_t long_record_bytes = 0;
     /// Read that has not been used up; null if there is none.
     StoreReadPtr store_read;
   };
@@ -103,6 +112,9 @@
                                                                        base::Offset from);
   boost::asio::awaitable<std::optional<schema::FeedAnswer>> Ask(PeerEndpoint collector,
                                                                 schema::FeedAsk ask);
+  /// Waits a random part of the time over which instances spread their reads of a record like the
+  /// last long one. The size of the new one isn't known before it is read.
+  boost::asio::awaitable<void> DelayBulkRead(Partition partition);
   /// True if the collector can be relied on; updates the path to it.
   bool Accept(const std::optional<schema::FeedAnswer>& answer);
   /// Keeps what the answer holds from `from` on, and returns it.
@@ -139,6 +151,7 @@
   diagnostics::Metrics& metrics_;
   FindCollector find_collector_;
   FindPeers find_peers_;
+  BulkSpread bulk_spread_;
   std::minstd_rand random_{std::random_device{}()};
   base::TimePoint direct_until_;
   fleet::FeedPath path_;
