--- a/src/persimmonstair/gateway/shared_reads.cpp
+++ b/src/persimmonstair/gateway/shared_reads.cpp
@@ -200,16 +200,14 @@
   auto answer = co_await Ask(*collector, std::move(ask));
   const bool current = Accept(answer);
   if (!answer) co_return std::nullopt;
-  const bool is_behind = answer->end < from;
-  const bool lacks_records = answer->records.empty() && answer->end > from;
   RecordBatch batch = KeepFromAnswer(partition, from, std::move(*answer), asked_at);
-  const bool complete = !is_behind && batch.next >= batch.end;
-  const bool has_more = !batch.records.empty() && !complete;
-  if (current && !has_more) followed_[partition].next_ask_at = asked_at + kAskInterval;
+  const bool knows_more = batch.next < batch.end;
+  const bool asks_again_now = !batch.records.empty() && knows_more;
+  if (current && !asks_again_now) followed_[partition].next_ask_at = asked_at + kAskInterval;
   // Records are news even if the collector can't say whether they are the last ones.
   if (!batch.records.empty()) co_return batch;
   if (!current) co_return std::nullopt;
-  if (!lacks_records) co_return batch;
+  if (!knows_more) co_return batch;
   co_await DelayBulkRead(partition);
   co_return std::nullopt;
 }
