Let a follower go on while its read of the store hangs, if another instance knows that there is nothing new

An answer at most 0.9 s old that there are no more records counts now too. Found by reading the diff; no test of its own (SharedReadsTest, TargetNewsTest, StorePathTest pass). Also a gauge of the bytes of responses that are kept.

--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -162,6 +162,8 @@
           static_cast<double>(context.relays.Opened()));
     gauge("persimmonstair_turn_cache_bytes", "Kept turns in memory",
           static_cast<double>(context.turns.CachedBytes()));
+    gauge("persimmonstair_response_bytes_held", "Bytes of targets' responses in memory",
+          static_cast<double>(context.response_memory.Held()));
     gauge("persimmonstair_budget_messages_pending",
           "Reservations and settlements of other instances that are not in the store yet",
           static_cast<double>(context.budget_coordinator.Pending()));
--- a/src/persimmonstair/gateway/shared_reads.cpp
+++ b/src/persimmonstair/gateway/shared_reads.cpp
@@ -158,8 +158,12 @@
   metrics_.CountFeedAsk(answer ? "late_read_answered" : "late_read_unanswered");
   if (!answer) co_return std::nullopt;
   const std::uint32_t age_ms = answer->age_ms;
+  const bool current = !answer->declined && milliseconds{age_ms} <= fleet::kMaxFeedAge;
   RecordBatch batch = KeepFromAnswer(partition, from, std::move(*answer), asked_at);
-  if (batch.records.empty()) co_return std::nullopt;
+  if (batch.records.empty()) {
+    if (current && batch.next >= batch.end) co_return batch;
+    co_return std::nullopt;
+  }
   Log(Level::kInfo, "records_of_peer",
       {{"stream", partition.stream.value},
        {"peer", endpoint->address().to_string()},
--- a/src/persimmonstair/gateway/shared_reads.hpp
+++ b/src/persimmonstair/gateway/shared_reads.hpp
@@ -131,8 +131,8 @@
   boost::asio::awaitable<base::Result<RecordBatch>> AwaitStoreRead(Partition partition,
                                                                    base::Offset from,
                                                                    StoreReadPtr read);
-  /// Returns the records that another instance, chosen at random, has read from `from` on; nothing
-  /// if it has none or does not answer.
+  /// Returns the records that another instance, chosen at random, has read from `from` on; an empty
+  /// batch if it knows that there are none. Nothing if it can't tell or does not answer.
   boost::asio::awaitable<std::optional<RecordBatch>> ReadFromPeer(Partition partition,
                                                                   base::Offset from);
   /// Uses the read's result up: keeps and returns its records from `from` on.
