--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -30,6 +30,9 @@
 /// Interim responses and responses to other requests that are skipped on a connection before the
 /// attempt fails.
 constexpr int kMaxMismatchedResponses = 3;
+/// Maximum number of pieces in which a response body may come. Each one costs processor time, so
+/// that tiny chunks without end would keep an instance busy.
+constexpr std::size_t kMaxBodyPieces = 65'536;
 /// Maximum size of a response body that is buffered in memory.
 constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{8} << 20U;
 
@@ -296,7 +299,7 @@
 
 awaitable<std::optional<std::string>> Exchange::ReadFullBody(HttpConnection& connection) {
   std::string body;
-  for (;;) {
+  for (std::size_t pieces = 1;; ++pieces) {
     BodyPiece piece = co_await connection.ReadBody(ResponseTimeout());
     if (!held_bytes_.Add(piece.data.size())) {
       attempt_error_ = "responses of targets fill the memory for them";
@@ -308,6 +311,10 @@
       co_return std::nullopt;
     }
     if (piece.end) co_return body;
+    if (pieces == kMaxBodyPieces) {
+      attempt_error_ = "the response body comes in too many pieces";
+      co_return std::nullopt;
+    }
     if (body.size() > kMaxBufferedBodyBytes || TimeLeft() <= base::Duration{0}) {
       attempt_error_ =
           body.size() > kMaxBufferedBodyBytes ? "the response body is too large" : "timeout";
