--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -13,10 +13,10 @@
 constexpr int kLosingWorkers = 4;
 /// One in so many of the requests that such a worker ran loses its answer.
 constexpr int kLostOneIn = 20;
-/// Of nine turns each. A busy day of the site has about as many programs a second.
-constexpr int kProgramsPerSecond = 30;
+/// Half as many as on a busy day of the site, with twice as many turns, the most of its sheet.
+constexpr int kProgramsPerSecond = 15;
 /// Turns of a program after its first one. They say what users often say.
-constexpr int kLaterTurns = 8;
+constexpr int kLaterTurns = 17;
 constexpr int kThinkMs = 50;
 constexpr char kUsualText[] = "Please continue.";
 /// Longest time that the rule looks back for an unplanned disruption, and a second more.
