Read a changed configuration from the store once for a data centre

Callers' requests reached a target 3.0 s after it had said that it leaves, at 295 instances. Cause: each instance read a changed configuration of 0.8 MB from the store, 238 MB in all, 3.0 s of what the store sends, and the list of targets waited behind it. Class: one copy for each instance of what all need, in a queue that urgent reads share. Spreading the reads (BulkReadSpread) moved the wait and is gone; store_read_mb_per_s is accepted and no longer used.

Others read the store only if nobody brings news, four of a data centre each 0.25 s; at once if no instance answers or if they are of an older build. LongReadPlan decides this without a network.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Entry points for developers and CI. CMake builds the code.
 PACKAGES = g++ cmake ninja-build ccache libboost1.81-dev libcereal-dev prometheus-cpp-dev libcli11-dev \
   libspdlog-dev libexpected-dev nlohmann-json3-dev libvalijson-dev libssl-dev libxxhash-dev \
-  libgtest-dev libgmock-dev libbenchmark-dev
+  libzstd-dev libgtest-dev libgmock-dev libbenchmark-dev
 CHECK_PACKAGES = clang-format clang-tidy clang libclang-rt-14-dev python3 curl jq
 # Time limit of one test program, in seconds. It only ends programs that hang.
 TEST_TIMEOUT_S = 900
--- /dev/null
+++ b/include/persimmonstair/fleet/long_read_plan.hpp
@@ -0,0 +1,101 @@
+#ifndef PERSIMMONSTAIR_FLEET_LONG_READ_PLAN_HPP_
+#define PERSIMMONSTAIR_FLEET_LONG_READ_PLAN_HPP_
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+
+#include "persimmonstair/base/ids.hpp"
+#include "persimmonstair/base/time.hpp"
+
+namespace persimmonstair::fleet {
+
+/// Transfers of long records that an instance serves at a time. Each receiver soon serves others,
+/// so that few fast transfers spread the records sooner than many slow ones.
+inline constexpr std::size_t kMaxTransfersServed = 2;
+/// Age of what an instance knows of a partition up to which it leaves the store to the reader of
+/// its data centre: the reader's long poll, its own interval and a lost datagram.
+inline constexpr std::chrono::milliseconds kMaxSharedAge{1700};
+/// Time for which an instance that knows of a record tries to get it from others only, since it
+/// learned of it or an instance was busy handing it on.
+inline constexpr std::chrono::milliseconds kMaxTransferTime{1000};
+/// The same at most.
+inline constexpr std::chrono::milliseconds kMaxBusyTime{2500};
+/// Time from one turn to read the store to the next one.
+inline constexpr std::chrono::milliseconds kStoreTurn{250};
+/// Instances of a data centre that have their turn together.
+inline constexpr std::size_t kReadersInTurn = 4;
+
+/// @brief Place of an instance among those of its data centre that could read the store for the
+/// others.
+struct ReaderRank {
+  /// The first one, with rank 0, reads for the others.
+  std::size_t rank = 0;
+  /// Number of instances, this one included.
+  std::size_t instances = 1;
+
+  bool IsReader() const { return rank == 0; }
+};
+
+/// @brief Whom an instance asks for the records of a partition.
+enum class RecordSource { kCollector, kNeighbour, kAnywhere };
+
+/// @brief Decides how an instance gets the records of a partition whose records are so long that
+/// the store must not send each of them to each instance.
+///
+/// One instance of a data centre reads the store. The others ask it, and each other while it is
+/// busy. They read the store only if no instance brings news for some time, and then in turn, so
+/// that few copies are asked for at a time, however many instances lack the records. An instance
+/// that no other one answers reads the store itself.
+class LongReadPlan {
+ public:
+  /// True if the store is to be read. `confirmed_at` is the time at which the records read so far
+  /// were last known to be all of the partition.
+  bool ReadsStore(base::TimePoint now, base::TimePoint confirmed_at, ReaderRank place) const;
+
+  /// Time at which the next instance is to be asked.
+  base::TimePoint NextAskAt() const { return next_ask_at_; }
+  RecordSource NextSource() const;
+
+  /// Registers that an instance has read the partition up to `end`, beyond what this one has.
+  void OnMissing(base::TimePoint now, base::Offset end);
+  /// Registers that an instance hands the records on to as many others as it may.
+  void OnBusy(base::TimePoint now);
+  /// True if some instance has read records from `next` on.
+  bool IsMissing(base::Offset next) const { return next < known_end_; }
+  /// Registers a read of the store by this instance.
+  void OnStoreRead(base::TimePoint now) { store_read_at_ = now; }
+  /// Registers that an instance has answered, or that it has not.
+  void OnAnswer(bool answered) { unanswered_ = answered ? 0 : unanswered_ + 1; }
+  /// Registers that an ask brought all records that are known of, or the certainty that there are
+  /// none.
+  void OnNews(base::TimePoint now);
+  /// Registers an ask that brought nothing. `fraction`, from 0 to 1, is random.
+  void OnNothing(base::TimePoint now, double fraction);
+  /// Registers that the instances are of a build that passes on no long records.
+  void OnUnsupported(base::TimePoint now);
+
+ private:
+  /// True if this instance's turn has come since `first_turn_at`, and it has not read the store
+  /// in the present round of turns.
+  bool HasTurn(base::TimePoint now, base::TimePoint first_turn_at, ReaderRank place) const;
+
+  base::TimePoint next_ask_at_;
+  /// The largest end of the partition that an instance has told.
+  base::Offset known_end_;
+  /// Time since which a record is known to be missing; nothing if none is.
+  std::optional<base::TimePoint> missing_since_;
+  /// Time until which a missing record is left to others.
+  base::TimePoint left_until_;
+  /// Asks in a row that brought nothing.
+  unsigned fruitless_asks_ = 0;
+  /// Asks in a row without an answer.
+  unsigned unanswered_ = 0;
+  /// Time until which the store is read.
+  base::TimePoint store_until_;
+  base::TimePoint store_read_at_;
+};
+
+}  // namespace persimmonstair::fleet
+
+#endif  // PERSIMMONSTAIR_FLEET_LONG_READ_PLAN_HPP_
--- a/include/persimmonstair/gateway/settings.hpp
+++ b/include/persimmonstair/gateway/settings.hpp
@@ -31,8 +31,6 @@
   std::uint32_t parts_of_stream = 8;
   /// Write calls a second that the store accepts from all instances together.
   double store_writes_per_s = 800;
-  /// Bytes a second that the store sends to all instances together.
-  double store_read_bytes_per_s = 80e6;
   /// Size limit of the cache of stored turns, in bytes.
   std::size_t turn_cache_bytes = std::size_t{24} << 20U;
   /// Time that the platform leaves between the stop signal and killing the process.
--- a/include/persimmonstair/schema/entry_peer.hpp
+++ b/include/persimmonstair/schema/entry_peer.hpp
@@ -500,20 +500,65 @@
   Field(archive, value.data);
 }
 
+/// @brief A record of the store with a compressed value.
+struct PackedRecord {
+  /// Key of the record.
+  std::string key;
+  /// True if the record deletes its key.
+  bool deleted = false;
+  /// Length of the value in bytes.
+  std::uint64_t size = 0;
+  /// xxHash64 of the value.
+  std::uint64_t checksum = 0;
+  /// The value, compressed by zstd; empty if the record deletes its key.
+  std::string data;
+
+  bool operator==(const PackedRecord&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, PackedRecord& value) {
+  Field(archive, value.key);
+  Field(archive, value.deleted);
+  Field(archive, value.size);
+  Field(archive, value.checksum);
+  Field(archive, value.data);
+}
+
+/// @brief Records that an instance hands on over a connection, because they don't fit into a
+/// datagram.
+struct RecordTransfer {
+  /// Consecutive records, from the offset that was asked for.
+  std::vector<PackedRecord> records;
+  /// Offset after the last record that the sender has read.
+  base::Offset end;
+  /// Time since the store confirmed that there were no more, in milliseconds.
+  std::uint32_t age_ms = 0;
+
+  bool operator==(const RecordTransfer&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, RecordTransfer& value) {
+  Field(archive, value.records);
+  Field(archive, value.end);
+  Field(archive, value.age_ms);
+}
+
 /// @brief Any of the types above.
 using EntryPeerMessage =
     std::variant<TokenAsk, TokenAnswer, TokenCancel, ReservationAsk, ReservationAnswer,
                  SettlementNotice, SettlementAck, TargetTokenAsk, TargetTokenAnswer,
                  TargetRateNotice, InstanceHeartbeat, InstanceHeartbeatAck, FeedAsk, FeedAnswer,
-                 StreamPiece, StreamPieceAck, StreamCopyAsk, StreamCopyAnswer>;
+                 StreamPiece, StreamPieceAck, StreamCopyAsk, StreamCopyAnswer, RecordTransfer>;
 
 /// Type names in the order of the variant's alternatives.
-inline constexpr std::array<std::string_view, 18> kEntryPeerMessageTypes = {
+inline constexpr std::array<std::string_view, 19> kEntryPeerMessageTypes = {
     "TokenAsk",          "TokenAnswer",      "TokenCancel",       "ReservationAsk",
     "ReservationAnswer", "SettlementNotice", "SettlementAck",     "TargetTokenAsk",
     "TargetTokenAnswer", "TargetRateNotice", "InstanceHeartbeat", "InstanceHeartbeatAck",
     "FeedAsk",           "FeedAnswer",       "StreamPiece",       "StreamPieceAck",
-    "StreamCopyAsk",     "StreamCopyAnswer"};
+    "StreamCopyAsk",     "StreamCopyAnswer", "RecordTransfer"};
 
 }  // namespace persimmonstair::schema
 
--- a/include/persimmonstair/schema/entry_settings.hpp
+++ b/include/persimmonstair/schema/entry_settings.hpp
@@ -39,7 +39,7 @@
   std::uint32_t parts_of_stream = 8;
   /// Write calls a second that the store accepts from all instances together; 10 to 1000000.
   double store_writes_per_s = 800;
-  /// Megabytes (10^6 bytes) a second that the store sends to all instances together; 1 to 1000000.
+  /// Not used; accepted because settings of earlier versions have it. 1 to 1000000.
   double store_read_mb_per_s = 80;
   /// Memory for cached turns in mebibytes (2^20 bytes); 1 to 4096.
   std::uint32_t turn_cache_mb = 24;
--- /dev/null
+++ b/src/persimmonstair/fleet/long_read_plan.cpp
@@ -0,0 +1,77 @@
+#include "persimmonstair/fleet/long_read_plan.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace persimmonstair::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Interval at which an instance asks while nothing is missing.
+constexpr milliseconds kAskInterval{400};
+/// Pause after an ask that brought no certainty, while no record is known to be missing.
+constexpr milliseconds kDoubtPause{200};
+/// Bounds of the pause while a record is known to be missing, or if there was no answer.
+constexpr milliseconds kMinPause{20};
+constexpr milliseconds kMaxPause{80};
+/// One of so many fruitless asks goes to any data centre.
+constexpr unsigned kAsksElsewhere = 6;
+/// Time for which the store is read by instances whose neighbours pass on no long records.
+constexpr std::chrono::seconds kUnsupportedTime{2};
+/// Asks without an answer after which an instance takes itself for cut off from the others.
+constexpr unsigned kMaxUnanswered = 3;
+
+}  // namespace
+
+bool LongReadPlan::HasTurn(base::TimePoint now, base::TimePoint first_turn_at,
+                           ReaderRank place) const {
+  const std::size_t waiting = std::max<std::size_t>(place.instances, 2) - 1;
+  const std::size_t turns = (waiting + kReadersInTurn - 1) / kReadersInTurn;
+  const std::size_t turn = (place.rank - 1) / kReadersInTurn;
+  const base::TimePoint earliest = std::max(first_turn_at + turn * base::Duration{kStoreTurn},
+                                            store_read_at_ + turns * base::Duration{kStoreTurn});
+  return now >= earliest;
+}
+
+bool LongReadPlan::ReadsStore(base::TimePoint now, base::TimePoint confirmed_at,
+                              ReaderRank place) const {
+  if (place.IsReader() || now < store_until_ || unanswered_ >= kMaxUnanswered) return true;
+  return HasTurn(now, missing_since_ ? left_until_ : confirmed_at + kMaxSharedAge, place);
+}
+
+RecordSource LongReadPlan::NextSource() const {
+  if (fruitless_asks_ % 2 == 0) return RecordSource::kCollector;
+  const bool elsewhere = fruitless_asks_ % kAsksElsewhere == kAsksElsewhere - 1;
+  return elsewhere ? RecordSource::kAnywhere : RecordSource::kNeighbour;
+}
+
+void LongReadPlan::OnMissing(base::TimePoint now, base::Offset end) {
+  known_end_ = std::max(known_end_, end);
+  if (missing_since_) return;
+  missing_since_ = now;
+  left_until_ = now + kMaxTransferTime;
+}
+
+void LongReadPlan::OnBusy(base::TimePoint now) {
+  if (!missing_since_) return;
+  left_until_ = std::min(now + kMaxTransferTime, *missing_since_ + kMaxBusyTime);
+}
+
+void LongReadPlan::OnNews(base::TimePoint now) {
+  missing_since_.reset();
+  fruitless_asks_ = 0;
+  next_ask_at_ = now + kAskInterval;
+}
+
+void LongReadPlan::OnNothing(base::TimePoint now, double fraction) {
+  ++fruitless_asks_;
+  const std::chrono::duration<double, std::milli> spread = fraction * (kMaxPause - kMinPause);
+  const base::Duration pause = kMinPause + std::chrono::duration_cast<base::Duration>(spread);
+  const bool hurries = missing_since_ || unanswered_ > 0;
+  next_ask_at_ = now + (hurries ? pause : base::Duration{kDoubtPause});
+}
+
+void LongReadPlan::OnUnsupported(base::TimePoint now) { store_until_ = now + kUnsupportedTime; }
+
+}  // namespace persimmonstair::fleet
--- a/src/persimmonstair/fleet/record_feed_test.cpp
+++ b/src/persimmonstair/fleet/record_feed_test.cpp
@@ -2,10 +2,12 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <random>
 #include <string>
 #include <vector>
 
 #include "persimmonstair/fleet/feed_path.hpp"
+#include "persimmonstair/fleet/packed_record.hpp"
 #include "persimmonstair/fleet/record_tail.hpp"
 
 namespace persimmonstair::fleet {
@@ -60,6 +62,62 @@
   EXPECT_EQ(tail.End(), base::Offset{3});
 }
 
+// Guards against a long record that only the store can give.
+TEST(RecordTailTest, HoldsLongRecordsForTransfers) {
+  RecordTail tail;
+  const auto longest = Record("long", 100'000);
+  tail.Add({0}, {Record("a"), longest, Record("b")});
+  const auto packed = tail.PackedSince({0});
+  ASSERT_EQ(packed.size(), 3U);
+  EXPECT_EQ(Unpack(packed[1]), longest);
+  EXPECT_LT(packed[1].data.size(), longest.value.size() / 10);
+  EXPECT_EQ(tail.PackedSince({1}).size(), 2U);
+  EXPECT_TRUE(tail.PackedSince({3}).empty());
+}
+
+// Guards against a receiver that can't hand the records on.
+TEST(RecordTailTest, HoldsWhatWasHandedOn) {
+  RecordTail giver;
+  RecordTail receiver;
+  const std::vector<schema::FeedRecord> records{Record("a"), Record("long", 100'000)};
+  giver.Add({5}, records);
+  receiver.AddPacked({5}, giver.PackedSince({5}), records);
+  EXPECT_EQ(receiver.PackedSince({5}), giver.PackedSince({5}));
+  EXPECT_EQ(receiver.End(), base::Offset{7});
+}
+
+// Guards against versions of a long record that fill the memory.
+TEST(RecordTailTest, HoldsTheNewestLongRecordAndABoundedNumberOfBytes) {
+  RecordTail tail;
+  std::mt19937 random(1);
+  for (std::uint64_t n = 0; n < 10; ++n) {
+    auto record = Record("k", kMaxPackedTailBytes / 2);
+    for (char& c : record.value) c = static_cast<char>(random());
+    tail.Add({n}, {record});
+  }
+  EXPECT_TRUE(tail.PackedSince({7}).empty());
+  EXPECT_FALSE(tail.PackedSince({9}).empty());
+}
+
+// Guards against bytes of another build, or damaged ones, that are taken for a configuration.
+TEST(PackedRecordTest, DamageIsFound) {
+  const auto good = Pack(Record("k", 5000));
+  ASSERT_TRUE(Unpack(good));
+  auto bad = good;
+  bad.checksum ^= 1;
+  EXPECT_FALSE(Unpack(bad));
+  bad = good;
+  bad.size -= 1;
+  EXPECT_FALSE(Unpack(bad));
+  bad = good;
+  bad.size = kMaxUnpackedBytes + 1;
+  EXPECT_FALSE(Unpack(bad));
+  bad = good;
+  bad.data.resize(bad.data.size() / 2);
+  EXPECT_FALSE(Unpack(bad));
+  EXPECT_EQ(Unpack(Pack({"k", true, {}})), (schema::FeedRecord{"k", true, {}}));
+}
+
 TEST(RecordTailTest, HoldsABoundedNumberOfBytes) {
   RecordTail tail;
   constexpr std::uint64_t kRecords = 1000;
--- a/src/persimmonstair/gateway/fleet_registry.cpp
+++ b/src/persimmonstair/gateway/fleet_registry.cpp
@@ -181,6 +181,14 @@
   return recent;
 }
 
+std::vector<dispatch::Endpoint> FleetRegistry::RecentNeighbours() const {
+  std::vector<dispatch::Endpoint> neighbours;
+  for (const auto& candidate : RelayCandidates()) {
+    if (candidate.is_local) neighbours.push_back(candidate.endpoint);
+  }
+  return neighbours;
+}
+
 std::vector<dispatch::Endpoint> FleetRegistry::StreamKeepers(const std::string& key) const {
   std::vector<std::pair<std::uint64_t, const Peer*>> ranked;
   for (const auto& [instance, peer] : peers_) {
@@ -244,6 +252,20 @@
 
 std::size_t FleetRegistry::StoreReaders() const { return Holders() / (collector_.Members() + 1); }
 
+fleet::ReaderRank FleetRegistry::StoreReaderRank() const {
+  const std::string& key = data_centre_.value;
+  const std::uint64_t own_weight = base::RendezvousWeight(key, instance_.value);
+  fleet::ReaderRank place;
+  for (const auto& [instance, peer] : peers_) {
+    const bool is_neighbour = peer.data_centre == data_centre_ && instance != instance_;
+    if (!is_neighbour || !IsLive(instance)) continue;
+    ++place.instances;
+    if (base::RendezvousWeight(key, instance.value) > own_weight) ++place.rank;
+  }
+  if (collector_.HasMembers(Now())) place.rank = 0;
+  return place;
+}
+
 base::Duration FleetRegistry::PollInterval() const {
   return collector_.HasMembers(Now()) ? kCollectorPollInterval : kPollInterval;
 }
--- a/src/persimmonstair/gateway/fleet_registry.hpp
+++ b/src/persimmonstair/gateway/fleet_registry.hpp
@@ -13,6 +13,7 @@
 #include "peer_socket.hpp"
 #include "persimmonstair/dispatch/target_registry.hpp"
 #include "persimmonstair/fleet/heartbeat_sender.hpp"
+#include "persimmonstair/fleet/long_read_plan.hpp"
 #include "persimmonstair/fleet/roster_collector.hpp"
 #include "persimmonstair/fleet/roster_reader.hpp"
 #include "persimmonstair/gateway/settings.hpp"
@@ -80,6 +81,9 @@
   /// Estimates how many instances read the store themselves: collectors read it for those that send
   /// them heartbeats.
   std::size_t StoreReaders() const;
+  /// Returns this instance's place among those of its data centre that could read the store for
+  /// the others. The collector is the first; so is an instance that knows no other one.
+  fleet::ReaderRank StoreReaderRank() const;
   /// Number of instances in the share table; 0 if there is no table yet.
   std::size_t Holders() const { return allocator_.Table().holders.size(); }
 
@@ -96,6 +100,8 @@
   TargetCoordinator FindTargetCoordinator(const dispatch::TargetEntry& target) const;
   /// Returns the instances that reported recently, without this one.
   std::vector<dispatch::Endpoint> RecentPeers() const;
+  /// Returns those of them that are in this instance's data centre.
+  std::vector<dispatch::Endpoint> RecentNeighbours() const;
   /// Returns these instances in the order in which they keep copies of the stream that `key` names.
   /// All instances that know the same fleet get the same order, but for themselves. The first two
   /// are in two data centres if there are several.
--- a/src/persimmonstair/gateway/followers.cpp
+++ b/src/persimmonstair/gateway/followers.cpp
@@ -36,7 +36,7 @@
     }
     Apply(snapshot->records);
     snapshot_at_ = begun_at;
-    reads_.NoteRecordSizes(partition_, snapshot->records);
+    reads_.KeepSnapshot(partition_, *snapshot, begun_at);
     base::Offset next = snapshot->next;
     for (;;) {
       const base::Duration wait = ConfigurationWait(readers_ ? readers_() : 0);
--- a/src/persimmonstair/gateway/followers.hpp
+++ b/src/persimmonstair/gateway/followers.hpp
@@ -22,7 +22,9 @@
 class ConfigurationFollower {
  public:
   ConfigurationFollower(RetryingRecordStore& store, SharedReads& reads, const PlatformCodec& codec)
-      : store_(store), reads_(reads), codec_(codec), partition_{codec.ConfigurationStream(), 0} {}
+      : store_(store), reads_(reads), codec_(codec), partition_{codec.ConfigurationStream(), 0} {
+    reads_.ExpectLongRecords(partition_);
+  }
 
   /// Sets the function that returns the number of instances that read the store themselves, on
   /// which the polls depend.
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -16,7 +16,6 @@
 #include "peer_socket.hpp"
 #include "persimmonstair/diagnostics/metrics.hpp"
 #include "persimmonstair/dispatch/target_registry.hpp"
-#include "persimmonstair/fleet/bulk_pace.hpp"
 #include "persimmonstair/gateway/platform_codec.hpp"
 #include "persimmonstair/gateway/settings.hpp"
 #include "quota_limiter.hpp"
@@ -68,8 +67,10 @@
     connector.OnHangingPath([this] { pool.DropAll(); });
     reads.SetCollector([this] { return fleet.Collector(); });
     reads.SetPeers([this] { return fleet.RecentPeers(); });
-    reads.SetBulkPace([this](std::size_t bytes) {
-      return fleet::BulkReadSpread(fleet.Holders(), bytes, settings.store_read_bytes_per_s);
+    reads.SetNeighbours([this] { return fleet.RecentNeighbours(); });
+    reads.SetReaderRank([this] { return fleet.StoreReaderRank(); });
+    relays.SetGet([this](boost::beast::tcp_stream& stream, std::string path) {
+      return ServeRecords(stream, std::move(path));
     });
     configuration.SetReaders([this] { return fleet.StoreReaders(); });
     targets.SetReaders([this] { return fleet.StoreReaders(); });
@@ -78,6 +79,12 @@
     relays.SetReachesStore([this] { return store.Up() && !record_store.IsRelayed(); });
   }
 
+  /// Hands on records to another instance that asks for them at the peer port.
+  boost::asio::awaitable<void> ServeRecords(boost::beast::tcp_stream& stream, std::string path) {
+    const auto request = ParseRecordPath(path);
+    if (request) co_await reads.Transfers().Serve(stream, *request);
+  }
+
   boost::asio::any_io_executor executor;
   GatewaySettings settings;
   const PlatformCodec& codec;
--- /dev/null
+++ b/src/persimmonstair/gateway/record_protocol.cpp
@@ -0,0 +1,44 @@
+#include "record_protocol.hpp"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace persimmonstair::gateway {
+namespace {
+
+constexpr std::string_view kPrefix = "/records/";
+
+// Returns the part of `text` up to the next slash, and removes both.
+std::string_view TakeSegment(std::string_view& text) {
+  const std::string_view segment = text.substr(0, text.find('/'));
+  text.remove_prefix(std::min(text.size(), segment.size() + 1));
+  return segment;
+}
+
+template <class T>
+bool ParseNumber(std::string_view text, T& number) {
+  const char* const end = text.data() + text.size();
+  const auto [rest, ec] = std::from_chars(text.data(), end, number);
+  return ec == std::errc{} && rest == end;
+}
+
+}  // namespace
+
+std::string SerializeRecordRequest(const RecordRequest& request) {
+  return fmt::format("GET {}{}/{}/{} HTTP/1.1\r\nHost: records\r\n\r\n", kPrefix,
+                     request.partition.stream.value, request.partition.part, request.from.value);
+}
+
+std::optional<RecordRequest> ParseRecordPath(std::string_view path) {
+  if (!path.starts_with(kPrefix)) return std::nullopt;
+  path.remove_prefix(kPrefix.size());
+  RecordRequest request;
+  request.partition.stream.value = TakeSegment(path);
+  const bool has_part = ParseNumber(TakeSegment(path), request.partition.part);
+  const bool has_offset = ParseNumber(path, request.from.value);
+  if (request.partition.stream.value.empty() || !has_part || !has_offset) return std::nullopt;
+  return request;
+}
+
+}  // namespace persimmonstair::gateway
--- /dev/null
+++ b/src/persimmonstair/gateway/record_protocol.hpp
@@ -0,0 +1,37 @@
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_RECORD_PROTOCOL_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_RECORD_PROTOCOL_HPP_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "persimmonstair/base/ids.hpp"
+#include "persimmonstair/gateway/record_store.hpp"
+
+namespace persimmonstair::gateway {
+
+/// @brief Asks an instance for the records of a partition that it holds: an HTTP GET at its peer
+/// port, whose path is /records/STREAM/PART/OFFSET.
+struct RecordRequest {
+  Partition partition;
+  /// Offset of the first record that is asked for.
+  base::Offset from;
+
+  bool operator==(const RecordRequest&) const = default;
+};
+
+/// A schema::RecordTransfer follows.
+inline constexpr unsigned kRecordsFollow = 200;
+/// The instance does not hold the first record.
+inline constexpr unsigned kRecordsNotHeld = 404;
+/// The instance hands on records to as many others as it may.
+inline constexpr unsigned kRecordsBusy = 503;
+
+std::string SerializeRecordRequest(const RecordRequest& request);
+
+/// @brief Parses the path of a request; nothing if it isn't one of SerializeRecordRequest().
+std::optional<RecordRequest> ParseRecordPath(std::string_view path);
+
+}  // namespace persimmonstair::gateway
+
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_RECORD_PROTOCOL_HPP_
--- a/src/persimmonstair/gateway/relay_server.cpp
+++ b/src/persimmonstair/gateway/relay_server.cpp
@@ -98,18 +98,26 @@
   co_return !ec;
 }
 
-// Returns the authority of a CONNECT; empty if the request is another one.
-asio::awaitable<std::string> ReadRequest(beast::tcp_stream& stream) {
+// What another instance asks for.
+struct PeerRequest {
+  http::verb method = http::verb::unknown;
+  // The authority of a CONNECT, or the path of another request.
+  std::string target;
+};
+
+// Returns an unknown method if no request comes.
+asio::awaitable<PeerRequest> ReadRequest(beast::tcp_stream& stream) {
   beast::flat_buffer buffer;
   http::request_parser<http::empty_body> parser;
   parser.header_limit(kMaxRequestBytes);
   stream.expires_after(kRequestTimeout);
   const auto [ec, n] = co_await http::async_read_header(stream, buffer, parser, kTuple);
   // The asking instance sends nothing more before the answer.
-  const bool is_connect = !ec && parser.get().method() == http::verb::connect;
-  if (!is_connect || buffer.size() > 0) co_return std::string{};
-  const auto authority = parser.get().target();
-  co_return std::string(authority.data(), authority.size());
+  PeerRequest request;
+  if (ec || buffer.size() > 0) co_return request;
+  request.method = parser.get().method();
+  request.target = parser.get().target();
+  co_return request;
 }
 
 asio::awaitable<error_code> ConnectTarget(beast::tcp_stream& stream,
@@ -150,11 +158,15 @@
 asio::awaitable<void> RelayServer::Serve(tcp::socket socket) {
   SetTcpOptions(socket);
   const auto tunnel = std::make_shared<Tunnel>(std::move(socket));
-  const std::string authority = co_await ReadRequest(tunnel->caller);
-  if (IsStoreAuthority(authority)) {
+  const PeerRequest request = co_await ReadRequest(tunnel->caller);
+  if (request.method == http::verb::get && serve_get_) {
+    co_await serve_get_(tunnel->caller, request.target);
+  } else if (request.method != http::verb::connect) {
+    co_return;
+  } else if (IsStoreAuthority(request.target)) {
     co_await ServeStore(tunnel);
-  } else if (const auto request = ParseRelayAuthority(authority)) {
-    co_await ServeTarget(tunnel, *request);
+  } else if (const auto target = ParseRelayAuthority(request.target)) {
+    co_await ServeTarget(tunnel, *target);
   }
 }
 
--- a/src/persimmonstair/gateway/relay_server.hpp
+++ b/src/persimmonstair/gateway/relay_server.hpp
@@ -3,9 +3,11 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <utility>
 
 #include "persimmonstair/dispatch/target_registry.hpp"
@@ -19,6 +21,8 @@
 ///
 /// It also opens connections to the record store, for instances that have lost only that.
 ///
+/// Other requests at the same port are passed to a function (SetGet).
+///
 /// It connects only directly and only to the store and to targets of its own list that take new
 /// requests. It reads nothing of what it passes on. An end of the target's connection by a reset is
 /// passed on as a reset, so that a response which broke off doesn't look complete.
@@ -37,6 +41,12 @@
     reaches_store_ = std::move(reaches_store);
   }
 
+  /// Serves a GET for a path. Keeps the stream until it returns.
+  using ServeGet = std::function<boost::asio::awaitable<void>(boost::beast::tcp_stream& stream,
+                                                              std::string path)>;
+  /// Sets what serves requests that are no CONNECT; without it, their connections are closed.
+  void SetGet(ServeGet serve) { serve_get_ = std::move(serve); }
+
   /// Accepts connections until the acceptor is closed.
   boost::asio::awaitable<void> Run(boost::asio::ip::tcp::acceptor& acceptor);
 
@@ -61,6 +71,7 @@
   TargetConnector& connector_;
   dispatch::Endpoint store_endpoint_;
   std::function<bool()> reaches_store_;
+  ServeGet serve_get_;
   const bool& stopping_;
   std::uint32_t open_ = 0;
   std::uint64_t opened_ = 0;
--- a/src/persimmonstair/gateway/settings_load.cpp
+++ b/src/persimmonstair/gateway/settings_load.cpp
@@ -13,8 +13,6 @@
 using base::Fail;
 using Json = nlohmann::json;
 
-constexpr double kBytesPerMegabyte = 1e6;
-
 std::vector<std::string> FindProblems(const schema::EntrySettings& settings) {
   std::vector<std::string> problems;
   const auto require = [&problems](bool holds, const std::string& rule) {
@@ -101,7 +99,6 @@
   out.store = *ParseEndpoint(settings.store);
   out.parts_of_stream = settings.parts_of_stream;
   out.store_writes_per_s = settings.store_writes_per_s;
-  out.store_read_bytes_per_s = settings.store_read_mb_per_s * kBytesPerMegabyte;
   out.turn_cache_bytes = std::size_t{settings.turn_cache_mb} << 20U;
   out.stop_grace_period = std::chrono::milliseconds{settings.stop_ms};
   return out;
--- a/src/persimmonstair/gateway/shared_reads.cpp
+++ b/src/persimmonstair/gateway/shared_reads.cpp
@@ -13,6 +13,7 @@
 #include "clock.hpp"
 #include "nonce.hpp"
 #include "persimmonstair/diagnostics/log.hpp"
+#include "persimmonstair/fleet/packed_record.hpp"
 
 namespace persimmonstair::gateway {
 namespace {
@@ -54,6 +55,13 @@
   return batch;
 }
 
+// Returns the time since the partition was last known to have no more records.
+std::uint32_t AgeMillis(const fleet::RecordTail& tail) {
+  const std::int64_t age_ms = base::ToMillis(Now() - tail.ConfirmedAt());
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(age_ms, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 }  // namespace
 
 SharedReads::SharedReads(const boost::asio::any_io_executor& executor, RetryingRecordStore& store,
@@ -63,19 +71,27 @@
       store_(store),
       socket_(socket),
       metrics_(metrics),
+      transfers_(executor),
       direct_until_(Now() + start_time),
       next_nonce_(RandomNonce()) {
   socket_.OnMessage([this](const schema::EntryPeerMessage& message, const PeerEndpoint& sender) {
     Handle(message, sender);
   });
+  transfers_.SetRecords([this](const RecordRequest& request) { return MakeTransfer(request); });
 }
 
 awaitable<Result<RecordBatch>> SharedReads::Poll(Partition partition, base::Offset from,
                                                  base::Duration wait) {
-  auto shared = co_await ReadFromCollector(partition, from);
+  const bool is_long = followed_[partition].long_reads.has_value();
+  if (IsLeftToOthers(partition)) co_return co_await ReadFromOthers(partition, from);
+  if (is_long) followed_[partition].long_reads->OnStoreRead(Now());
+  std::optional<RecordBatch> shared;
+  if (!is_long) shared = co_await ReadFromCollector(partition, from);
   if (shared) co_return std::move(*shared);
   // With a collector, the store is not to hold the read open: the next one goes to the collector.
-  const base::Duration store_wait = uses_collector_ ? base::Duration{0} : wait;
+  const bool reads_for_others = !find_rank_ || find_rank_().IsReader();
+  const bool holds = is_long ? reads_for_others : !uses_collector_;
+  const base::Duration store_wait = holds ? wait : base::Duration{0};
   const StoreReadPtr read = BeginStoreRead(
       partition, from, store_wait, [=, this] { return store_.Poll(partition, from, store_wait); });
   co_return co_await AwaitStoreRead(partition, from, read);
@@ -117,7 +133,9 @@
   while (!read->result) {
     if (Now() >= read->ask_peer_at) {
       read->ask_peer_at = Now() + kAskPeerInterval;
-      auto batch = co_await ReadFromPeer(partition, from);
+      const auto peer = PickPeer(find_peers_);
+      std::optional<RecordBatch> batch;
+      if (peer) batch = co_await ReadFromPeer(partition, from, *peer);
       if (batch) co_return std::move(*batch);
       continue;
     }
@@ -132,7 +150,6 @@
                                             const StoreRead& read) {
   if (!*read.result) return *read.result;
   RecordBatch batch = **read.result;
-  NoteRecordSizes(partition, batch.records);
   // Other instances may have brought the first records meanwhile.
   std::erase_if(batch.records, [from](const auto& stored) { return stored.offset < from; });
   batch.next = std::max(batch.next, from);
@@ -146,33 +163,137 @@
 }
 
 awaitable<std::optional<RecordBatch>> SharedReads::ReadFromPeer(Partition partition,
-                                                                base::Offset from) {
-  const auto peers = find_peers_ ? find_peers_() : std::vector<dispatch::Endpoint>();
-  if (peers.empty()) co_return std::nullopt;
-  std::uniform_int_distribution<std::size_t> pick(0, peers.size() - 1);
-  const auto endpoint = ToPeerEndpoint(peers[pick(random_)]);
-  if (!endpoint) co_return std::nullopt;
+                                                                base::Offset from,
+                                                                PeerEndpoint peer) {
   const base::TimePoint asked_at = Now();
   schema::FeedAsk ask{++next_nonce_, partition.stream, partition.part, from};
-  auto answer = co_await Ask(*endpoint, std::move(ask));
-  metrics_.CountFeedAsk(answer ? "late_read_answered" : "late_read_unanswered");
+  auto answer = co_await Ask(peer, std::move(ask));
+  metrics_.CountFeedAsk(answer ? "peer_answered" : "peer_unanswered");
+  auto& long_reads = followed_[partition].long_reads;
+  if (long_reads) long_reads->OnAnswer(answer.has_value());
   if (!answer) co_return std::nullopt;
   const std::uint32_t age_ms = answer->age_ms;
   const bool current = !answer->declined && milliseconds{age_ms} <= fleet::kMaxFeedAge;
   RecordBatch batch = KeepFromAnswer(partition, from, std::move(*answer), asked_at);
+  const bool knows_more = batch.next < batch.end;
+  if (batch.records.empty() && knows_more && long_reads) {
+    long_reads->OnMissing(Now(), batch.end);
+    co_return co_await Fetch(partition, from, peer);
+  }
   if (batch.records.empty()) {
-    if (current && batch.next >= batch.end) co_return batch;
+    if (current && !knows_more) co_return batch;
     co_return std::nullopt;
   }
   Log(Level::kInfo, "records_of_peer",
       {{"stream", partition.stream.value},
-       {"peer", endpoint->address().to_string()},
+       {"peer", peer.address().to_string()},
        {"records", batch.records.size()},
        {"next", batch.next.value},
        {"age_ms", age_ms}});
   co_return batch;
 }
 
+bool SharedReads::IsLeftToOthers(const Partition& partition) const {
+  const auto it = followed_.find(partition);
+  const bool is_long = it != followed_.end() && it->second.long_reads;
+  if (!is_long || !find_rank_) return false;
+  const Followed& followed = it->second;
+  return !followed.long_reads->ReadsStore(Now(), followed.tail.ConfirmedAt(), find_rank_());
+}
+
+awaitable<RecordBatch> SharedReads::ReadFromOthers(Partition partition, base::Offset from) {
+  fleet::LongReadPlan& plan = *followed_[partition].long_reads;
+  if (plan.NextAskAt() > Now()) co_await Sleep(plan.NextAskAt() - Now());
+  const auto source = Find(plan.NextSource());
+  std::optional<RecordBatch> batch;
+  if (source) batch = co_await ReadFromPeer(partition, from, *source);
+  const bool has_all = batch && !plan.IsMissing(batch->next);
+  if (has_all) {
+    plan.OnNews(Now());
+  } else {
+    plan.OnNothing(Now(), std::uniform_real_distribution<double>(0, 1)(random_));
+  }
+  RecordBatch none{{}, from, from};
+  co_return batch ? std::move(*batch) : std::move(none);
+}
+
+std::optional<PeerEndpoint> SharedReads::Find(fleet::RecordSource source) {
+  const bool is_collector = source == fleet::RecordSource::kCollector && find_collector_;
+  const auto collector = is_collector ? find_collector_() : std::nullopt;
+  if (collector) return ToPeerEndpoint(*collector);
+  const bool is_near = source != fleet::RecordSource::kAnywhere;
+  const auto neighbour = is_near ? PickPeer(find_neighbours_) : std::nullopt;
+  return neighbour ? neighbour : PickPeer(find_peers_);
+}
+
+std::optional<PeerEndpoint> SharedReads::PickPeer(const FindPeers& find) {
+  const auto peers = find ? find() : std::vector<dispatch::Endpoint>();
+  if (peers.empty()) return std::nullopt;
+  std::uniform_int_distribution<std::size_t> pick(0, peers.size() - 1);
+  return ToPeerEndpoint(peers[pick(random_)]);
+}
+
+awaitable<std::optional<RecordBatch>> SharedReads::Fetch(Partition partition, base::Offset from,
+                                                         PeerEndpoint peer) {
+  const base::TimePoint asked_at = Now();
+  dispatch::Endpoint endpoint{peer.address().to_string(), peer.port()};
+  RecordRequest request{partition, from};
+  TransferResult result = co_await transfers_.Fetch(std::move(endpoint), std::move(request));
+  metrics_.CountFeedAsk(std::string("transfer_") + ToString(result.end));
+  fleet::LongReadPlan& plan = *followed_[partition].long_reads;
+  if (result.end == TransferEnd::kBusy) plan.OnBusy(Now());
+  if (result.end == TransferEnd::kUnsupported) plan.OnUnsupported(Now());
+  if (result.end != TransferEnd::kDone) co_return std::nullopt;
+  auto batch = KeepTransfer(partition, from, std::move(result.transfer), asked_at);
+  Log(batch ? Level::kInfo : Level::kWarning, batch ? "records_transferred" : "transfer_damaged",
+      {{"stream", partition.stream.value},
+       {"peer", peer.address().to_string()},
+       {"from", from.value},
+       {"records", batch ? batch->records.size() : 0},
+       {"took_ms", base::ToMillis(Now() - asked_at)}});
+  co_return batch;
+}
+
+std::optional<RecordBatch> SharedReads::KeepTransfer(const Partition& partition, base::Offset from,
+                                                     schema::RecordTransfer transfer,
+                                                     base::TimePoint asked_at) {
+  std::vector<schema::FeedRecord> records;
+  records.reserve(transfer.records.size());
+  for (const auto& packed : transfer.records) {
+    auto record = fleet::Unpack(packed);
+    if (!record) return std::nullopt;
+    records.push_back(std::move(*record));
+  }
+  fleet::RecordTail& tail = followed_[partition].tail;
+  tail.AddPacked(from, std::move(transfer.records), records);
+  RecordBatch batch = FromFeed({0, false, std::move(records), transfer.end, transfer.age_ms}, from);
+  if (batch.next >= batch.end) tail.Confirm(asked_at - milliseconds{transfer.age_ms});
+  return batch;
+}
+
+std::optional<schema::RecordTransfer> SharedReads::MakeTransfer(
+    const RecordRequest& request) const {
+  const auto it = followed_.find(request.partition);
+  if (it == followed_.end()) return std::nullopt;
+  const fleet::RecordTail& tail = it->second.tail;
+  schema::RecordTransfer transfer{tail.PackedSince(request.from), tail.End(), AgeMillis(tail)};
+  if (transfer.records.empty()) return std::nullopt;
+  return transfer;
+}
+
+void SharedReads::KeepSnapshot(const Partition& partition, const RecordSnapshot& snapshot,
+                               base::TimePoint asked_at) {
+  fleet::RecordTail& tail = followed_[partition].tail;
+  const auto newest =
+      std::max_element(snapshot.records.begin(), snapshot.records.end(),
+                       [](const auto& a, const auto& b) { return a.offset < b.offset; });
+  const bool is_last =
+      newest != snapshot.records.end() && newest->offset.value + 1 == snapshot.next.value;
+  tail.Add(is_last ? newest->offset : snapshot.next,
+           is_last ? ToFeed({*newest}) : std::vector<schema::FeedRecord>());
+  tail.Confirm(asked_at);
+}
+
 base::TimePoint SharedReads::ConfirmedAt(const Partition& partition) const {
   const auto it = followed_.find(partition);
   return it == followed_.end() ? base::TimePoint{} : it->second.tail.ConfirmedAt();
@@ -212,27 +333,9 @@
   if (!batch.records.empty()) co_return batch;
   if (!current) co_return std::nullopt;
   if (!knows_more) co_return batch;
-  co_await DelayBulkRead(partition);
   co_return std::nullopt;
 }
 
-awaitable<void> SharedReads::DelayBulkRead(Partition partition) {
-  const std::size_t bytes = followed_[partition].long_record_bytes;
-  const base::Duration spread = bulk_spread_ ? bulk_spread_(bytes) : base::Duration{0};
-  if (spread <= base::Duration{0}) co_return;
-  std::uniform_int_distribution<base::Duration::rep> delay(0, spread.count());
-  co_await Sleep(base::Duration{delay(random_)});
-}
-
-void SharedReads::NoteRecordSizes(const Partition& partition,
-                                  const std::vector<StoredRecord>& records) {
-  for (const auto& stored : records) {
-    if (!stored.record.value) continue;
-    const std::size_t bytes = stored.record.value->size();
-    if (bytes > fleet::kMaxFeedRecordBytes) followed_[partition].long_record_bytes = bytes;
-  }
-}
-
 RecordBatch SharedReads::KeepFromAnswer(const Partition& partition, base::Offset from,
                                         schema::FeedAnswer answer, base::TimePoint asked_at) {
   const bool tells_end = !answer.declined && answer.end >= from;
@@ -300,14 +403,12 @@
   const auto it = followed_.find({ask.stream, ask.part});
   if (it == followed_.end()) return answer;
   const fleet::RecordTail& tail = it->second.tail;
-  const base::Duration age = Now() - tail.ConfirmedAt();
   // While single calls fail, the age of the records tells whether they can be used. Declining then
   // would send all its members to a store that is busy already.
   answer.declined = !store_.Up();
   answer.records = tail.Since(ask.from);
   answer.end = tail.End();
-  answer.age_ms = static_cast<std::uint32_t>(
-      std::clamp<std::int64_t>(base::ToMillis(age), 0, std::numeric_limits<std::uint32_t>::max()));
+  answer.age_ms = AgeMillis(tail);
   return answer;
 }
 
--- a/src/persimmonstair/gateway/shared_reads.hpp
+++ b/src/persimmonstair/gateway/shared_reads.hpp
@@ -18,7 +18,9 @@
 #include "persimmonstair/diagnostics/metrics.hpp"
 #include "persimmonstair/dispatch/target_registry.hpp"
 #include "persimmonstair/fleet/feed_path.hpp"
+#include "persimmonstair/fleet/long_read_plan.hpp"
 #include "persimmonstair/fleet/record_tail.hpp"
+#include "record_transfers.hpp"
 #include "retrying_record_store.hpp"
 
 namespace persimmonstair::gateway {
@@ -33,14 +35,18 @@
 /// instance knows whether it reaches the store. While a read of the store is late, other instances
 /// are asked one after the other, because what they have read may be newer. An offset means the
 /// same everywhere, so the ways may alternate.
+///
+/// Records that don't fit into a datagram come from the instances that hold them, too
+/// (RecordTransfers). A partition of which that is expected is read from the store by one instance
+/// of a data centre, and by the others in turn only if no instance has news of it.
 class SharedReads {
  public:
   /// Returns the address of the collector that reports this instance; nothing without one.
   using FindCollector = std::function<std::optional<dispatch::Endpoint>()>;
   /// Returns the addresses of the other instances.
   using FindPeers = std::function<std::vector<dispatch::Endpoint>()>;
-  /// Returns the time over which the instances spread their reads of a record of `bytes` bytes.
-  using BulkSpread = std::function<base::Duration(std::size_t bytes)>;
+  /// Returns this instance's place among those that could read for their data centre.
+  using FindRank = std::function<fleet::ReaderRank()>;
 
   /// Time after the start in which instances read the store directly, because the tables of shares
   /// that they must read before they are ready follow each other quickly.
@@ -54,8 +60,16 @@
   void SetCollector(FindCollector find) { find_collector_ = std::move(find); }
   /// Until this is called, late reads are only waited for.
   void SetPeers(FindPeers find) { find_peers_ = std::move(find); }
-  /// Until this is called, records that the collector can't pass on are read at once.
-  void SetBulkPace(BulkSpread spread) { bulk_spread_ = std::move(spread); }
+  /// Sets the function that returns the addresses of the other instances of this data centre, which
+  /// are asked for long records first.
+  void SetNeighbours(FindPeers find) { find_neighbours_ = std::move(find); }
+  /// Until this is called, this instance reads all partitions from the store if it has no
+  /// collector.
+  void SetReaderRank(FindRank find) { find_rank_ = std::move(find); }
+
+  /// Declares that records of the partition are long: the store must not send each of them to each
+  /// instance.
+  void ExpectLongRecords(const Partition& partition) { followed_[partition].long_reads.emplace(); }
 
   /// Returns the records from `from` on; waits up to `wait` if there are none yet. Returns
   /// kNotFound if the records at `from` were dropped.
@@ -65,12 +79,17 @@
   boost::asio::awaitable<base::Result<RecordBatch>> Read(Partition partition, base::Offset from,
                                                          base::TimePoint deadline);
 
-  /// Remembers the size of the last long record. Also for records that were read by other means.
-  void NoteRecordSizes(const Partition& partition, const std::vector<StoredRecord>& records);
+  /// Registers a snapshot of the partition that was read by other means and asked for at
+  /// `asked_at`.
+  void KeepSnapshot(const Partition& partition, const RecordSnapshot& snapshot,
+                    base::TimePoint asked_at);
 
   /// Time at which the records returned so far were last known to be all of the partition.
   base::TimePoint ConfirmedAt(const Partition& partition) const;
 
+  /// Hands on the records that this instance holds.
+  RecordTransfers& Transfers() { return transfers_; }
+
  private:
   /// A read of the store, which may outlast the call that began it.
   struct StoreRead {
@@ -93,8 +112,8 @@
     fleet::RecordTail tail;
     /// Time at which the collector is next asked.
     base::TimePoint next_ask_at;
-    /// Size of the last record that was too long to be passed on; 0 if there was none.
-    std::size_t long_record_bytes = 0;
+    /// Set if the store must not send its records to each instance.
+    std::optional<fleet::LongReadPlan> long_reads;
     /// Read that has not been used up; null if there is none.
     StoreReadPtr store_read;
   };
@@ -112,9 +131,22 @@
                                                                        base::Offset from);
   boost::asio::awaitable<std::optional<schema::FeedAnswer>> Ask(PeerEndpoint collector,
                                                                 schema::FeedAsk ask);
-  /// Waits a random part of the time over which instances spread their reads of a record like the
-  /// last long one. The size of the new one isn't known before it is read.
-  boost::asio::awaitable<void> DelayBulkRead(Partition partition);
+  /// True if another instance is to read the partition from the store.
+  bool IsLeftToOthers(const Partition& partition) const;
+  /// Waits until the next ask is due, and asks an instance. Returns an empty batch if it brought no
+  /// records.
+  boost::asio::awaitable<RecordBatch> ReadFromOthers(Partition partition, base::Offset from);
+  std::optional<PeerEndpoint> Find(fleet::RecordSource source);
+  std::optional<PeerEndpoint> PickPeer(const FindPeers& find);
+  /// Returns the records that the instance hands on over a connection; nothing if it does not.
+  boost::asio::awaitable<std::optional<RecordBatch>> Fetch(Partition partition, base::Offset from,
+                                                           PeerEndpoint peer);
+  /// Keeps what was handed on from `from` on, and returns it; nothing if it is damaged.
+  std::optional<RecordBatch> KeepTransfer(const Partition& partition, base::Offset from,
+                                          schema::RecordTransfer transfer,
+                                          base::TimePoint asked_at);
+  /// Returns what this instance holds for another one.
+  std::optional<schema::RecordTransfer> MakeTransfer(const RecordRequest& request) const;
   /// True if the collector can be relied on; updates the path to it.
   bool Accept(const std::optional<schema::FeedAnswer>& answer);
   /// Keeps what the answer holds from `from` on, and returns it.
@@ -131,10 +163,11 @@
   boost::asio::awaitable<base::Result<RecordBatch>> AwaitStoreRead(Partition partition,
                                                                    base::Offset from,
                                                                    StoreReadPtr read);
-  /// Returns the records that another instance, chosen at random, has read from `from` on; an empty
-  /// batch if it knows that there are none. Nothing if it can't tell or does not answer.
+  /// Returns the records that another instance has read from `from` on; an empty batch if it knows
+  /// that there are none. Nothing if it can't tell or does not answer.
   boost::asio::awaitable<std::optional<RecordBatch>> ReadFromPeer(Partition partition,
-                                                                  base::Offset from);
+                                                                  base::Offset from,
+                                                                  PeerEndpoint peer);
   /// Uses the read's result up: keeps and returns its records from `from` on.
   base::Result<RecordBatch> TakeResult(const Partition& partition, base::Offset from,
                                        const StoreRead& read);
@@ -151,7 +184,9 @@
   diagnostics::Metrics& metrics_;
   FindCollector find_collector_;
   FindPeers find_peers_;
-  BulkSpread bulk_spread_;
+  FindPeers find_neighbours_;
+  FindRank find_rank_;
+  RecordTransfers transfers_;
   std::minstd_rand random_{std::random_device{}()};
   base::TimePoint direct_until_;
   fleet::FeedPath path_;
