Pause between reads of the store where no other instance answers

LongReadPlan now says how the store is used (not, once in turn, or held open), and after each read of the store another instance is asked again.

--- a/include/persimmonstair/fleet/long_read_plan.hpp
+++ b/include/persimmonstair/fleet/long_read_plan.hpp
@@ -19,7 +19,7 @@
 /// Time for which an instance that knows of a record tries to get it from others only, since it
 /// learned of it or an instance was busy handing it on.
 inline constexpr std::chrono::milliseconds kMaxTransferTime{1000};
-/// The same at most.
+/// Longest time for which busy instances are waited for.
 inline constexpr std::chrono::milliseconds kMaxBusyTime{2500};
 /// Time from one turn to read the store to the next one.
 inline constexpr std::chrono::milliseconds kStoreTurn{250};
@@ -37,6 +37,16 @@
   bool IsReader() const { return rank == 0; }
 };
 
+/// @brief How an instance reads a partition from the store next.
+enum class StoreUse {
+  /// Not at all: other instances are asked.
+  kNone,
+  /// Once, without waiting there for new records.
+  kOnce,
+  /// By a read that the store may hold open until there are new records.
+  kHeldOpen,
+};
+
 /// @brief Whom an instance asks for the records of a partition.
 enum class RecordSource { kCollector, kNeighbour, kAnywhere };
 
@@ -49,9 +59,9 @@
 /// that no other one answers reads the store itself.
 class LongReadPlan {
  public:
-  /// True if the store is to be read. `confirmed_at` is the time at which the records read so far
-  /// were last known to be all of the partition.
-  bool ReadsStore(base::TimePoint now, base::TimePoint confirmed_at, ReaderRank place) const;
+  /// `confirmed_at` is the time at which the records read so far were last known to be all of the
+  /// partition.
+  StoreUse NextStoreUse(base::TimePoint now, base::TimePoint confirmed_at, ReaderRank place) const;
 
   /// Time at which the next instance is to be asked.
   base::TimePoint NextAskAt() const { return next_ask_at_; }
@@ -64,7 +74,7 @@
   /// True if some instance has read records from `next` on.
   bool IsMissing(base::Offset next) const { return next < known_end_; }
   /// Registers a read of the store by this instance.
-  void OnStoreRead(base::TimePoint now) { store_read_at_ = now; }
+  void OnStoreRead(base::TimePoint now);
   /// Registers that an instance has answered, or that it has not.
   void OnAnswer(bool answered) { unanswered_ = answered ? 0 : unanswered_ + 1; }
   /// Registers that an ask brought all records that are known of, or the certainty that there are
@@ -91,8 +101,9 @@
   unsigned fruitless_asks_ = 0;
   /// Asks in a row without an answer.
   unsigned unanswered_ = 0;
-  /// Time until which the store is read.
+  /// Time until which the store is read, because the others pass on no long records.
   base::TimePoint store_until_;
+  /// Time of this instance's last read of the store.
   base::TimePoint store_read_at_;
 };
 
--- a/src/persimmonstair/fleet/long_read_plan.cpp
+++ b/src/persimmonstair/fleet/long_read_plan.cpp
@@ -34,10 +34,18 @@
   return now >= earliest;
 }
 
-bool LongReadPlan::ReadsStore(base::TimePoint now, base::TimePoint confirmed_at,
-                              ReaderRank place) const {
-  if (place.IsReader() || now < store_until_ || unanswered_ >= kMaxUnanswered) return true;
-  return HasTurn(now, missing_since_ ? left_until_ : confirmed_at + kMaxSharedAge, place);
+StoreUse LongReadPlan::NextStoreUse(base::TimePoint now, base::TimePoint confirmed_at,
+                                    ReaderRank place) const {
+  const bool is_alone = now < store_until_ || unanswered_ >= kMaxUnanswered;
+  if (place.IsReader() || is_alone) return StoreUse::kHeldOpen;
+  const base::TimePoint turns_begin = missing_since_ ? left_until_ : confirmed_at + kMaxSharedAge;
+  return HasTurn(now, turns_begin, place) ? StoreUse::kOnce : StoreUse::kNone;
+}
+
+void LongReadPlan::OnStoreRead(base::TimePoint now) {
+  store_read_at_ = now;
+  // The next ask shows whether the others answer again.
+  unanswered_ = std::min(unanswered_, kMaxUnanswered - 1);
 }
 
 RecordSource LongReadPlan::NextSource() const {
--- a/src/persimmonstair/fleet/long_read_plan_test.cpp
+++ b/src/persimmonstair/fleet/long_read_plan_test.cpp
@@ -131,7 +131,8 @@
     const bool takes_over =
         faults_.readers_stand_still && one.place.rank == 1 && now >= kTakeOverTime;
     const ReaderRank place = takes_over ? ReaderRank{} : one.place;
-    if (one.plan.ReadsStore(At(now), At(Seconds{0}), place)) return ReadStore(now, one);
+    const StoreUse use = one.plan.NextStoreUse(At(now), At(Seconds{0}), place);
+    if (use != StoreUse::kNone) return ReadStore(now, one);
     Instance& source = instances_[Choose(now, n)];
     const bool answers = !one.is_cut_off && !source.is_cut_off && !StandsStill(source);
     one.plan.OnAnswer(answers);
@@ -271,10 +272,10 @@
 TEST(LongReadPlanTest, StoreIsReadWhileTheNeighboursPassOnNoLongRecords) {
   const ReaderRank last{58, 59};
   LongReadPlan plan;
-  EXPECT_FALSE(plan.ReadsStore(At(Seconds{0}), At(Seconds{0}), last));
+  EXPECT_EQ(plan.NextStoreUse(At(Seconds{0}), At(Seconds{0}), last), StoreUse::kNone);
   plan.OnUnsupported(At(Seconds{0}));
-  EXPECT_TRUE(plan.ReadsStore(At(Seconds{1}), At(Seconds{1}), last));
-  EXPECT_FALSE(plan.ReadsStore(At(Seconds{3}), At(Seconds{3}), last));
+  EXPECT_EQ(plan.NextStoreUse(At(Seconds{1}), At(Seconds{1}), last), StoreUse::kHeldOpen);
+  EXPECT_EQ(plan.NextStoreUse(At(Seconds{3}), At(Seconds{3}), last), StoreUse::kNone);
 }
 
 // Guards against an instance that waits for others although it reaches none.
--- a/src/persimmonstair/gateway/shared_reads.cpp
+++ b/src/persimmonstair/gateway/shared_reads.cpp
@@ -82,18 +82,28 @@
 
 awaitable<Result<RecordBatch>> SharedReads::Poll(Partition partition, base::Offset from,
                                                  base::Duration wait) {
-  const bool is_long = followed_[partition].long_reads.has_value();
-  if (IsLeftToOthers(partition)) co_return co_await ReadFromOthers(partition, from);
-  if (is_long) followed_[partition].long_reads->OnStoreRead(Now());
-  std::optional<RecordBatch> shared;
-  if (!is_long) shared = co_await ReadFromCollector(partition, from);
+  if (followed_[partition].long_reads) co_return co_await PollLong(partition, from, wait);
+  auto shared = co_await ReadFromCollector(partition, from);
   if (shared) co_return std::move(*shared);
   // With a collector, the store is not to hold the read open: the next one goes to the collector.
-  const bool reads_for_others = !find_rank_ || find_rank_().IsReader();
-  const bool holds = is_long ? reads_for_others : !uses_collector_;
-  const base::Duration store_wait = holds ? wait : base::Duration{0};
+  const base::Duration store_wait = uses_collector_ ? base::Duration{0} : wait;
+  co_return co_await PollStore(partition, from, store_wait);
+}
+
+awaitable<Result<RecordBatch>> SharedReads::PollLong(Partition partition, base::Offset from,
+                                                     base::Duration wait) {
+  Followed& followed = followed_[partition];
+  const fleet::StoreUse use = NextStoreUse(followed);
+  if (use == fleet::StoreUse::kNone) co_return co_await ReadFromOthers(partition, from);
+  followed.long_reads->OnStoreRead(Now());
+  const base::Duration store_wait = use == fleet::StoreUse::kHeldOpen ? wait : base::Duration{0};
+  co_return co_await PollStore(partition, from, store_wait);
+}
+
+awaitable<Result<RecordBatch>> SharedReads::PollStore(Partition partition, base::Offset from,
+                                                      base::Duration wait) {
   const StoreReadPtr read = BeginStoreRead(
-      partition, from, store_wait, [=, this] { return store_.Poll(partition, from, store_wait); });
+      partition, from, wait, [=, this] { return store_.Poll(partition, from, wait); });
   co_return co_await AwaitStoreRead(partition, from, read);
 }
 
@@ -193,12 +203,9 @@
   co_return batch;
 }
 
-bool SharedReads::IsLeftToOthers(const Partition& partition) const {
-  const auto it = followed_.find(partition);
-  const bool is_long = it != followed_.end() && it->second.long_reads;
-  if (!is_long || !find_rank_) return false;
-  const Followed& followed = it->second;
-  return !followed.long_reads->ReadsStore(Now(), followed.tail.ConfirmedAt(), find_rank_());
+fleet::StoreUse SharedReads::NextStoreUse(const Followed& followed) const {
+  const fleet::ReaderRank place = find_rank_ ? find_rank_() : fleet::ReaderRank{};
+  return followed.long_reads->NextStoreUse(Now(), followed.tail.ConfirmedAt(), place);
 }
 
 awaitable<RecordBatch> SharedReads::ReadFromOthers(Partition partition, base::Offset from) {
--- a/src/persimmonstair/gateway/shared_reads.hpp
+++ b/src/persimmonstair/gateway/shared_reads.hpp
@@ -131,8 +131,15 @@
                                                                        base::Offset from);
   boost::asio::awaitable<std::optional<schema::FeedAnswer>> Ask(PeerEndpoint collector,
                                                                 schema::FeedAsk ask);
-  /// True if another instance is to read the partition from the store.
-  bool IsLeftToOthers(const Partition& partition) const;
+  /// Returns how this instance reads a partition of long records from the store next.
+  fleet::StoreUse NextStoreUse(const Followed& followed) const;
+  /// Poll() of a partition of long records.
+  boost::asio::awaitable<base::Result<RecordBatch>> PollLong(Partition partition, base::Offset from,
+                                                             base::Duration wait);
+  /// Begins a read of the store, or takes the one that has not been used up, and waits for it.
+  boost::asio::awaitable<base::Result<RecordBatch>> PollStore(Partition partition,
+                                                              base::Offset from,
+                                                              base::Duration wait);
   /// Waits until the next ask is due, and asks an instance. Returns an empty batch if it brought no
   /// records.
   boost::asio::awaitable<RecordBatch> ReadFromOthers(Partition partition, base::Offset from);
--- a/src/persimmonstair/gateway/shared_reads_test.cpp
+++ b/src/persimmonstair/gateway/shared_reads_test.cpp
@@ -200,5 +200,23 @@
   EXPECT_LE(member.store.Polls(), held + 3);
 }
 
+// Guards against an instance that nobody answers and that reads the store without a pause, and for
+// ever.
+TEST_F(SharedReadsTest, InstanceThatNobodyAnswersPausesBetweenItsReads) {
+  const SilentPeer silent(io_);
+  Instance member(io_);
+  member.reads.ExpectLongRecords(kPartition);
+  member.reads.SetNeighbours([&] { return std::vector{silent.Endpoint()}; });
+  member.reads.SetReaderRank([] { return fleet::ReaderRank{1, 2}; });
+  Append(member, "a");
+  Follow(member);
+  EXPECT_TRUE(RunUntil([&] { return member.keys.size() == 1; }));
+  const std::size_t before = member.store.Polls();
+  const base::TimePoint begun_at = Now();
+  RunUntil([&] { return Now() - begun_at >= milliseconds{1000}; });
+  const auto held = static_cast<std::size_t>((Now() - begun_at) / kWait);
+  EXPECT_LE(member.store.Polls() - before, held + 3);
+}
+
 }  // namespace
 }  // namespace persimmonstair::gateway
