--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -82,7 +82,9 @@
   /// Hands on records to another instance that asks for them at the peer port.
   boost::asio::awaitable<void> ServeRecords(boost::beast::tcp_stream& stream, std::string path) {
     const auto request = ParseRecordPath(path);
-    if (request) co_await reads.Transfers().Serve(stream, *request);
+    if (request) {
+      co_await reads.Transfers().Serve(stream, *request);
+    }
   }
 
   boost::asio::any_io_executor executor;
--- a/src/persimmonstair/gateway/shared_reads.cpp
+++ b/src/persimmonstair/gateway/shared_reads.cpp
@@ -82,7 +82,9 @@
 
 awaitable<Result<RecordBatch>> SharedReads::Poll(Partition partition, base::Offset from,
                                                  base::Duration wait) {
-  if (followed_[partition].long_reads) co_return co_await PollLong(partition, from, wait);
+  if (followed_[partition].long_reads) {
+    co_return co_await PollLong(partition, from, wait);
+  }
   auto shared = co_await ReadFromCollector(partition, from);
   if (shared) co_return std::move(*shared);
   // With a collector, the store is not to hold the read open: the next one goes to the collector.
@@ -94,7 +96,9 @@
                                                      base::Duration wait) {
   Followed& followed = followed_[partition];
   const fleet::StoreUse use = NextStoreUse(followed);
-  if (use == fleet::StoreUse::kNone) co_return co_await ReadFromOthers(partition, from);
+  if (use == fleet::StoreUse::kNone) {
+    co_return co_await ReadFromOthers(partition, from);
+  }
   followed.long_reads->OnStoreRead(Now());
   const base::Duration store_wait = use == fleet::StoreUse::kHeldOpen ? wait : base::Duration{0};
   co_return co_await PollStore(partition, from, store_wait);
@@ -145,7 +149,9 @@
       read->ask_peer_at = Now() + kAskPeerInterval;
       const auto peer = PickPeer(find_peers_);
       std::optional<RecordBatch> batch;
-      if (peer) batch = co_await ReadFromPeer(partition, from, *peer);
+      if (peer) {
+        batch = co_await ReadFromPeer(partition, from, *peer);
+      }
       if (batch) co_return std::move(*batch);
       continue;
     }
@@ -210,10 +216,14 @@
 
 awaitable<RecordBatch> SharedReads::ReadFromOthers(Partition partition, base::Offset from) {
   fleet::LongReadPlan& plan = *followed_[partition].long_reads;
-  if (plan.NextAskAt() > Now()) co_await Sleep(plan.NextAskAt() - Now());
+  if (plan.NextAskAt() > Now()) {
+    co_await Sleep(plan.NextAskAt() - Now());
+  }
   const auto source = Find(plan.NextSource());
   std::optional<RecordBatch> batch;
-  if (source) batch = co_await ReadFromPeer(partition, from, *source);
+  if (source) {
+    batch = co_await ReadFromPeer(partition, from, *source);
+  }
   const bool has_all = batch && !plan.IsMissing(batch->next);
   if (has_all) {
     plan.OnNews(Now());
