Move the way to the record store into a folder of its own

Cause: src/persimmonstair/gateway/ held 93 files in one flat folder, and what speaks to the record store (calls, retries, probes, relays, shared reads, transfers, partitions) stood between connections of callers and budgets.

No logic changes.

--- a/src/persimmonstair/gateway/budget_coordinator.cpp
+++ b/src/persimmonstair/gateway/budget_coordinator.cpp
@@ -43,7 +43,8 @@
 
 BudgetCoordinator::BudgetCoordinator(const boost::asio::any_io_executor& executor,
                                      PeerSocket& socket, BudgetManager& budgets,
-                                     const RetryingRecordStore& store, base::Duration max_wait)
+                                     const store_access::RetryingRecordStore& store,
+                                     base::Duration max_wait)
     : executor_(executor), socket_(socket), budgets_(budgets), store_(store), max_wait_(max_wait) {
   socket_.OnMessage([this](const schema::EntryPeerMessage& message, const PeerEndpoint& sender) {
     Handle(message, sender);
--- a/src/persimmonstair/gateway/budget_coordinator.hpp
+++ b/src/persimmonstair/gateway/budget_coordinator.hpp
@@ -12,7 +12,7 @@
 
 #include "budget_manager.hpp"
 #include "peer_socket.hpp"
-#include "retrying_record_store.hpp"
+#include "store_access/retrying_record_store.hpp"
 
 namespace persimmonstair::gateway {
 
@@ -24,7 +24,7 @@
  public:
   /// `max_wait` limits the time for which a reservation may wait for the store.
   BudgetCoordinator(const boost::asio::any_io_executor& executor, PeerSocket& socket,
-                    BudgetManager& budgets, const RetryingRecordStore& store,
+                    BudgetManager& budgets, const store_access::RetryingRecordStore& store,
                     base::Duration max_wait);
 
   /// Declines new reservations, so that other instances ask the next coordinator.
@@ -54,7 +54,7 @@
   boost::asio::any_io_executor executor_;
   PeerSocket& socket_;
   BudgetManager& budgets_;
-  const RetryingRecordStore& store_;
+  const store_access::RetryingRecordStore& store_;
   base::Duration max_wait_;
   std::map<MessageId, Received> received_;
   /// Messages by the time at which they were registered, oldest first.
--- a/src/persimmonstair/gateway/budget_manager.cpp
+++ b/src/persimmonstair/gateway/budget_manager.cpp
@@ -80,12 +80,14 @@
 }
 
 // All reservations of a program count until the last one expires.
-RecordExpiry::Entry ExpiryOf(const schema::TokenReservation& reservation, RecordWriter writer) {
+store_access::RecordExpiry::Entry ExpiryOf(const schema::TokenReservation& reservation,
+                                           store_access::RecordWriter writer) {
   return {JoinParts({reservation.workspace.value, reservation.program.value}), writer,
           reservation.expires_ms};
 }
 
-RecordExpiry::Entry ExpiryOf(const schema::StreamBegin& begin, RecordWriter writer) {
+store_access::RecordExpiry::Entry ExpiryOf(const schema::StreamBegin& begin,
+                                           store_access::RecordWriter writer) {
   return {KeyOf(begin), writer, begin.expires_ms};
 }
 
@@ -201,13 +203,13 @@
 
 KeyedRecord BudgetManager::Track(State& state, const schema::TokenReservation& reservation) {
   KeyedRecord record = Encode(reservation);
-  state.expiry.Add(record.key, ExpiryOf(reservation, RecordWriter::kThis));
+  state.expiry.Add(record.key, ExpiryOf(reservation, store_access::RecordWriter::kThis));
   return record;
 }
 
 KeyedRecord BudgetManager::Track(State& state, const schema::StreamBegin& begin) {
   KeyedRecord record = Encode(begin);
-  state.expiry.Add(record.key, ExpiryOf(begin, RecordWriter::kThis));
+  state.expiry.Add(record.key, ExpiryOf(begin, store_access::RecordWriter::kThis));
   return record;
 }
 
@@ -300,7 +302,7 @@
   const auto decoded = schema::DecodeState(*record.value);
   if (const auto* begin = decoded ? std::get_if<schema::StreamBegin>(&*decoded) : nullptr) {
     state.versions.Apply(*begin);
-    state.expiry.Add(record.key, ExpiryOf(*begin, RecordWriter::kOther));
+    state.expiry.Add(record.key, ExpiryOf(*begin, store_access::RecordWriter::kOther));
     return;
   }
   const auto* reservation = decoded ? std::get_if<schema::TokenReservation>(&*decoded) : nullptr;
@@ -309,7 +311,7 @@
     return;
   }
   state.ledger.Apply(*reservation);
-  state.expiry.Add(record.key, ExpiryOf(*reservation, RecordWriter::kOther));
+  state.expiry.Add(record.key, ExpiryOf(*reservation, store_access::RecordWriter::kOther));
 }
 
 awaitable<void> BudgetManager::Flush(base::TimePoint deadline) {
@@ -342,7 +344,7 @@
   }
 }
 
-RecordExpiry::DueTimes BudgetManager::DueBefore(const State& state) const {
+store_access::RecordExpiry::DueTimes BudgetManager::DueBefore(const State& state) const {
   const std::int64_t now_ms = UnixMillis();
   const bool appends = Now() - state.appended_at < kAppenderIntervals * drop_interval_;
   return {now_ms, appends ? now_ms - kForeignDropDelayMs : 0};
--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -12,12 +12,12 @@
 #include <vector>
 
 #include "clock.hpp"
-#include "partitions.hpp"
 #include "persimmonstair/schema/state.hpp"
 #include "persimmonstair/turns/stream_versions.hpp"
 #include "persimmonstair/turns/token_ledger.hpp"
-#include "record_expiry.hpp"
-#include "retrying_record_store.hpp"
+#include "store_access/partitions.hpp"
+#include "store_access/record_expiry.hpp"
+#include "store_access/retrying_record_store.hpp"
 
 namespace persimmonstair::gateway {
 
@@ -74,9 +74,9 @@
   static constexpr std::chrono::seconds kDropInterval{5};
 
   /// Writes to each partition at most once in `append_interval`.
-  BudgetManager(const boost::asio::any_io_executor& executor, RetryingRecordStore& store,
-                Partitioning budgets, base::Duration append_interval,
-                base::Duration drop_interval = kDropInterval)
+  BudgetManager(const boost::asio::any_io_executor& executor,
+                store_access::RetryingRecordStore& store, store_access::Partitioning budgets,
+                base::Duration append_interval, base::Duration drop_interval = kDropInterval)
       : executor_(executor),
         store_(store),
         partitions_(std::move(budgets)),
@@ -135,7 +135,7 @@
     base::TimePoint settled_since;
     /// Time from which the next append may be sent.
     base::TimePoint next_append_at;
-    RecordExpiry expiry;
+    store_access::RecordExpiry expiry;
     /// Time at which the state held all records of the partition.
     base::TimePoint current_at;
     /// Time of the last append that was not made for deletions alone.
@@ -167,14 +167,14 @@
   boost::asio::awaitable<std::vector<std::string>> DueDrops(const Partition& partition,
                                                             State& state, base::TimePoint deadline);
   /// Time before which records must have expired to be deleted by this instance.
-  RecordExpiry::DueTimes DueBefore(const State& state) const;
+  store_access::RecordExpiry::DueTimes DueBefore(const State& state) const;
   /// Starts the deletion of expired records.
   void DropExpired(const Partition& partition, State& state);
   void Start(const Partition& partition, State& state);
 
   boost::asio::any_io_executor executor_;
-  RetryingRecordStore& store_;
-  Partitioning partitions_;
+  store_access::RetryingRecordStore& store_;
+  store_access::Partitioning partitions_;
   base::Duration append_interval_;
   base::Duration drop_interval_;
   std::map<Partition, State> states_;
--- a/src/persimmonstair/gateway/budget_manager_test.cpp
+++ b/src/persimmonstair/gateway/budget_manager_test.cpp
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-#include "busy_store_test.hpp"
 #include "persimmonstair/schema/codec.hpp"
+#include "store_access/busy_store_test.hpp"
 
 namespace persimmonstair::gateway {
 namespace {
@@ -38,7 +38,7 @@
         budgets(io.get_executor(), store, {"budgets", 1, 1}, milliseconds{1}, kDropInterval) {}
 
   diagnostics::Metrics metrics;
-  RetryingRecordStore store;
+  store_access::RetryingRecordStore store;
   BudgetManager budgets;
 };
 
@@ -90,7 +90,7 @@
   }
 
   boost::asio::io_context io_{1};
-  BusyStore records_;
+  store_access::BusyStore records_;
 
  private:
   boost::asio::awaitable<void> WriteRecord(std::string key, std::string value) {
--- a/src/persimmonstair/gateway/fleet_registry.cpp
+++ b/src/persimmonstair/gateway/fleet_registry.cpp
@@ -86,7 +86,8 @@
 }  // namespace
 
 FleetRegistry::FleetRegistry(const boost::asio::any_io_executor& executor,
-                             RetryingRecordStore& store, SharedReads& reads, PeerSocket& socket,
+                             store_access::RetryingRecordStore& store,
+                             store_access::SharedReads& reads, PeerSocket& socket,
                              const GatewaySettings& settings, std::string process)
     : store_(store),
       reads_(reads),
--- a/src/persimmonstair/gateway/fleet_registry.hpp
+++ b/src/persimmonstair/gateway/fleet_registry.hpp
@@ -19,8 +19,8 @@
 #include "persimmonstair/gateway/settings.hpp"
 #include "persimmonstair/quota/local_shares.hpp"
 #include "persimmonstair/quota/share_allocator.hpp"
-#include "retrying_record_store.hpp"
-#include "shared_reads.hpp"
+#include "store_access/retrying_record_store.hpp"
+#include "store_access/shared_reads.hpp"
 
 namespace persimmonstair::gateway {
 
@@ -61,9 +61,9 @@
 /// in the same partition would make that condition fail.
 class FleetRegistry {
  public:
-  FleetRegistry(const boost::asio::any_io_executor& executor, RetryingRecordStore& store,
-                SharedReads& reads, PeerSocket& socket, const GatewaySettings& settings,
-                std::string process);
+  FleetRegistry(const boost::asio::any_io_executor& executor,
+                store_access::RetryingRecordStore& store, store_access::SharedReads& reads,
+                PeerSocket& socket, const GatewaySettings& settings, std::string process);
 
   /// Reads new records and writes tables; never returns.
   boost::asio::awaitable<void> Run();
@@ -146,8 +146,8 @@
   void UpdatePeer(const schema::ShareReport& report, const base::InstanceId& collector,
                   bool may_collect);
 
-  RetryingRecordStore& store_;
-  SharedReads& reads_;
+  store_access::RetryingRecordStore& store_;
+  store_access::SharedReads& reads_;
   PeerSocket& socket_;
   base::InstanceId instance_;
   base::DataCentreId data_centre_;
--- a/src/persimmonstair/gateway/followers.cpp
+++ b/src/persimmonstair/gateway/followers.cpp
@@ -6,7 +6,7 @@
 
 #include "clock.hpp"
 #include "persimmonstair/diagnostics/log.hpp"
-#include "poll_intervals.hpp"
+#include "store_access/poll_intervals.hpp"
 
 namespace persimmonstair::gateway {
 namespace {
@@ -39,7 +39,7 @@
     reads_.KeepSnapshot(partition_, *snapshot, begun_at);
     base::Offset next = snapshot->next;
     for (;;) {
-      const base::Duration wait = ConfigurationWait(readers_ ? readers_() : 0);
+      const base::Duration wait = store_access::ConfigurationWait(readers_ ? readers_() : 0);
       const auto batch = co_await reads_.Poll(partition_, next, wait);
       if (!batch && batch.error().code == ErrorCode::kNotFound) break;
       if (!batch) {
@@ -105,7 +105,7 @@
         for (const auto& stored : batch->records) Apply(stored);
         next = batch->next;
       }
-      const base::Duration pause = TargetPollPause(readers_ ? readers_() : 0);
+      const base::Duration pause = store_access::TargetPollPause(readers_ ? readers_() : 0);
       co_await Sleep(batch ? pause : kRetryPause);
     }
     Log(Level::kInfo, "target_history_dropped", {{"next", next.value}});
--- a/src/persimmonstair/gateway/followers.hpp
+++ b/src/persimmonstair/gateway/followers.hpp
@@ -11,8 +11,8 @@
 #include "persimmonstair/dispatch/target_registry.hpp"
 #include "persimmonstair/gateway/configuration.hpp"
 #include "persimmonstair/gateway/platform_codec.hpp"
-#include "retrying_record_store.hpp"
-#include "shared_reads.hpp"
+#include "store_access/retrying_record_store.hpp"
+#include "store_access/shared_reads.hpp"
 #include "target_connection_pool.hpp"
 
 namespace persimmonstair::gateway {
@@ -21,7 +21,8 @@
 /// version never decreases.
 class ConfigurationFollower {
  public:
-  ConfigurationFollower(RetryingRecordStore& store, SharedReads& reads, const PlatformCodec& codec)
+  ConfigurationFollower(store_access::RetryingRecordStore& store, store_access::SharedReads& reads,
+                        const PlatformCodec& codec)
       : store_(store), reads_(reads), codec_(codec), partition_{codec.ConfigurationStream(), 0} {
     reads_.ExpectLongRecords(partition_);
   }
@@ -43,8 +44,8 @@
  private:
   void Apply(const std::vector<StoredRecord>& records);
 
-  RetryingRecordStore& store_;
-  SharedReads& reads_;
+  store_access::RetryingRecordStore& store_;
+  store_access::SharedReads& reads_;
   const PlatformCodec& codec_;
   Partition partition_;
   std::function<std::size_t()> readers_;
@@ -61,8 +62,9 @@
 /// known here.
 class TargetFollower {
  public:
-  TargetFollower(RetryingRecordStore& store, SharedReads& reads, const PlatformCodec& codec,
-                 dispatch::TargetRegistry& target_registry, TargetConnectionPool& pool)
+  TargetFollower(store_access::RetryingRecordStore& store, store_access::SharedReads& reads,
+                 const PlatformCodec& codec, dispatch::TargetRegistry& target_registry,
+                 TargetConnectionPool& pool)
       : store_(store),
         reads_(reads),
         codec_(codec),
@@ -90,8 +92,8 @@
   void RemoveDue();
   void CheckStoreRecovery();
 
-  RetryingRecordStore& store_;
-  SharedReads& reads_;
+  store_access::RetryingRecordStore& store_;
+  store_access::SharedReads& reads_;
   const PlatformCodec& codec_;
   dispatch::TargetRegistry& target_registry_;
   TargetConnectionPool& pool_;
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -12,7 +12,6 @@
 #include "crash_detector.hpp"
 #include "fleet_registry.hpp"
 #include "followers.hpp"
-#include "partitions.hpp"
 #include "peer_socket.hpp"
 #include "persimmonstair/diagnostics/metrics.hpp"
 #include "persimmonstair/dispatch/target_registry.hpp"
@@ -21,11 +20,12 @@
 #include "quota_limiter.hpp"
 #include "recent_programs.hpp"
 #include "relay_server.hpp"
-#include "relayed_record_store.hpp"
 #include "response_memory.hpp"
-#include "retrying_record_store.hpp"
-#include "shared_reads.hpp"
-#include "store_relay_connector.hpp"
+#include "store_access/partitions.hpp"
+#include "store_access/relayed_record_store.hpp"
+#include "store_access/retrying_record_store.hpp"
+#include "store_access/shared_reads.hpp"
+#include "store_access/store_relay_connector.hpp"
 #include "stream_copier.hpp"
 #include "target_connection_pool.hpp"
 #include "target_connector.hpp"
@@ -45,7 +45,7 @@
         record_store(records, records.Through(store_connector)),
         store(record_store, metrics),
         peers(executor),
-        reads(executor, store, peers, metrics, SharedReads::kStartTime),
+        reads(executor, store, peers, metrics, store_access::SharedReads::kStartTime),
         configuration(store, reads, codec),
         target_registry(settings.data_centre),
         fleet(executor, store, reads, peers, settings, std::move(process)),
@@ -54,13 +54,14 @@
         relays(target_registry, connector, settings.store, stopping),
         pool(connector),
         targets(store, reads, codec, target_registry, pool),
-        turns(executor, store, {"turns", kTurnStreams, settings.parts_of_stream},
+        turns(executor, store, {"turns", store_access::kTurnStreams, settings.parts_of_stream},
               settings.turn_cache_bytes),
         stream_copier(executor, peers, fleet),
         quota(executor, peers, fleet, configuration),
         target_limits(executor, peers, fleet, target_registry, metrics),
         budget_layout(MakeBudgetLayout(settings.parts_of_stream, settings.store_writes_per_s)),
-        budget_manager(executor, store, {"budgets", kBudgetStreams, budget_layout.partitions},
+        budget_manager(executor, store,
+                       {"budgets", store_access::kBudgetStreams, budget_layout.partitions},
                        budget_layout.append_interval),
         budget_coordinator(executor, peers, budget_manager, store, settings.reservation_timeout),
         budgets(executor, peers, fleet, budget_manager, settings.peer_answer_timeout) {
@@ -81,7 +82,7 @@
 
   /// Hands on records to another instance that asks for them at the peer port.
   boost::asio::awaitable<void> ServeRecords(boost::beast::tcp_stream& stream, std::string path) {
-    const auto request = ParseRecordPath(path);
+    const auto request = store_access::ParseRecordPath(path);
     if (request) {
       co_await reads.Transfers().Serve(stream, *request);
     }
@@ -91,11 +92,11 @@
   GatewaySettings settings;
   const PlatformCodec& codec;
   diagnostics::Metrics metrics;
-  StoreRelayConnector store_connector;
-  RelayedRecordStore record_store;
-  RetryingRecordStore store;
+  store_access::StoreRelayConnector store_connector;
+  store_access::RelayedRecordStore record_store;
+  store_access::RetryingRecordStore store;
   PeerSocket peers;
-  SharedReads reads;
+  store_access::SharedReads reads;
   ConfigurationFollower configuration;
   dispatch::TargetRegistry target_registry;
   FleetRegistry fleet;
--- a/src/persimmonstair/gateway/busy_store_test.hpp
+++ b/src/persimmonstair/gateway/store_access/busy_store_test.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_BUSY_STORE_TEST_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_BUSY_STORE_TEST_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_BUSY_STORE_TEST_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_BUSY_STORE_TEST_HPP_
 
 #include <algorithm>
 #include <cstddef>
@@ -10,7 +10,7 @@
 #include "clock.hpp"
 #include "persimmonstair/gateway/record_store.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// @brief A store that serves one read of the newest records after the other. It also completes
 /// reads whose callers have given up, as a server does that has begun to answer. It has one
@@ -87,6 +87,6 @@
   std::size_t appends_ = 0;
 };
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_BUSY_STORE_TEST_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_BUSY_STORE_TEST_HPP_
--- a/src/persimmonstair/gateway/cold_start_test.cpp
+++ b/src/persimmonstair/gateway/store_access/cold_start_test.cpp
@@ -7,10 +7,10 @@
 #include <memory>
 #include <vector>
 
-#include "busy_store_test.hpp"
 #include "followers.hpp"
+#include "store_access/busy_store_test.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 using std::chrono::milliseconds;
@@ -126,4 +126,4 @@
 }
 
 }  // namespace
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/partition_reads.cpp
+++ b/src/persimmonstair/gateway/store_access/partition_reads.cpp
@@ -1,4 +1,4 @@
-#include "partition_reads.hpp"
+#include "store_access/partition_reads.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <exception>
@@ -6,7 +6,7 @@
 
 #include "persimmonstair/diagnostics/log.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 using base::ErrorCode;
@@ -89,4 +89,4 @@
   }
 }
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/partition_reads.hpp
+++ b/src/persimmonstair/gateway/store_access/partition_reads.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_PARTITION_READS_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_PARTITION_READS_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_PARTITION_READS_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_PARTITION_READS_HPP_
 
 #include <functional>
 #include <map>
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "clock.hpp"
-#include "retrying_record_store.hpp"
+#include "store_access/retrying_record_store.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// @brief Reads of whole partitions, shared by all requests that wait for records of them.
 ///
@@ -72,6 +72,6 @@
   std::map<Partition, std::shared_ptr<SharedRead>> reads_;
 };
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_PARTITION_READS_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_PARTITION_READS_HPP_
--- a/src/persimmonstair/gateway/partitions.hpp
+++ b/src/persimmonstair/gateway/store_access/partitions.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_PARTITIONS_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_PARTITIONS_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_PARTITIONS_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_PARTITIONS_HPP_
 
 #include <xxhash.h>
 
@@ -10,7 +10,7 @@
 
 #include "persimmonstair/gateway/record_store.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// Number of streams for stored turns. The store allows 100 streams in total. Many partitions keep
 /// each one small, so that it can be read quickly when its turns are needed.
@@ -38,6 +38,6 @@
   std::uint32_t parts_;
 };
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_PARTITIONS_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_PARTITIONS_HPP_
--- a/src/persimmonstair/gateway/poll_intervals.hpp
+++ b/src/persimmonstair/gateway/store_access/poll_intervals.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_POLL_INTERVALS_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_POLL_INTERVALS_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_POLL_INTERVALS_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_POLL_INTERVALS_HPP_
 
 #include <algorithm>
 #include <chrono>
@@ -7,7 +7,7 @@
 
 #include "persimmonstair/base/time.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// Reads of the target list a second of all instances together, while kMaxTargetPollPause allows.
 inline constexpr double kTargetReadsPerS = 250;
@@ -43,6 +43,6 @@
                                     kMinConfigurationWait, kMaxConfigurationWait);
 }
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_POLL_INTERVALS_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_POLL_INTERVALS_HPP_
--- a/src/persimmonstair/gateway/poll_intervals_test.cpp
+++ b/src/persimmonstair/gateway/store_access/poll_intervals_test.cpp
@@ -1,8 +1,8 @@
-#include "poll_intervals.hpp"
+#include "store_access/poll_intervals.hpp"
 
 #include <gtest/gtest.h>
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 // Guards against reads of the target list that grow with the fleet and take most of what the store
@@ -25,4 +25,4 @@
 }
 
 }  // namespace
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/record_expiry.cpp
+++ b/src/persimmonstair/gateway/store_access/record_expiry.cpp
@@ -1,8 +1,8 @@
-#include "record_expiry.hpp"
+#include "store_access/record_expiry.hpp"
 
 #include <algorithm>
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 void RecordExpiry::Add(const std::string& key, const Entry& entry) {
   const auto known = records_.find(key);
@@ -42,4 +42,4 @@
   return due;
 }
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/record_expiry.hpp
+++ b/src/persimmonstair/gateway/store_access/record_expiry.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_RECORD_EXPIRY_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_RECORD_EXPIRY_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RECORD_EXPIRY_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RECORD_EXPIRY_HPP_
 
 #include <cstddef>
 #include <cstdint>
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// @brief Instance that wrote a record.
 enum class RecordWriter {
@@ -68,6 +68,6 @@
   std::set<std::pair<std::int64_t, std::string>> by_expiry_;
 };
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_RECORD_EXPIRY_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RECORD_EXPIRY_HPP_
--- a/src/persimmonstair/gateway/record_protocol.cpp
+++ b/src/persimmonstair/gateway/store_access/record_protocol.cpp
@@ -1,10 +1,10 @@
-#include "record_protocol.hpp"
+#include "store_access/record_protocol.hpp"
 
 #include <fmt/format.h>
 
 #include <charconv>
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 constexpr std::string_view kPrefix = "/records/";
@@ -41,4 +41,4 @@
   return request;
 }
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/record_protocol.hpp
+++ b/src/persimmonstair/gateway/store_access/record_protocol.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_RECORD_PROTOCOL_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_RECORD_PROTOCOL_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RECORD_PROTOCOL_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RECORD_PROTOCOL_HPP_
 
 #include <optional>
 #include <string>
@@ -8,7 +8,7 @@
 #include "persimmonstair/base/ids.hpp"
 #include "persimmonstair/gateway/record_store.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// @brief Asks an instance for the records of a partition that it holds: an HTTP GET at its peer
 /// port, whose path is /records/STREAM/PART/OFFSET.
@@ -32,6 +32,6 @@
 /// @brief Parses the path of a request; nothing if it isn't one of SerializeRecordRequest().
 std::optional<RecordRequest> ParseRecordPath(std::string_view path);
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_RECORD_PROTOCOL_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RECORD_PROTOCOL_HPP_
--- a/src/persimmonstair/gateway/record_transfers.cpp
+++ b/src/persimmonstair/gateway/store_access/record_transfers.cpp
@@ -1,4 +1,4 @@
-#include "record_transfers.hpp"
+#include "store_access/record_transfers.hpp"
 
 #include <fmt/format.h>
 
@@ -18,7 +18,7 @@
 #include "persimmonstair/gateway/http_connection.hpp"
 #include "persimmonstair/schema/entry_peer_codec.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 namespace asio = boost::asio;
@@ -140,4 +140,4 @@
   co_return result;
 }
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/record_transfers.hpp
+++ b/src/persimmonstair/gateway/store_access/record_transfers.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_RECORD_TRANSFERS_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_RECORD_TRANSFERS_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RECORD_TRANSFERS_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RECORD_TRANSFERS_HPP_
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -11,9 +11,9 @@
 
 #include "persimmonstair/dispatch/target_registry.hpp"
 #include "persimmonstair/schema/entry_peer.hpp"
-#include "record_protocol.hpp"
+#include "store_access/record_protocol.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// @brief How a request for records ended.
 enum class TransferEnd {
@@ -60,6 +60,6 @@
   std::size_t served_ = 0;
 };
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_RECORD_TRANSFERS_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RECORD_TRANSFERS_HPP_
--- a/src/persimmonstair/gateway/record_transfers_test.cpp
+++ b/src/persimmonstair/gateway/store_access/record_transfers_test.cpp
@@ -1,5 +1,5 @@
 // Tests of records that instances hand on over connections.
-#include "record_transfers.hpp"
+#include "store_access/record_transfers.hpp"
 
 #include <gtest/gtest.h>
 
@@ -20,7 +20,7 @@
 #include "persimmonstair/fleet/long_read_plan.hpp"
 #include "persimmonstair/fleet/packed_record.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 namespace asio = boost::asio;
@@ -151,4 +151,4 @@
 }
 
 }  // namespace
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/relayed_record_store.cpp
+++ b/src/persimmonstair/gateway/store_access/relayed_record_store.cpp
@@ -1,11 +1,11 @@
-#include "relayed_record_store.hpp"
+#include "store_access/relayed_record_store.hpp"
 
 #include <utility>
 
 #include "clock.hpp"
 #include "persimmonstair/diagnostics/log.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 using base::ErrorCode;
@@ -86,4 +86,4 @@
   }
 }
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/relayed_record_store.hpp
+++ b/src/persimmonstair/gateway/store_access/relayed_record_store.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_RELAYED_RECORD_STORE_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_RELAYED_RECORD_STORE_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RELAYED_RECORD_STORE_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RELAYED_RECORD_STORE_HPP_
 
 #include <functional>
 #include <memory>
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "persimmonstair/gateway/record_store.hpp"
-#include "store_path.hpp"
+#include "store_access/store_path.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// @brief A record store that is called directly or, while only this instance has lost the store,
 /// over connections that other instances relay.
@@ -51,6 +51,6 @@
   std::function<void()> on_changed_;
 };
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_RELAYED_RECORD_STORE_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RELAYED_RECORD_STORE_HPP_
--- a/src/persimmonstair/gateway/retrying_record_store.cpp
+++ b/src/persimmonstair/gateway/store_access/retrying_record_store.cpp
@@ -1,4 +1,4 @@
-#include "retrying_record_store.hpp"
+#include "store_access/retrying_record_store.hpp"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -11,7 +11,7 @@
 #include "clock.hpp"
 #include "persimmonstair/diagnostics/log.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 using base::ErrorCode;
@@ -272,4 +272,4 @@
       });
 }
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/retrying_record_store.hpp
+++ b/src/persimmonstair/gateway/store_access/retrying_record_store.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_RETRYING_RECORD_STORE_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_RETRYING_RECORD_STORE_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RETRYING_RECORD_STORE_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RETRYING_RECORD_STORE_HPP_
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,10 +10,10 @@
 
 #include "persimmonstair/base/time.hpp"
 #include "persimmonstair/gateway/record_store.hpp"
-#include "store_call_counts.hpp"
-#include "store_probes.hpp"
+#include "store_access/store_call_counts.hpp"
+#include "store_access/store_probes.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// @brief Repeats calls to the record store until they succeed or a deadline passes, and tracks
 /// whether the store is reachable.
@@ -131,6 +131,6 @@
   std::minstd_rand random_{std::random_device{}()};
 };
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_RETRYING_RECORD_STORE_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_RETRYING_RECORD_STORE_HPP_
--- a/src/persimmonstair/gateway/shared_reads.cpp
+++ b/src/persimmonstair/gateway/store_access/shared_reads.cpp
@@ -1,4 +1,4 @@
-#include "shared_reads.hpp"
+#include "store_access/shared_reads.hpp"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -15,7 +15,7 @@
 #include "persimmonstair/diagnostics/log.hpp"
 #include "persimmonstair/fleet/packed_record.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 using base::Result;
@@ -435,4 +435,4 @@
   Log(Level::kInfo, uses_collector ? "reads_shared" : "reads_direct", {{"reason", reason}});
 }
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/shared_reads.hpp
+++ b/src/persimmonstair/gateway/store_access/shared_reads.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_SHARED_READS_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_SHARED_READS_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_SHARED_READS_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_SHARED_READS_HPP_
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -20,10 +20,10 @@
 #include "persimmonstair/fleet/feed_path.hpp"
 #include "persimmonstair/fleet/long_read_plan.hpp"
 #include "persimmonstair/fleet/record_tail.hpp"
-#include "record_transfers.hpp"
-#include "retrying_record_store.hpp"
+#include "store_access/record_transfers.hpp"
+#include "store_access/retrying_record_store.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// @brief Reads the new records of partitions that every instance follows, from the store or from
 /// the collector of the data centre, so that the store's reads grow with data centres and not with
@@ -204,6 +204,6 @@
   bool uses_collector_ = false;
 };
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_SHARED_READS_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_SHARED_READS_HPP_
--- a/src/persimmonstair/gateway/shared_reads_test.cpp
+++ b/src/persimmonstair/gateway/store_access/shared_reads_test.cpp
@@ -1,5 +1,5 @@
 // Tests of reads through the collector, with instances that exchange datagrams over loopback.
-#include "shared_reads.hpp"
+#include "store_access/shared_reads.hpp"
 
 #include <gtest/gtest.h>
 
@@ -12,9 +12,9 @@
 #include <string>
 #include <vector>
 
-#include "busy_store_test.hpp"
+#include "store_access/busy_store_test.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 using std::chrono::milliseconds;
@@ -219,4 +219,4 @@
 }
 
 }  // namespace
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/store_call_counts.cpp
+++ b/src/persimmonstair/gateway/store_access/store_call_counts.cpp
@@ -1,8 +1,8 @@
-#include "store_call_counts.hpp"
+#include "store_access/store_call_counts.hpp"
 
 #include <algorithm>
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 const char* Name(StoreCall call) {
@@ -80,4 +80,4 @@
   return summary;
 }
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/store_call_counts.hpp
+++ b/src/persimmonstair/gateway/store_access/store_call_counts.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_CALL_COUNTS_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_CALL_COUNTS_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_STORE_CALL_COUNTS_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_STORE_CALL_COUNTS_HPP_
 
 #include <cstddef>
 #include <cstdint>
@@ -11,7 +11,7 @@
 #include "persimmonstair/base/time.hpp"
 #include "persimmonstair/diagnostics/metrics.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// @brief Kind of a call to the record store.
 enum class StoreCall {
@@ -75,6 +75,6 @@
   std::map<StoreCall, Counts> since_summary_;
 };
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_CALL_COUNTS_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_STORE_CALL_COUNTS_HPP_
--- a/src/persimmonstair/gateway/store_path.cpp
+++ b/src/persimmonstair/gateway/store_access/store_path.cpp
@@ -1,8 +1,8 @@
-#include "store_path.hpp"
+#include "store_access/store_path.hpp"
 
 #include <algorithm>
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 using std::chrono::milliseconds;
@@ -71,4 +71,4 @@
   relayed_failures_ = 0;
 }
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/store_path.hpp
+++ b/src/persimmonstair/gateway/store_access/store_path.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_PATH_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_PATH_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_STORE_PATH_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_STORE_PATH_HPP_
 
 #include <chrono>
 #include <cstdint>
@@ -8,7 +8,7 @@
 
 #include "persimmonstair/base/time.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// @brief Decides whether calls of the record store go directly or through another instance.
 ///
@@ -52,6 +52,6 @@
   base::Duration probe_pause_{0};
 };
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_PATH_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_STORE_PATH_HPP_
--- a/src/persimmonstair/gateway/store_path_test.cpp
+++ b/src/persimmonstair/gateway/store_access/store_path_test.cpp
@@ -1,8 +1,8 @@
-#include "store_path.hpp"
+#include "store_access/store_path.hpp"
 
 #include <gtest/gtest.h>
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 using std::chrono::milliseconds;
@@ -72,4 +72,4 @@
 }
 
 }  // namespace
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/store_probes.hpp
+++ b/src/persimmonstair/gateway/store_access/store_probes.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_PROBES_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_PROBES_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_STORE_PROBES_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_STORE_PROBES_HPP_
 
 #include <algorithm>
 #include <chrono>
@@ -9,7 +9,7 @@
 
 #include "persimmonstair/base/time.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// @brief Decides by small reads, the probes, whether reads that get no answer are lost.
 ///
@@ -59,6 +59,6 @@
   std::map<std::uint64_t, base::TimePoint> unanswered_;
 };
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_PROBES_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_STORE_PROBES_HPP_
--- a/src/persimmonstair/gateway/store_probes_test.cpp
+++ b/src/persimmonstair/gateway/store_access/store_probes_test.cpp
@@ -1,8 +1,8 @@
-#include "store_probes.hpp"
+#include "store_access/store_probes.hpp"
 
 #include <gtest/gtest.h>
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 using std::chrono::milliseconds;
@@ -58,4 +58,4 @@
 }
 
 }  // namespace
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/store_relay_connector.cpp
+++ b/src/persimmonstair/gateway/store_access/store_relay_connector.cpp
@@ -1,4 +1,4 @@
-#include "store_relay_connector.hpp"
+#include "store_access/store_relay_connector.hpp"
 
 #include <boost/asio/error.hpp>
 #include <memory>
@@ -6,7 +6,7 @@
 #include "clock.hpp"
 #include "relay_protocol.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 namespace {
 
 using boost::asio::awaitable;
@@ -45,4 +45,4 @@
   co_return head && head->status == kRelayOpened;
 }
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/store_relay_connector.hpp
+++ b/src/persimmonstair/gateway/store_access/store_relay_connector.hpp
@@ -1,5 +1,5 @@
-#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_RELAY_CONNECTOR_HPP_
-#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_RELAY_CONNECTOR_HPP_
+#ifndef PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_STORE_RELAY_CONNECTOR_HPP_
+#define PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_STORE_RELAY_CONNECTOR_HPP_
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -10,7 +10,7 @@
 #include "persimmonstair/gateway/store_connector.hpp"
 #include "relay_peers.hpp"
 
-namespace persimmonstair::gateway {
+namespace persimmonstair::gateway::store_access {
 
 /// @brief Opens connections to the record store that other instances relay (RelayServer).
 class StoreRelayConnector : public StoreConnector {
@@ -33,6 +33,6 @@
   RelayPeers peers_;
 };
 
-}  // namespace persimmonstair::gateway
+}  // namespace persimmonstair::gateway::store_access
 
-#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_RELAY_CONNECTOR_HPP_
+#endif  // PERSIMMONSTAIR_SRC_GATEWAY_STORE_ACCESS_STORE_RELAY_CONNECTOR_HPP_
--- a/src/persimmonstair/gateway/target_limiter_test.cpp
+++ b/src/persimmonstair/gateway/target_limiter_test.cpp
@@ -56,10 +56,11 @@
   boost::asio::io_context io_{1};
   NoStore records_;
   diagnostics::Metrics metrics_;
-  RetryingRecordStore store_{records_, metrics_};
+  store_access::RetryingRecordStore store_{records_, metrics_};
   GatewaySettings settings_;
   PeerSocket socket_{io_.get_executor()};
-  SharedReads reads_{io_.get_executor(), store_, socket_, metrics_, SharedReads::kStartTime};
+  store_access::SharedReads reads_{io_.get_executor(), store_, socket_, metrics_,
+                                   store_access::SharedReads::kStartTime};
   FleetRegistry fleet_{io_.get_executor(), store_, reads_, socket_, settings_, "process"};
   dispatch::TargetEntry target_{{"t"}, {"s"}, {"127.0.0.1", 1}, {"here"}, 8, false, 1, {"v1"}};
   dispatch::TargetRegistry targets_{{"here"}};
--- a/src/persimmonstair/gateway/turn_store.cpp
+++ b/src/persimmonstair/gateway/turn_store.cpp
@@ -23,7 +23,7 @@
 using base::Fail;
 using base::Result;
 using boost::asio::awaitable;
-using KeySet = PartitionReads::KeySet;
+using KeySet = store_access::PartitionReads::KeySet;
 
 /// Interval between two deletions of expired turns.
 constexpr std::chrono::seconds kDropInterval{5};
@@ -83,8 +83,9 @@
 
 }  // namespace
 
-TurnStore::TurnStore(const boost::asio::any_io_executor& executor, RetryingRecordStore& store,
-                     Partitioning turns, std::size_t cache_bytes)
+TurnStore::TurnStore(const boost::asio::any_io_executor& executor,
+                     store_access::RetryingRecordStore& store, store_access::Partitioning turns,
+                     std::size_t cache_bytes)
     : executor_(executor),
       store_(store),
       partitions_(std::move(turns)),
--- a/src/persimmonstair/gateway/turn_store.hpp
+++ b/src/persimmonstair/gateway/turn_store.hpp
@@ -6,11 +6,11 @@
 #include <utility>
 #include <vector>
 
-#include "partition_reads.hpp"
-#include "partitions.hpp"
 #include "persimmonstair/base/error.hpp"
 #include "persimmonstair/turns/turn_cache.hpp"
-#include "retrying_record_store.hpp"
+#include "store_access/partition_reads.hpp"
+#include "store_access/partitions.hpp"
+#include "store_access/retrying_record_store.hpp"
 
 namespace persimmonstair::gateway {
 
@@ -32,8 +32,8 @@
 /// same partition share its read, which goes on when they give up.
 class TurnStore {
  public:
-  TurnStore(const boost::asio::any_io_executor& executor, RetryingRecordStore& store,
-            Partitioning turns, std::size_t cache_bytes);
+  TurnStore(const boost::asio::any_io_executor& executor, store_access::RetryingRecordStore& store,
+            store_access::Partitioning turns, std::size_t cache_bytes);
 
   /// Returns the chain that ends with `previous`. Fails with kNotFound only if no instance has
   /// acknowledged such a turn of this workspace, and with kLogUnavailable if the store could not be
@@ -57,17 +57,18 @@
  private:
   /// Reads turns from their partitions into the cache. Returns those that the store doesn't hold or
   /// that have expired; fails with kLogUnavailable if the store did not answer.
-  boost::asio::awaitable<base::Result<PartitionReads::KeySet>> Fetch(
+  boost::asio::awaitable<base::Result<store_access::PartitionReads::KeySet>> Fetch(
       base::WorkspaceId workspace, std::vector<base::TurnId> turns, base::TimePoint deadline);
   /// Caches those of the `wanted` turns that a snapshot holds, and returns them.
-  PartitionReads::KeySet CacheTurns(const Partition& partition, const RecordSnapshot& snapshot,
-                                    const PartitionReads::KeySet& wanted);
+  store_access::PartitionReads::KeySet CacheTurns(
+      const Partition& partition, const RecordSnapshot& snapshot,
+      const store_access::PartitionReads::KeySet& wanted);
 
   boost::asio::any_io_executor executor_;
-  RetryingRecordStore& store_;
-  Partitioning partitions_;
+  store_access::RetryingRecordStore& store_;
+  store_access::Partitioning partitions_;
   turns::TurnCache cache_;
-  PartitionReads reads_;
+  store_access::PartitionReads reads_;
   boost::asio::awaitable<void> DropExpiredFrom(Partition partition);
   /// Returns the whole chain that ends with `previous`, with all its turns cached. Turns that
   /// expired before `now_ms` (Unix milliseconds) count as missing.
--- a/src/persimmonstair/gateway/turn_store_test.cpp
+++ b/src/persimmonstair/gateway/turn_store_test.cpp
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
-#include "busy_store_test.hpp"
 #include "persimmonstair/schema/codec.hpp"
+#include "store_access/busy_store_test.hpp"
 
 namespace persimmonstair::gateway {
 namespace {
@@ -57,10 +57,10 @@
  protected:
   void MakeStores(base::Duration read_time, const std::vector<schema::KeptTurn>& turns,
                   std::size_t cache_bytes = kCacheBytes) {
-    records_ = std::make_unique<BusyStore>(read_time, SnapshotOf(turns));
-    store_ = std::make_unique<RetryingRecordStore>(*records_, metrics_);
-    turns_ = std::make_unique<TurnStore>(io_.get_executor(), *store_, Partitioning{"turns", 1, 1},
-                                         cache_bytes);
+    records_ = std::make_unique<store_access::BusyStore>(read_time, SnapshotOf(turns));
+    store_ = std::make_unique<store_access::RetryingRecordStore>(*records_, metrics_);
+    turns_ = std::make_unique<TurnStore>(io_.get_executor(), *store_,
+                                         store_access::Partitioning{"turns", 1, 1}, cache_bytes);
   }
 
   SearchPtr Start(const std::string& turn, base::Duration time) {
@@ -100,8 +100,8 @@
 
   boost::asio::io_context io_{1};
   diagnostics::Metrics metrics_;
-  std::unique_ptr<BusyStore> records_;
-  std::unique_ptr<RetryingRecordStore> store_;
+  std::unique_ptr<store_access::BusyStore> records_;
+  std::unique_ptr<store_access::RetryingRecordStore> store_;
   std::unique_ptr<TurnStore> turns_;
 
  private:
