Report what is read from the record store by stream, also if all calls succeed

Seconds in which all calls succeed were not reported at all.

Change: bytes by stream in store_calls and in persimmonstair_store_read_bytes_total; a line also for seconds with more than 256 KB.

--- a/include/persimmonstair/diagnostics/metrics.hpp
+++ b/include/persimmonstair/diagnostics/metrics.hpp
@@ -36,8 +36,8 @@
   void CountTargetReset(const std::string& result);
   /// Counts a call to the record store by its kind and result, for example "append" and "refused".
   void CountStoreCall(const std::string& call, const std::string& result);
-  /// Counts bytes of keys and values that calls of a kind read from the record store.
-  void CountStoreBytes(const std::string& call, std::size_t bytes);
+  /// Counts bytes of keys and values that calls of a kind read from streams of a kind.
+  void CountStoreBytes(const std::string& call, const std::string& stream, std::size_t bytes);
   /// Counts a token of a target's rate by its result ("granted" or "refused") and by who decided:
   /// the rate's "coordinator", or this instance from its "own_part".
   void CountTargetToken(const std::string& result, const std::string& source);
--- a/src/persimmonstair/diagnostics/metrics.cpp
+++ b/src/persimmonstair/diagnostics/metrics.cpp
@@ -105,9 +105,10 @@
   counter->Increment();
 }
 
-void Metrics::CountStoreBytes(const std::string& call, std::size_t bytes) {
+void Metrics::CountStoreBytes(const std::string& call, const std::string& stream,
+                              std::size_t bytes) {
   const std::lock_guard lock(mutex_);
-  store_bytes_.Add({{"call", call}}).Increment(static_cast<double>(bytes));
+  store_bytes_.Add({{"call", call}, {"stream", stream}}).Increment(static_cast<double>(bytes));
 }
 
 void Metrics::CountTargetToken(const std::string& result, const std::string& source) {
--- a/src/persimmonstair/gateway/store_access/retrying_record_store.cpp
+++ b/src/persimmonstair/gateway/store_access/retrying_record_store.cpp
@@ -105,17 +105,17 @@
 }
 
 template <class T>
-const Result<T>& RetryingRecordStore::TrackResult(StoreCall call, const Result<T>& result,
+const Result<T>& RetryingRecordStore::TrackResult(const CallKind& kind, const Result<T>& result,
                                                   base::TimePoint sent_at, base::Duration waited) {
   const bool answered = result || result.error().code == ErrorCode::kConflict ||
                         result.error().code == ErrorCode::kNotFound;
   const base::Duration took = std::max(base::Duration{0}, Now() - sent_at - waited);
   const auto end = result ? StoreCallResult::kOk : ToStoreCallResult(result.error().code);
-  counts_.Add({call, end, took, result ? BytesRead(*result) : 0});
+  counts_.Add({kind.call, end, took, result ? BytesRead(*result) : 0, kind.stream});
   if (answered) {
     OnSuccess(took);
     // Appends don't wait for reads, so their answers say nothing about a late read.
-    if (call != StoreCall::kAppend) {
+    if (kind.call != StoreCall::kAppend) {
       newest_answered_sent_at_ = std::max(newest_answered_sent_at_, sent_at);
     }
   } else {
@@ -125,14 +125,14 @@
 }
 
 template <class T, class Send>
-awaitable<Result<T>> RetryingRecordStore::CallWithRetry(StoreCall call, base::TimePoint deadline,
+awaitable<Result<T>> RetryingRecordStore::CallWithRetry(CallKind kind, base::TimePoint deadline,
                                                         Send send) {
   for (int attempt = 0;; ++attempt) {
     const base::TimePoint now = Now();
     if (attempt > 0 && now >= deadline) break;
     const base::Duration left = std::max<base::Duration>(milliseconds{1}, deadline - now);
     Result<T> result = co_await send(std::min(left, Timeout(attempt)));
-    TrackResult(call, result, now, {});
+    TrackResult(kind, result, now, {});
     if (result || result.error().code == ErrorCode::kNotFound) co_return result;
     if (result.error().code == ErrorCode::kInvalidRequest) co_return result;
     if (result.error().code != ErrorCode::kTimeout) co_await Sleep(RefusedPause(attempt));
@@ -167,7 +167,7 @@
   const std::uint64_t probe = probes_.OnSent(sent_at);
   const auto result = co_await store_.Read(partition, kBeyondAllRecords, options);
   const auto end = result ? StoreCallResult::kOk : ToStoreCallResult(result.error().code);
-  counts_.Add({StoreCall::kProbe, end, Now() - sent_at, 0});
+  counts_.Add({StoreCall::kProbe, end, Now() - sent_at, 0, {}});
   const ErrorCode code = result ? ErrorCode::kNotFound : result.error().code;
   if (code == ErrorCode::kNotFound || code == ErrorCode::kInvalidRequest) {
     probes_.OnAnswered(probe);
@@ -184,7 +184,7 @@
   const base::Duration left = std::max<base::Duration>(milliseconds{1}, limits.deadline - sent_at);
   Result<T> result = co_await send(std::min<base::Duration>(left, kMaxReadTime));
   --read->in_flight;
-  TrackResult(limits.call, result, sent_at, limits.wait);
+  TrackResult(limits.kind, result, sent_at, limits.wait);
   const bool final = result || result.error().code == ErrorCode::kNotFound ||
                      result.error().code == ErrorCode::kInvalidRequest;
   if (final && !read->result) read->result = std::move(result);
@@ -223,8 +223,9 @@
 awaitable<Result<base::Offset>> RetryingRecordStore::Append(Partition partition,
                                                             std::vector<KeyedRecord> records,
                                                             base::TimePoint deadline) {
+  CallKind kind{StoreCall::kAppend, StreamKind(partition.stream)};
   co_return co_await CallWithRetry<base::Offset>(
-      StoreCall::kAppend, deadline, [&](base::Duration timeout) {
+      std::move(kind), deadline, [&](base::Duration timeout) {
         return store_.Append(partition, records, timeout, std::nullopt);
       });
 }
@@ -234,7 +235,8 @@
                                                                 base::Duration timeout) {
   const base::TimePoint sent_at = Now();
   const auto result = co_await store_.Append(partition, records, timeout, std::nullopt);
-  co_return TrackResult(StoreCall::kAppend, result, sent_at, {});
+  const CallKind kind{StoreCall::kAppend, StreamKind(partition.stream)};
+  co_return TrackResult(kind, result, sent_at, {});
 }
 
 awaitable<Result<base::Offset>> RetryingRecordStore::AppendIf(Partition partition,
@@ -242,13 +244,15 @@
                                                               base::Offset expected) {
   const base::TimePoint sent_at = Now();
   const auto result = co_await store_.Append(partition, records, Timeout(1), expected);
-  co_return TrackResult(StoreCall::kAppend, result, sent_at, {});
+  const CallKind kind{StoreCall::kAppend, StreamKind(partition.stream)};
+  co_return TrackResult(kind, result, sent_at, {});
 }
 
 awaitable<Result<RecordSnapshot>> RetryingRecordStore::ReadNewest(Partition partition,
                                                                   base::TimePoint deadline) {
+  CallKind kind{StoreCall::kReadNewest, StreamKind(partition.stream)};
   return ReadWithRetry<RecordSnapshot>(
-      {StoreCall::kReadNewest, deadline, {}},
+      {std::move(kind), deadline, {}},
       [this, partition = std::move(partition)](base::Duration timeout) {
         return store_.ReadNewest(partition, timeout);
       });
@@ -256,8 +260,9 @@
 
 awaitable<Result<RecordBatch>> RetryingRecordStore::Read(Partition partition, base::Offset from,
                                                          base::TimePoint deadline) {
+  CallKind kind{StoreCall::kRead, StreamKind(partition.stream)};
   return ReadWithRetry<RecordBatch>(
-      {StoreCall::kRead, deadline, {}},
+      {std::move(kind), deadline, {}},
       [this, partition = std::move(partition), from](base::Duration timeout) {
         return store_.Read(partition, from, {{}, timeout});
       });
@@ -265,8 +270,9 @@
 
 awaitable<Result<RecordBatch>> RetryingRecordStore::Poll(Partition partition, base::Offset from,
                                                          base::Duration wait) {
+  CallKind kind{StoreCall::kRead, StreamKind(partition.stream)};
   return ReadWithRetry<RecordBatch>(
-      {StoreCall::kRead, Now() + wait + kMaxReadTime, wait},
+      {std::move(kind), Now() + wait + kMaxReadTime, wait},
       [this, partition = std::move(partition), from, wait](base::Duration timeout) {
         return store_.Read(partition, from, {wait, wait + timeout});
       });
--- a/src/persimmonstair/gateway/store_access/retrying_record_store.hpp
+++ b/src/persimmonstair/gateway/store_access/retrying_record_store.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <string>
 #include <vector>
 
 #include "persimmonstair/base/time.hpp"
@@ -69,6 +70,12 @@
   StoreCallCounts& Counts() { return counts_; }
 
  private:
+  /// What a call does and with which stream.
+  struct CallKind {
+    StoreCall call = StoreCall::kRead;
+    /// StreamKind() of the stream.
+    std::string stream;
+  };
   /// Timeout of one attempt (0 for the first), from the smoothed latency.
   base::Duration Timeout(int attempt) const;
   /// Pause after attempt `attempt` was refused. Random, so that instances don't return together.
@@ -77,17 +84,17 @@
   /// the result. `waited` is the time for which the call asked the store to wait for a record; it
   /// doesn't count as latency.
   template <class T>
-  const base::Result<T>& TrackResult(StoreCall call, const base::Result<T>& result,
+  const base::Result<T>& TrackResult(const CallKind& kind, const base::Result<T>& result,
                                      base::TimePoint sent_at, base::Duration waited);
   void OnSuccess(base::Duration took);
   void OnFailure(const base::Error& error);
   template <class T, class Send>
-  boost::asio::awaitable<base::Result<T>> CallWithRetry(StoreCall call, base::TimePoint deadline,
+  boost::asio::awaitable<base::Result<T>> CallWithRetry(CallKind kind, base::TimePoint deadline,
                                                         Send send);
 
   /// What a read asks for and how long it may take.
   struct ReadLimits {
-    StoreCall call = StoreCall::kRead;
+    CallKind kind;
     base::TimePoint deadline;
     /// Time for which the store may wait for a record.
     base::Duration wait{0};
--- a/src/persimmonstair/gateway/store_access/store_call_counts.cpp
+++ b/src/persimmonstair/gateway/store_access/store_call_counts.cpp
@@ -54,18 +54,25 @@
   }
 }
 
+std::string StreamKind(const base::StreamName& stream) {
+  return stream.value.substr(0, stream.value.find('-'));
+}
+
 void StoreCallCounts::Add(const StoreCallEnd& end) {
   Counts& counts = since_summary_[end.call];
   ++counts.by_result[end.result];
   counts.longest = std::max(counts.longest, end.took);
-  counts.bytes += end.bytes;
   metrics_.CountStoreCall(Name(end.call), Name(end.result));
-  if (end.bytes > 0) metrics_.CountStoreBytes(Name(end.call), end.bytes);
+  if (end.bytes == 0) return;
+  counts.bytes += end.bytes;
+  counts.bytes_by_stream[end.stream] += end.bytes;
+  metrics_.CountStoreBytes(Name(end.call), end.stream, end.bytes);
 }
 
 std::optional<nlohmann::json> StoreCallCounts::TakeSummary() {
   const auto since_summary = std::exchange(since_summary_, {});
   bool all_ok = true;
+  std::size_t bytes = 0;
   nlohmann::json summary;
   for (const auto& [call, counts] : since_summary) {
     nlohmann::json& line = summary[Name(call)];
@@ -75,8 +82,10 @@
     }
     line["longest_ms"] = base::ToMillis(counts.longest);
     if (counts.bytes > 0) line["bytes"] = counts.bytes;
+    if (counts.bytes > 0) line["bytes_by_stream"] = counts.bytes_by_stream;
+    bytes += counts.bytes;
   }
-  if (all_ok) return std::nullopt;
+  if (all_ok && bytes <= kLittleRead) return std::nullopt;
   return summary;
 }
 
--- a/src/persimmonstair/gateway/store_access/store_call_counts.hpp
+++ b/src/persimmonstair/gateway/store_access/store_call_counts.hpp
@@ -6,8 +6,10 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <string>
 
 #include "persimmonstair/base/error.hpp"
+#include "persimmonstair/base/ids.hpp"
 #include "persimmonstair/base/time.hpp"
 #include "persimmonstair/diagnostics/metrics.hpp"
 
@@ -46,23 +48,31 @@
   base::Duration took{0};
   /// Bytes of the keys and values that it read.
   std::size_t bytes = 0;
+  /// Name of the stream without its number, as "turns" of "turns-12".
+  std::string stream;
 };
 
+/// @brief Returns the name of a stream without its number.
+std::string StreamKind(const base::StreamName& stream);
+
 /// @brief Counts calls to the record store by kind and result, for the metrics and for a summary in
 /// the log.
 ///
-///     counts.Add({StoreCall::kAppend, StoreCallResult::kRefused, took, 0});
+///     counts.Add({StoreCall::kAppend, StoreCallResult::kRefused, took, 0, "turns"});
 ///     if (const auto summary = counts.TakeSummary()) Log(Level::kWarning, "store_calls",
 ///     *summary);
 class StoreCallCounts {
  public:
+  /// Bytes that are read between two summaries up to which there is little to report.
+  static constexpr std::size_t kLittleRead = std::size_t{256} << 10U;
+
   explicit StoreCallCounts(diagnostics::Metrics& metrics) : metrics_(metrics) {}
 
   void Add(const StoreCallEnd& end);
 
   /// Returns, for each kind of call since the last summary, the number of calls by result, the
-  /// longest time that one took and the bytes that were read. Returns nothing if each call
-  /// succeeded.
+  /// longest time that one took and the bytes that were read, in all and by stream. Returns nothing
+  /// if each call succeeded and little was read.
   std::optional<nlohmann::json> TakeSummary();
 
  private:
@@ -71,6 +81,7 @@
     std::map<StoreCallResult, std::uint64_t> by_result;
     base::Duration longest{0};
     std::size_t bytes = 0;
+    std::map<std::string, std::size_t> bytes_by_stream;
   };
   std::map<StoreCall, Counts> since_summary_;
 };
