Ask a target whether it takes requests if the list of targets is too old to rely on

Cause: nothing looked at the age of the list when a request was sent. Each bound on the news was the hope that all ways to it are quick.

Change: TargetChecks. If the list is older than that less 0.5 s, and the store has answered something within that time, the target gets a health check on the connection before the request; the answer counts as long. A target that does not say that it takes requests is skipped like one that rejects. Counted in persimmonstair_target_checks_total, logged as target_checked.

--- a/include/persimmonstair/diagnostics/metrics.hpp
+++ b/include/persimmonstair/diagnostics/metrics.hpp
@@ -38,6 +38,9 @@
   void CountStoreCall(const std::string& call, const std::string& result);
   /// Counts bytes of keys and values that calls of a kind read from streams of a kind.
   void CountStoreBytes(const std::string& call, const std::string& stream, std::size_t bytes);
+  /// Counts a check whether a target takes requests, by its result: "serves", "refuses" or
+  /// "unanswered".
+  void CountTargetCheck(const std::string& result);
   /// Counts a token of a target's rate by its result ("granted" or "refused") and by who decided:
   /// the rate's "coordinator", or this instance from its "own_part".
   void CountTargetToken(const std::string& result, const std::string& source);
@@ -72,6 +75,7 @@
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Family<prometheus::Counter>& store_bytes_;
   prometheus::Family<prometheus::Counter>& target_tokens_;
+  prometheus::Family<prometheus::Counter>& target_checks_;
   prometheus::Family<prometheus::Counter>& feed_asks_;
   prometheus::Counter& ring_full_;
   std::map<std::pair<std::string, std::string>, Series> series_;
--- a/include/persimmonstair/gateway/configuration.hpp
+++ b/include/persimmonstair/gateway/configuration.hpp
@@ -61,7 +61,7 @@
 
 struct Service {
   base::ServiceId id;
-  /// Path of its targets' health checks; not used by the gateway.
+  /// Path of its targets' health checks; empty if they have none.
   std::string health_path;
   /// Maximum number of connections, 0 if not configured; not used by the gateway.
   std::uint32_t max_connections = 0;
--- a/include/persimmonstair/gateway/platform_codec.hpp
+++ b/include/persimmonstair/gateway/platform_codec.hpp
@@ -83,6 +83,14 @@
   bool rate_limit_unreadable = false;
 };
 
+/// @brief A target's answer to a health check.
+struct HealthReport {
+  /// Target that answered; empty if it does not say.
+  base::TargetId target;
+  /// It is healthy and takes requests.
+  bool serving = false;
+};
+
 /// @brief Encodes and decodes the names and formats of one platform, which its callers, targets and
 /// operator use. Implementations only translate; they contain no policy.
 class PlatformCodec {
@@ -94,6 +102,10 @@
                                           const RequestMetadata& metadata,
                                           const ForwardingContext& forwarding) const = 0;
   virtual ResponseMetadata DecodeResponse(HttpHead head) const = 0;
+  /// Encodes a health check of a target of the service, which must name a path for it.
+  virtual HttpRequest EncodeHealthCheck(const Service& service,
+                                        const dispatch::TargetEntry& target) const = 0;
+  virtual HealthReport DecodeHealthReport(const HttpHead& head) const = 0;
 
   /// Decodes the operator's configuration document.
   virtual base::Result<Configuration> DecodeConfiguration(std::string_view bytes) const = 0;
--- a/include/persimmonstair/gateway/settings.hpp
+++ b/include/persimmonstair/gateway/settings.hpp
@@ -31,6 +31,8 @@
   std::uint32_t parts_of_stream = 8;
   /// Write calls a second that the store accepts from all instances together.
   double store_writes_per_s = 800;
+  /// Time after which a target that has said that it leaves must get no further requests.
+  base::Duration target_leave_time = std::chrono::seconds{2};
   /// Size limit of the cache of stored turns, in bytes.
   std::size_t turn_cache_bytes = std::size_t{24} << 20U;
   /// Time that the platform leaves between the stop signal and killing the process.
--- a/include/persimmonstair/schema/entry_settings.hpp
+++ b/include/persimmonstair/schema/entry_settings.hpp
@@ -41,6 +41,9 @@
   double store_writes_per_s = 800;
   /// Not used; accepted because settings of earlier versions have it. 1 to 1000000.
   double store_read_mb_per_s = 80;
+  /// Time after which a target that has said that it leaves must get no further requests, in
+  /// milliseconds; 1000 to 600000.
+  std::uint32_t target_leave_ms = 2000;
   /// Memory for cached turns in mebibytes (2^20 bytes); 1 to 4096.
   std::uint32_t turn_cache_mb = 24;
   /// Time from SIGTERM until the platform kills the process, in milliseconds; 2000 to 600000.
@@ -63,6 +66,7 @@
       {"parts_of_stream", value.parts_of_stream},
       {"store_writes_per_s", value.store_writes_per_s},
       {"store_read_mb_per_s", value.store_read_mb_per_s},
+      {"target_leave_ms", value.target_leave_ms},
       {"turn_cache_mb", value.turn_cache_mb},
       {"stop_ms", value.stop_ms},
       {"log_level", value.log_level},
@@ -85,6 +89,8 @@
     it->get_to(value.store_writes_per_s);
   if (const auto it = json.find("store_read_mb_per_s"); it != json.end())
     it->get_to(value.store_read_mb_per_s);
+  if (const auto it = json.find("target_leave_ms"); it != json.end())
+    it->get_to(value.target_leave_ms);
   if (const auto it = json.find("turn_cache_mb"); it != json.end()) it->get_to(value.turn_cache_mb);
   if (const auto it = json.find("stop_ms"); it != json.end()) it->get_to(value.stop_ms);
   if (const auto it = json.find("log_level"); it != json.end()) it->get_to(value.log_level);
--- a/src/persimmonstair/diagnostics/metrics.cpp
+++ b/src/persimmonstair/diagnostics/metrics.cpp
@@ -46,6 +46,10 @@
                          .Name("persimmonstair_target_tokens_total")
                          .Help("Tokens of targets' rates by result and by who decided")
                          .Register(registry_)),
+      target_checks_(prometheus::BuildCounter()
+                         .Name("persimmonstair_target_checks_total")
+                         .Help("Checks whether a target takes requests, by result")
+                         .Register(registry_)),
       feed_asks_(prometheus::BuildCounter()
                      .Name("persimmonstair_feed_asks_total")
                      .Help("Messages that asked the collector for new records, by result")
@@ -116,6 +120,11 @@
   target_tokens_.Add({{"result", result}, {"source", source}}).Increment();
 }
 
+void Metrics::CountTargetCheck(const std::string& result) {
+  const std::lock_guard lock(mutex_);
+  target_checks_.Add({{"result", result}}).Increment();
+}
+
 void Metrics::CountFeedAsk(const std::string& result) {
   const std::lock_guard lock(mutex_);
   feed_asks_.Add({{"result", result}}).Increment();
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -23,6 +23,8 @@
 
 /// Maximum time to open a connection, through other instances if need be.
 constexpr milliseconds kConnectTimeout{400};
+/// Maximum time for each step of a health check.
+constexpr milliseconds kCheckTimeout{300};
 /// Time without response after which an idempotent or resumable request goes to another target, in
 /// multiples of the route's objective, and its minimum.
 constexpr int kResponseTimeoutObjectives = 3;
@@ -61,6 +63,11 @@
   return "cancelled";
 }
 
+std::string CheckResult(bool serves, bool answered) {
+  if (serves) return "serves";
+  return answered ? "refuses" : "unanswered";
+}
+
 }  // namespace
 
 bool Exchange::MayRetry() const {
@@ -171,22 +178,74 @@
   co_return outcome;
 }
 
+awaitable<std::unique_ptr<HttpConnection>> Exchange::Acquire(dispatch::TargetEntry target) {
+  const IdleReuse reuse = MayRetry() ? IdleReuse::kAnyIdle : IdleReuse::kRecentlyUsed;
+  const base::Duration timeout = std::min<base::Duration>(RemainingTimeout(), kConnectTimeout);
+  auto acquired = co_await context_.pool.Acquire(target, reuse, metadata_.request_id, timeout);
+  if (acquired) co_return std::move(*acquired);
+  // A target that was not tried keeps its state.
+  const bool tried = acquired.error() != boost::asio::error::host_unreachable;
+  attempt_result_ =
+      tried ? dispatch::AttemptResult::kUnreachable : dispatch::AttemptResult::kCancelled;
+  attempt_error_ = acquired.error().message();
+  co_return nullptr;
+}
+
+awaitable<std::unique_ptr<HttpConnection>> Exchange::Connect(dispatch::TargetEntry target) {
+  auto connection = co_await Acquire(target);
+  if (!connection || !NeedsCheck(target)) co_return std::move(connection);
+  const bool serves = co_await CheckTarget(target, *connection);
+  if (!serves) co_return nullptr;
+  if (connection->Reusable()) co_return std::move(connection);
+  co_return co_await Acquire(target);
+}
+
+bool Exchange::NeedsCheck(const dispatch::TargetEntry& target) const {
+  if (service_ == nullptr || service_->health_path.empty()) return false;
+  const dispatch::TargetKnowledge knowledge{context_.targets.ConfirmedAt(),
+                                            context_.store.AnsweredAt()};
+  return context_.target_checks.IsDue(Now(), knowledge, target.id, target.started_ms);
+}
+
+awaitable<bool> Exchange::CheckTarget(dispatch::TargetEntry target, HttpConnection& connection) {
+  const base::TimePoint asked_at = Now();
+  const std::string bytes = SerializeRequest(context_.codec.EncodeHealthCheck(*service_, target));
+  const WriteResult written = co_await connection.Write(bytes, kCheckTimeout);
+  std::optional<HealthReport> report;
+  if (!written.error) {
+    report = co_await ReadHealthReport(connection);
+  }
+  const bool serves = report && report->serving && report->target == target.id;
+  Log(Level::kInfo, "target_checked",
+      {{"request", metadata_.request_id},
+       {"target", target.id.value},
+       {"serves", serves},
+       {"answered", report.has_value()},
+       {"list_age_ms", base::ToMillis(asked_at - context_.targets.ConfirmedAt())}});
+  context_.metrics.CountTargetCheck(CheckResult(serves, report.has_value()));
+  if (serves) {
+    context_.target_checks.OnServing(asked_at, target.id, target.started_ms);
+    co_return true;
+  }
+  attempt_result_ =
+      report ? dispatch::AttemptResult::kRejected : dispatch::AttemptResult::kUnreachable;
+  attempt_error_ = "the target does not say that it takes requests";
+  co_return false;
+}
+
+awaitable<std::optional<HealthReport>> Exchange::ReadHealthReport(HttpConnection& connection) {
+  const auto head = co_await connection.ReadHead(kCheckTimeout);
+  if (!head) co_return std::nullopt;
+  const HealthReport report = context_.codec.DecodeHealthReport(*head);
+  if (!co_await ReadFullBody(connection)) co_return std::nullopt;
+  co_return report;
+}
+
 awaitable<Exchange::Outcome> Exchange::SendTo(const dispatch::TargetEntry& target,
                                               std::unique_ptr<HttpConnection>& connection) {
-  const bool repeatable = MayRetry();
   if (!MayStillSend(target)) co_return Outcome::kNotRun;
-  auto acquired = co_await context_.pool.Acquire(
-      target, repeatable ? IdleReuse::kAnyIdle : IdleReuse::kRecentlyUsed, metadata_.request_id,
-      std::min<base::Duration>(RemainingTimeout(), kConnectTimeout));
-  if (!acquired) {
-    // A target that was not tried keeps its state.
-    const bool tried = acquired.error() != boost::asio::error::host_unreachable;
-    attempt_result_ =
-        tried ? dispatch::AttemptResult::kUnreachable : dispatch::AttemptResult::kCancelled;
-    attempt_error_ = acquired.error().message();
-    co_return Outcome::kNotRun;
-  }
-  connection = std::move(*acquired);
+  connection = co_await Connect(target);
+  if (!connection) co_return Outcome::kNotRun;
   if (caller_.Disconnected()) co_return Outcome::kNotRun;
   if (!MayStillSend(target)) {
     connection.reset();
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -14,6 +14,7 @@
 #include "followers.hpp"
 #include "peer_socket.hpp"
 #include "persimmonstair/diagnostics/metrics.hpp"
+#include "persimmonstair/dispatch/target_checks.hpp"
 #include "persimmonstair/dispatch/target_registry.hpp"
 #include "persimmonstair/gateway/platform_codec.hpp"
 #include "persimmonstair/gateway/settings.hpp"
@@ -48,6 +49,7 @@
         reads(executor, store, peers, metrics, store_access::SharedReads::kStartTime),
         configuration(reads, codec),
         target_registry(settings.data_centre),
+        target_checks(settings.target_leave_time),
         fleet(executor, store, reads, peers, settings, std::move(process)),
         connector(executor, fleet),
         crash_detector(connector, fleet.Crashes(), metrics),
@@ -100,6 +102,7 @@
   store_access::SharedReads reads;
   ConfigurationFollower configuration;
   dispatch::TargetRegistry target_registry;
+  dispatch::TargetChecks target_checks;
   FleetRegistry fleet;
   TargetConnector connector;
   CrashDetector crash_detector;
--- a/src/persimmonstair/gateway/settings_load.cpp
+++ b/src/persimmonstair/gateway/settings_load.cpp
@@ -35,6 +35,8 @@
           "store_writes_per_s: 10 to 1000000");
   require(settings.store_read_mb_per_s >= 1 && settings.store_read_mb_per_s <= 1'000'000,
           "store_read_mb_per_s: 1 to 1000000");
+  require(settings.target_leave_ms >= 1000 && settings.target_leave_ms <= 600'000,
+          "target_leave_ms: 1000 to 600000");
   require(settings.turn_cache_mb >= 1 && settings.turn_cache_mb <= 4096,
           "turn_cache_mb: 1 to 4096");
   require(settings.stop_ms >= 2000 && settings.stop_ms <= 600'000, "stop_ms: 2000 to 600000");
@@ -99,6 +101,7 @@
   out.store = *ParseEndpoint(settings.store);
   out.parts_of_stream = settings.parts_of_stream;
   out.store_writes_per_s = settings.store_writes_per_s;
+  out.target_leave_time = std::chrono::milliseconds{settings.target_leave_ms};
   out.turn_cache_bytes = std::size_t{settings.turn_cache_mb} << 20U;
   out.stop_grace_period = std::chrono::milliseconds{settings.stop_ms};
   return out;
--- a/src/persimmonstair/gateway/store_access/cold_start_test.cpp
+++ b/src/persimmonstair/gateway/store_access/cold_start_test.cpp
@@ -28,6 +28,11 @@
     response.head = std::move(head);
     return response;
   }
+  HttpRequest EncodeHealthCheck(const Service& /*service*/,
+                                const dispatch::TargetEntry& /*target*/) const override {
+    return {};
+  }
+  HealthReport DecodeHealthReport(const HttpHead& /*head*/) const override { return {}; }
   base::Result<Configuration> DecodeConfiguration(std::string_view /*bytes*/) const override {
     return Configuration{1, {}, {}, {}, {}};
   }
--- a/src/persimmonstair/gateway/store_access/retrying_record_store.cpp
+++ b/src/persimmonstair/gateway/store_access/retrying_record_store.cpp
@@ -83,6 +83,7 @@
   const base::Duration latency = std::min<base::Duration>(took, kMaxTimeout / kTimeoutFactor);
   smoothed_latency_ = (smoothed_latency_ * 7 + latency) / 8;
   const base::TimePoint now = Now();
+  answered_at_ = now;
   if (!first_answered_at_) first_answered_at_ = now;
   if (!failing_) return;
   failing_ = false;
--- a/src/persimmonstair/gateway/store_access/retrying_record_store.hpp
+++ b/src/persimmonstair/gateway/store_access/retrying_record_store.hpp
@@ -66,6 +66,8 @@
   bool Failing() const { return failing_; }
   /// Time at which the store last became reachable again; zero if it was never unreachable.
   base::TimePoint RecoveredAt() const { return recovered_at_; }
+  /// Time of the store's last answer; zero before the first one.
+  base::TimePoint AnsweredAt() const { return answered_at_; }
   /// Time of the store's first answer; nothing before it.
   std::optional<base::TimePoint> FirstAnsweredAt() const { return first_answered_at_; }
   /// Counts of all calls, repeated ones included.
@@ -134,6 +136,7 @@
   base::TimePoint failing_since_;
   base::TimePoint recovered_at_;
   std::optional<base::TimePoint> first_answered_at_;
+  base::TimePoint answered_at_;
   /// Time at which the last of the answered reads was sent.
   base::TimePoint newest_answered_sent_at_;
   /// Exponentially smoothed latency of answered calls.
