Write settlements without reading their partition

What callers saw: after a restart of many instances, turns were refused for 9 to 10 s ("the program's token budget can't be charged", SHORT).

Cause: a settlement that the coordinator does not confirm in 1.4 s is written by the instance itself, and that read the whole partition of reservations first. The partitions' coordinators waited behind them.

Change: settlements of a partition that isn't loaded are appended without any read. Their deletion is left to the partition's appender.

Result: BudgetSettlementTest.SettlementsReadNoPartition failed before (20 reads for 20 instances, 0 wanted) and passes. The other BudgetManagerTest cases pass.

--- a/src/persimmonstair/gateway/budget_manager.cpp
+++ b/src/persimmonstair/gateway/budget_manager.cpp
@@ -158,6 +158,10 @@
 
 awaitable<void> BudgetManager::AppendQueued(const Partition& partition, State& state,
                                             std::vector<QueuedReservationPtr>& batch) {
+  if (!state.loaded && batch.empty() && !state.dropping) {
+    co_await AppendSettled(partition, state);
+    co_return;
+  }
   if (!state.loaded && !co_await Load(partition, state, Now() + kLoadTimeout)) {
     state.dropping = false;
     co_return;
@@ -185,9 +189,7 @@
   }
   const auto offset = co_await store_.Append(partition, std::move(records), deadline);
   if (!offset || !co_await CatchUp(partition, state, *offset, deadline)) {
-    std::move(state.settled.begin(), state.settled.end(), std::back_inserter(settled));
-    state.settled = std::move(settled);
-    state.settled_since = Now();
+    PutBack(state, std::move(settled));
     state.dropping = false;
     co_return;
   }
@@ -201,6 +203,29 @@
   for (const auto& one : batch) Decide(state, *one);
 }
 
+awaitable<void> BudgetManager::AppendSettled(const Partition& partition, State& state) {
+  std::vector<QueuedSettlement> settled = std::exchange(state.settled, {});
+  std::vector<KeyedRecord> records;
+  records.reserve(settled.size());
+  // Their deletion is left to the instance that appends to the partition.
+  for (const auto& one : settled) records.push_back(Encode(one.reservation));
+  const base::TimePoint deadline = Now() + kSettleTimeout;
+  const auto offset = co_await store_.Append(partition, std::move(records), deadline);
+  if (!offset) {
+    PutBack(state, std::move(settled));
+    co_return;
+  }
+  for (const auto& one : settled) {
+    if (one.written) one.written();
+  }
+}
+
+void BudgetManager::PutBack(State& state, std::vector<QueuedSettlement> settled) {
+  std::move(state.settled.begin(), state.settled.end(), std::back_inserter(settled));
+  state.settled = std::move(settled);
+  state.settled_since = Now();
+}
+
 KeyedRecord BudgetManager::Track(State& state, const schema::TokenReservation& reservation) {
   KeyedRecord record = Encode(reservation);
   state.expiry.Add(record.key, ExpiryOf(reservation, store_access::RecordWriter::kThis));
--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -156,6 +156,10 @@
                                          base::TimePoint deadline);
   boost::asio::awaitable<void> AppendQueued(const Partition& partition, State& state,
                                             std::vector<QueuedReservationPtr>& batch);
+  /// Appends the settlements of a partition that is not loaded. They need none of its records.
+  boost::asio::awaitable<void> AppendSettled(const Partition& partition, State& state);
+  /// Has settlements that could not be written tried again later.
+  static void PutBack(State& state, std::vector<QueuedSettlement> settled);
   /// Decides a reservation that is in the store, as are all records before it.
   void Decide(State& state, QueuedReservation& queued);
   void Apply(State& state, const KeyedRecord& record);
