Bound the check of a target by its request, and take a busy store for present

Cause: a review of the check found that it was left out in the case that it is for, if all calls of an instance are reads that wait for 1.5 s in a busy store; that a full target, which answers late, counted as unreachable and was avoided by all; that a check could outlast its request's deadline or its caller, and that a request could be sent after it although its time was over.

Change: the store counts as away after 5 s without any answer. A check ends with the request's time and with the caller, 0.3 s in all; without an answer the target counts as one that rejects. The connection of a check that was refused is kept.

Result: TargetChecksTest has a case more (a busy store), which the code before fails by reading. Not covered by a test: the check's end with its caller, and a full target.

--- a/include/persimmonstair/dispatch/target_checks.hpp
+++ b/include/persimmonstair/dispatch/target_checks.hpp
@@ -13,6 +13,9 @@
 /// Time from the decision to send a request until it reaches the target, at the most.
 inline constexpr std::chrono::milliseconds kMaxSendTime{500};
 
+/// Time without any answer of the store after which it counts as away, and not only as busy.
+inline constexpr std::chrono::seconds kStoreAwayAfter{5};
+
 /// @brief Age of what an instance knows when it is about to send a request to a target.
 struct TargetKnowledge {
   /// Time at which the list of targets was last known to be current.
@@ -26,8 +29,9 @@
 ///
 /// A target that leaves says so in its entry, and must get no requests a certain time later. A list
 /// that is nearly as old as that may lack the news, whatever has delayed it. Then only a recent
-/// health check of the target shows that it stays: other responses need not say so. While the store answers nothing at all, no target can
-/// have said in its entry that it leaves, and the list is relied on.
+/// health check of the target shows that it stays: other responses need not say so. Once the store
+/// has answered nothing for long, no target can have said in its entry that it leaves, and the list
+/// is relied on.
 ///
 ///     if (checks.IsDue(now, knowledge, target, started_ms)) serves = Ask(target);
 ///     if (serves) checks.OnServing(asked_at, target, started_ms);
--- a/src/persimmonstair/dispatch/target_checks.cpp
+++ b/src/persimmonstair/dispatch/target_checks.cpp
@@ -13,7 +13,7 @@
 bool TargetChecks::IsDue(base::TimePoint now, const TargetKnowledge& knowledge,
                          const base::TargetId& target, std::int64_t started_ms) const {
   if (now - knowledge.list_confirmed_at < max_age_) return false;
-  if (now - knowledge.store_answered_at >= max_age_) return false;
+  if (now - knowledge.store_answered_at >= kStoreAwayAfter) return false;
   const auto it = answers_.find(target);
   const bool known = it != answers_.end() && it->second.started_ms == started_ms;
   return !known || now - it->second.asked_at >= max_age_;
--- a/src/persimmonstair/dispatch/target_checks_test.cpp
+++ b/src/persimmonstair/dispatch/target_checks_test.cpp
@@ -30,7 +30,14 @@
 TEST(TargetChecksTest, ListIsReliedOnWhileTheStoreIsAway) {
   const TargetChecks checks(kLeaveTime);
   const milliseconds list_age{9000};
-  EXPECT_FALSE(checks.IsDue(kStart, Aged(kStart, list_age, milliseconds{1500}), kTarget, 1));
+  EXPECT_FALSE(checks.IsDue(kStart, Aged(kStart, list_age, kStoreAwayAfter), kTarget, 1));
+}
+
+// Guards against a busy store that counts as away because all reads of an instance wait in it.
+TEST(TargetChecksTest, TargetIsAskedWhileTheStoreIsOnlyBusy) {
+  const TargetChecks checks(kLeaveTime);
+  const auto almost = kStoreAwayAfter - milliseconds{1};
+  EXPECT_TRUE(checks.IsDue(kStart, Aged(kStart, almost, almost), kTarget, 1));
 }
 
 // Guards against a check before each request.
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -121,17 +121,21 @@
   /// False, and the attempt's result is set, if since it was chosen the target has started again,
   /// perhaps with another version, has begun to leave, or may have left.
   bool MayStillSend(const dispatch::TargetEntry& target);
-  /// Returns a connection to the target, on which it has been asked whether it takes requests if
-  /// that is uncertain. Returns null, and the attempt's result is set, if there is none or it
-  /// doesn't.
-  boost::asio::awaitable<std::unique_ptr<HttpConnection>> Connect(dispatch::TargetEntry target);
-  boost::asio::awaitable<std::unique_ptr<HttpConnection>> Acquire(dispatch::TargetEntry target);
+  /// Opens a connection to the target or takes an idle one, and asks the target whether it takes
+  /// requests if that is uncertain. Returns false, and the attempt's result is set, if there is no
+  /// connection or it doesn't.
+  boost::asio::awaitable<bool> Connect(dispatch::TargetEntry target,
+                                       std::unique_ptr<HttpConnection>& connection);
+  boost::asio::awaitable<bool> Acquire(dispatch::TargetEntry target,
+                                       std::unique_ptr<HttpConnection>& connection);
   /// True if the target must be asked whether it takes requests.
   bool NeedsCheck(const dispatch::TargetEntry& target) const;
   /// Asks the target whether it takes requests; sets the attempt's result if it doesn't.
   boost::asio::awaitable<bool> CheckTarget(dispatch::TargetEntry target,
                                            HttpConnection& connection);
-  boost::asio::awaitable<std::optional<HealthReport>> ReadHealthReport(HttpConnection& connection);
+  /// Returns nothing if the report is not complete at `deadline`.
+  boost::asio::awaitable<std::optional<HealthReport>> ReadHealthReport(HttpConnection& connection,
+                                                                       base::TimePoint deadline);
   /// Counts an attempt that is sent now.
   void CountSend(const dispatch::TargetEntry& target);
   void RecordError(const boost::system::error_code& ec);
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -23,7 +23,7 @@
 
 /// Maximum time to open a connection, through other instances if need be.
 constexpr milliseconds kConnectTimeout{400};
-/// Maximum time for each step of a health check.
+/// Maximum time for a health check.
 constexpr milliseconds kCheckTimeout{300};
 /// Time without response after which an idempotent or resumable request goes to another target, in
 /// multiples of the route's objective, and its minimum.
@@ -178,26 +178,39 @@
   co_return outcome;
 }
 
-awaitable<std::unique_ptr<HttpConnection>> Exchange::Acquire(dispatch::TargetEntry target) {
+awaitable<bool> Exchange::Acquire(dispatch::TargetEntry target,
+                                  std::unique_ptr<HttpConnection>& connection) {
   const IdleReuse reuse = MayRetry() ? IdleReuse::kAnyIdle : IdleReuse::kRecentlyUsed;
   const base::Duration timeout = std::min<base::Duration>(RemainingTimeout(), kConnectTimeout);
   auto acquired = co_await context_.pool.Acquire(target, reuse, metadata_.request_id, timeout);
-  if (acquired) co_return std::move(*acquired);
+  if (acquired) {
+    connection = std::move(*acquired);
+    co_return true;
+  }
   // A target that was not tried keeps its state.
   const bool tried = acquired.error() != boost::asio::error::host_unreachable;
   attempt_result_ =
       tried ? dispatch::AttemptResult::kUnreachable : dispatch::AttemptResult::kCancelled;
   attempt_error_ = acquired.error().message();
-  co_return nullptr;
+  co_return false;
 }
 
-awaitable<std::unique_ptr<HttpConnection>> Exchange::Connect(dispatch::TargetEntry target) {
-  auto connection = co_await Acquire(target);
-  if (!connection || !NeedsCheck(target)) co_return std::move(connection);
+awaitable<bool> Exchange::Connect(dispatch::TargetEntry target,
+                                  std::unique_ptr<HttpConnection>& connection) {
+  if (!co_await Acquire(target, connection)) co_return false;
+  if (!NeedsCheck(target)) co_return true;
+  active_connection_ = connection.get();
   const bool serves = co_await CheckTarget(target, *connection);
-  if (!serves) co_return nullptr;
-  if (connection->Reusable()) co_return std::move(connection);
-  co_return co_await Acquire(target);
+  active_connection_ = nullptr;
+  if (!serves) co_return false;
+  if (IsLate()) {
+    attempt_result_ = dispatch::AttemptResult::kCancelled;
+    attempt_error_ = "the check of the target took too long";
+    co_return false;
+  }
+  if (connection->Reusable()) co_return true;
+  connection.reset();
+  co_return co_await Acquire(target, connection);
 }
 
 bool Exchange::NeedsCheck(const dispatch::TargetEntry& target) const {
@@ -209,11 +222,12 @@
 
 awaitable<bool> Exchange::CheckTarget(dispatch::TargetEntry target, HttpConnection& connection) {
   const base::TimePoint asked_at = Now();
+  const base::Duration timeout = std::min<base::Duration>(RemainingTimeout(), kCheckTimeout);
   const std::string bytes = SerializeRequest(context_.codec.EncodeHealthCheck(*service_, target));
-  const WriteResult written = co_await connection.Write(bytes, kCheckTimeout);
+  const WriteResult written = co_await connection.Write(bytes, timeout);
   std::optional<HealthReport> report;
   if (!written.error) {
-    report = co_await ReadHealthReport(connection);
+    report = co_await ReadHealthReport(connection, asked_at + timeout);
   }
   const bool serves = report && report->serving && report->target == target.id;
   Log(Level::kInfo, "target_checked",
@@ -227,25 +241,31 @@
     context_.target_checks.OnServing(asked_at, target.id, target.started_ms);
     co_return true;
   }
-  attempt_result_ =
-      report ? dispatch::AttemptResult::kRejected : dispatch::AttemptResult::kUnreachable;
+  // A full target answers late too.
+  attempt_result_ = dispatch::AttemptResult::kRejected;
   attempt_error_ = "the target does not say that it takes requests";
   co_return false;
 }
 
-awaitable<std::optional<HealthReport>> Exchange::ReadHealthReport(HttpConnection& connection) {
-  const auto head = co_await connection.ReadHead(kCheckTimeout);
+awaitable<std::optional<HealthReport>> Exchange::ReadHealthReport(HttpConnection& connection,
+                                                                  base::TimePoint deadline) {
+  const auto left = [deadline] {
+    return std::max<base::Duration>(deadline - Now(), milliseconds{1});
+  };
+  const auto head = co_await connection.ReadHead(left());
   if (!head) co_return std::nullopt;
   const HealthReport report = context_.codec.DecodeHealthReport(*head);
-  if (!co_await ReadFullBody(connection)) co_return std::nullopt;
-  co_return report;
+  for (;;) {
+    const BodyPiece piece = co_await connection.ReadBody(left());
+    if (piece.error || Now() >= deadline) co_return std::nullopt;
+    if (piece.end) co_return report;
+  }
 }
 
 awaitable<Exchange::Outcome> Exchange::SendTo(const dispatch::TargetEntry& target,
                                               std::unique_ptr<HttpConnection>& connection) {
   if (!MayStillSend(target)) co_return Outcome::kNotRun;
-  connection = co_await Connect(target);
-  if (!connection) co_return Outcome::kNotRun;
+  if (!co_await Connect(target, connection)) co_return Outcome::kNotRun;
   if (caller_.Disconnected()) co_return Outcome::kNotRun;
   if (!MayStillSend(target)) {
     connection.reset();
