Brace a condition that a coroutine's statement follows, and return a read by move

Cause: clang-tidy's two findings in (google-readability-braces-around-statements, performance-no-automatic-move), found by a lint of the changed files. No logic changes.

--- a/src/persimmonstair/gateway/store_access/shared_reads.cpp
+++ b/src/persimmonstair/gateway/store_access/shared_reads.cpp
@@ -130,7 +130,7 @@
 
 SharedReads::NewestReadPtr SharedReads::BeginNewestRead(const Partition& partition,
                                                         base::Duration timeout) {
-  const auto read = std::make_shared<NewestRead>(executor_);
+  auto read = std::make_shared<NewestRead>(executor_);
   read->asked_at = Now();
   boost::asio::co_spawn(executor_, RunNewestRead(partition, timeout, read), boost::asio::detached);
   return read;
@@ -146,7 +146,9 @@
 awaitable<void> SharedReads::AwaitNewestRead(Partition partition, NewestReadPtr read) {
   base::TimePoint until = followed_[partition].long_reads->NextAskAt();
   if (!read) {
-    if (until > Now()) co_await Sleep(until - Now());
+    if (until > Now()) {
+      co_await Sleep(until - Now());
+    }
     co_return;
   }
   until = std::max(until, read->asked_at + kStoreHeadStart);
