--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,6 +1,7 @@
-// A request crashes the worker that runs it and comes again every few seconds. The worker comes
-// back under the id that it had.
+// Clients send orders on kept connections to a machine that is stopped as planned meanwhile, and
+// read the answers two seconds late, well before their deadline.
 #include <algorithm>
+#include <csignal>
 #include <string>
 
 #include "../support-2/deployment.hpp"
@@ -11,141 +12,114 @@
 
 constexpr int kMemoryMb = 130;
 constexpr int kRate = 100;
-constexpr int kWorkers = 3;
-constexpr int kTries = 13;
-constexpr int kTryEveryMs = 4'500;
-constexpr int kBackAfterMs = 2'500;
-constexpr int kPauseMs = 100;
-constexpr double kContactS = 3;
-const std::string kCrashing = "crashes whoever runs it";
+constexpr int kClients = 5;
+constexpr int kDeadlineMs = 3000;
+/// The longest answer of the sheet's services.
+constexpr std::size_t kAnswerBytes = 4'800;
+/// Small windows, so that a client that doesn't read blocks the writer.
+constexpr int kReceiveBuffer = 2'304;
+constexpr int kWorkMs = 78;
+constexpr int kTermAtMs = 40;
+constexpr int kReadAtMs = 2'500;
 
-struct Crash {
-  double at = 0;
-  std::string worker;
-  std::string request;
+struct Order {
+  bool first_answered = false;
+  bool whole = false;
+  bool reset = false;
+  std::size_t bytes = 0;
+  double took = 0;
 };
 
-/// The workers of one service in one zone, which crash when they begin to run kCrashing.
-class Workers {
- public:
-  explicit Workers(Store& store) : store_(store), workers_(kWorkers), starts_(kWorkers, 0) {
-    for (int n = 0; n < kWorkers; ++n) Start(n);
-    keeper_ = std::thread([this] { Restart(); });
-  }
-  ~Workers() {
-    over_ = true;
-    keeper_.join();
-  }
+std::string OrderText(const std::string& id) {
+  return "POST /order/x HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: " + id +
+         "\r\nX-Deadline-Ms: " + std::to_string(kDeadlineMs) +
+         "\r\nAuthorization: Bearer key1\r\nContent-Length: 4\r\n\r\nbook";
+}
 
-  std::vector<Crash> Crashes() {
-    const std::lock_guard lock(mutex_);
-    return crashes_;
+// One order on a kept connection, whose answer is read `read_at_ms` after it was sent.
+Order Send(std::uint16_t port, const std::string& id, int read_at_ms, std::atomic<int>& sent) {
+  Order order;
+  const auto socket = Socket::Connect(port, kReceiveBuffer);
+  if (!socket) return order;
+  std::string buffer;
+  socket->Send(OrderText("first-" + id));
+  const auto first = ReadMessage(*socket, buffer, kDeadlineMs);
+  order.first_answered = first && first->whole && first->Status() == 200;
+  ++sent;
+  while (sent % kClients != 0) SleepMs(1);
+  const double begin = Elapsed();
+  socket->Send(OrderText(id));
+  SleepMs(read_at_ms);
+  while (socket->Receive(buffer, kDeadlineMs - read_at_ms)) {
+    if (buffer.find("\r\n\r\n") == std::string::npos) continue;
+    if (buffer.size() >= buffer.find("\r\n\r\n") + 4 + kAnswerBytes) break;
   }
+  order.took = Elapsed() - begin;
+  order.reset = socket->WasReset();
+  order.bytes = buffer.size();
+  const auto body = buffer.find("\r\n\r\n");
+  order.whole = buffer.starts_with("HTTP/1.1 200") && body != std::string::npos &&
+                buffer.size() == body + 4 + kAnswerBytes;
+  return order;
+}
 
- private:
-  // With TROUBLE=0 each start has a new id.
-  std::string Id(int n) const {
-    return "i-" + std::to_string(n) + (Trouble() ? "" : "-" + std::to_string(starts_[n]));
+// Sends the orders to the machine and counts those whose connection ended without a whole answer.
+int CountCut(Machine& machine, const std::string& prefix, bool term, Record& record) {
+  std::vector<Order> orders(kClients);
+  std::atomic<int> sent{0};
+  std::vector<std::thread> clients;
+  for (int n = 0; n < kClients; ++n) {
+    clients.emplace_back([&, n] {
+      orders[n] = Send(machine.Port(), prefix + std::to_string(n), Trouble() ? kReadAtMs : 0, sent);
+    });
   }
-
-  void Start(int n) {
-    ++starts_[n];
-    workers_[n] = std::make_unique<Worker>(
-        store_, Id(n), "agents", "krakow-a",
-        [this, n, id = Id(n)](const Message& request, Socket& socket) {
-          if (request.body != kCrashing) {
-            AnswerTurn(request, socket, kPauseMs);
-            return;
-          }
-          {
-            const std::lock_guard lock(mutex_);
-            crashes_.push_back({Elapsed(), id, request.Header("X-Request-Id")});
-          }
-          workers_[n]->Crash();
-          crashed_ = n;
-        });
+  while (sent < kClients) SleepMs(1);
+  SleepMs(kTermAtMs);
+  if (term) {
+    machine.Signal(SIGTERM);
+    record.Line("SIGTERM to " + machine.Name());
   }
-
-  void Restart() {
-    while (!over_) {
-      SleepMs(1);
-      const int n = crashed_.exchange(-1);
-      if (n < 0) continue;
-      SleepMs(kBackAfterMs);
-      const std::string before = Id(n);
-      workers_[n].reset();
-      // Another id: the entry of the start before lapses.
-      if (!Trouble()) store_.Put("keyed.servers", before, std::nullopt);
-      Start(n);
-    }
+  for (auto& client : clients) client.join();
+  int cut = 0;
+  for (int n = 0; n < kClients; ++n) {
+    const Order& one = orders[n];
+    const bool counts = one.first_answered && !one.whole && one.took * 1000 < kDeadlineMs;
+    if (counts) ++cut;
+    record.Line("order " + prefix + std::to_string(n) + ": whole answer " +
+                (one.whole ? "yes" : "no") + ", " + std::to_string(one.bytes) + " bytes, reset " +
+                (one.reset ? "yes" : "no") + ", after " + std::to_string(one.took) + " s");
   }
-
-  Store& store_;
-  std::vector<std::unique_ptr<Worker>> workers_;
-  std::vector<int> starts_;
-  std::mutex mutex_;
-  std::vector<Crash> crashes_;
-  std::atomic<int> crashed_{-1};
-  std::atomic<bool> over_{false};
-  std::thread keeper_;
-};
+  return cut;
+}
 
 int Run() {
   Record record("review/10/record.txt");
   Store store;
-  PutConfiguration(store, kRate);
-  Workers workers(store);
+  PutConfiguration(store, kRate, kDeadlineMs);
+  std::atomic<int> ran{0};
+  Worker worker(store, "w1", "desk", "austin-east", [&](const Message& request, Socket& socket) {
+    ++ran;
+    SleepMs(kWorkMs);
+    socket.Send(Worker::Reply(request, std::string(kAnswerBytes, 'r')));
+  });
+  Worker second(store, "w2", "agents", "austin-east",
+                [](const Message& request, Socket& socket) { AnswerTurn(request, socket, 0); });
   std::vector<std::unique_ptr<Machine>> machines;
-  for (const char* zone : {"krakow-a", "krakow-b", "tarnow"}) {
+  for (const char* zone : {"austin-east", "austin-north", "san-marcos"}) {
     machines.push_back(
         std::make_unique<Machine>(std::string("front-") + zone + "-1", zone, store, kMemoryMb));
   }
   if (!StartAll(machines, record)) return kNotRun;
-  // A tenant's rate begins to collect with its first request.
-  Ask(machines[0]->Port(), ToText({"warm", "key1", "warm", "", "hello"}), 3000);
-  std::atomic<bool> over{false};
-  std::atomic<int> sent{0};
-  std::atomic<int> cut{0};
-  std::vector<std::thread> ordinary;
-  for (int c = 0; c < 6; ++c) {
-    ordinary.emplace_back([&, c] {
-      for (int n = 0; !over; ++n) {
-        const std::string id = "o" + std::to_string(c) + "-" + std::to_string(n);
-        const auto answer =
-            Ask(machines[c % 3]->Port(), ToText({id, "key2", "program-" + id, "", "hello"}), 3000);
-        const bool refused = answer && (answer->Status() == 429 || answer->Status() == 503);
-        ++sent;
-        if (!IsWholeTurn(answer) && !refused) ++cut;
-        if (refused) SleepMs(200);
-      }
-    });
-  }
-  SleepMs(2000);
-  int tries = 0;
-  for (int n = 0; n < kTries; ++n) {
-    const std::string id = "crashing" + std::to_string(n);
-    const auto answer =
-        Ask(machines[0]->Port(), ToText({id, "key1", "program", "", kCrashing}), 3000);
-    record.Line("sent " + id + ": " + (answer ? answer->first_line : "no answer"));
-    if (answer && answer->Status() != 429) ++tries;
-    SleepMs(kTryEveryMs);
-  }
-  over = true;
-  for (auto& caller : ordinary) caller.join();
-  const std::vector<Crash> crashes = workers.Crashes();
-  for (const Crash& one : crashes) {
-    record.Line(one.request + " crashed " + one.worker + " at " + std::to_string(one.at) + " s");
-  }
-  const auto late = std::count_if(crashes.begin(), crashes.end(), [&](const Crash& one) {
-    return crashes.size() > 3 && one.at > crashes[2].at + kContactS;
-  });
-  record.Line("ordinary turns: " + std::to_string(sent) + " sent, " + std::to_string(cut) +
-              " lost or cut");
-  record.Line("tries that reached a worker later than contact_ms after the third crash: " +
-              std::to_string(late));
-  if (tries < kTries || crashes.size() < 3) return kNotRun;
-  record.Line(late > 3 ? "BUDGET: broken" : "BUDGET: held");
-  return late > 3 ? kBroken : kHeld;
+  const int calm = CountCut(*machines[1], "calm-", false, record);
+  record.Line("without a stop, connections that ended without a whole answer: " +
+              std::to_string(calm) + " of " + std::to_string(kClients) + " (not judged)");
+  const int cut = CountCut(*machines[0], "planned-", true, record);
+  record.Line("orders that ran: " + std::to_string(ran) + " of " + std::to_string(4 * kClients));
+  if (ran < 4 * kClients) return kNotRun;
+  record.Line("beside the stop, connections that ended without a whole answer: " +
+              std::to_string(cut) + " of " + std::to_string(kClients));
+  record.Line(cut > 0 ? "LOST: broken" : "LOST: held");
+  return cut > 0 ? kBroken : kHeld;
 }
 
 }  // namespace
