--- a/review/support-2/standins.cpp
+++ b/review/support-2/standins.cpp
@@ -553,6 +553,8 @@
     pid_ = -1;
   }
   posix_spawn_file_actions_destroy(&actions);
+  // For run_case.sh, which ends what a stopped case leaves.
+  std::ofstream(folder_ + "/pids", std::ios::app) << pid_ << std::endl;
 }
 
 void Machine::Signal(int signal) { kill(pid_, signal); }
