--- a/src/persimmonstair/gateway/caller_connection.cpp
+++ b/src/persimmonstair/gateway/caller_connection.cpp
@@ -22,11 +22,13 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
+using std::chrono::milliseconds;
 
 namespace {
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-/// Maximum time to write a part of a response to a caller.
+/// Maximum time to write a part of a response to a caller, if the deadline of its request doesn't
+/// leave more.
 constexpr std::chrono::seconds kWriteTimeout{10};
 /// An idle connection is kept open this much longer than the idle timeout that callers know, so
 /// that no request arrives while the connection is being closed.
@@ -41,8 +43,8 @@
 /// Copies of a head: of the parser, the request and the request to the target.
 constexpr std::size_t kHeadCopies = 3;
 /// Time for which a request waits for room, with its socket unread.
-constexpr std::chrono::milliseconds kRoomWait{300};
-constexpr std::chrono::milliseconds kRoomPollInterval{10};
+constexpr milliseconds kRoomWait{300};
+constexpr milliseconds kRoomPollInterval{10};
 /// Each of them may fill the receive buffer of its socket meanwhile.
 constexpr std::uint32_t kMaxWaitingForRoom = 32;
 constexpr unsigned kNoRoomStatus = 503;
@@ -62,10 +64,11 @@
 CallerConnection::CallerConnection(GatewayContext& context, asio::ip::tcp::socket socket)
     : context_(context),
       socket_(std::move(socket)),
+      send_watch_(socket_, kUserTimeout),
       timer_(socket_.get_executor()),
       place_(context.caller_connections, Now(), [this](Eviction reason) { return Evict(reason); }),
       request_bytes_(context.request_memory) {
-  SetTcpOptions(socket_);
+  SetTcpOptions(socket_, send_watch_);
 }
 
 void CallerConnection::StartTimer(base::Duration time) {
@@ -99,9 +102,16 @@
   }
   error_code ignored;  // The peer may have closed the connection already.
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  send_watch_.BeforeClose(LongestWrite());
   socket_.close(ignored);
 }
 
+milliseconds CallerConnection::LongestWrite() const {
+  const base::Duration until_deadline = deadline_ - Now();
+  return std::max<milliseconds>(kWriteTimeout,
+                                std::chrono::duration_cast<milliseconds>(until_deadline));
+}
+
 asio::awaitable<bool> CallerConnection::ServeRequest() {
   auto request = co_await ReadRequest();
   if (!request) {
@@ -133,7 +143,21 @@
   StartTimer(limits.idle_timeout + kIdleCloseDelay);
   const auto [ec] = co_await socket_.async_wait(asio::ip::tcp::socket::wait_read, kTuple);
   StopTimer();
-  co_return !ec && PeekPeer(socket_) == PeerState::kDataAvailable;
+  if (ec) co_return false;
+  const PeerState state = PeekPeer(socket_);
+  LogLoss(state);
+  co_return state == PeerState::kDataAvailable;
+}
+
+// Bytes of the last response may not have reached the caller.
+void CallerConnection::LogLoss(PeerState state) {
+  if (state != PeerState::kReset && state != PeerState::kTimedOut) return;
+  const auto left_out = context_.loss_log.Take(Now());
+  if (!left_out) return;
+  diagnostics::Log(diagnostics::Level::kInfo, "caller_connection_lost",
+                   {{"by", state == PeerState::kReset ? "reset" : "timeout"},
+                    {"last_request_ms", base::ToMillis(Now() - arrived_at_)},
+                    {"left_out", *left_out}});
 }
 
 asio::awaitable<CallerConnection::ReadResult> CallerConnection::ReadRequest() {
@@ -159,6 +183,7 @@
   }
   StopTimer();
   arrived_at_ = Now();
+  deadline_ = arrived_at_;
   head_request_ = parser.IsHead();
   // The head is held by the parser, and then by the request with its metadata.
   if (!failure && !co_await TakeRoom(kHeadCopies * parser.HeadBytes())) failure = NoRoom();
@@ -294,7 +319,8 @@
   if (disconnected_) co_return false;
   const std::array<asio::const_buffer, 3> parts{asio::buffer(head), asio::buffer(body),
                                                 asio::buffer(end)};
-  StartTimer(kWriteTimeout);
+  StartTimer(LongestWrite());
+  send_watch_.OnWrite();
   const auto [ec, n] = co_await asio::async_write(socket_, parts, kTuple);
   StopTimer();
   if (ec) MarkDisconnected();
@@ -368,13 +394,13 @@
                                                   [self = shared_from_this()](error_code ec) {
                                                     if (ec || !self->watching_) return;
                                                     const PeerState state = PeekPeer(self->socket_);
-                                                    if (state == PeerState::kClosed) {
-                                                      self->MarkDisconnected();
-                                                    }
                                                     // Bytes of the next request stay unread, so a
                                                     // close that follows them isn't detected.
+                                                    if (state == PeerState::kDataAvailable) return;
                                                     if (state == PeerState::kIdle) {
                                                       self->WatchCaller();
+                                                    } else {
+                                                      self->MarkDisconnected();
                                                     }
                                                   }));
 }
@@ -398,6 +424,7 @@
     return true;
   }
   context_.metrics.CountClientRefusal("too_many_connections");
+  send_watch_.BeforeClose(LongestWrite());
   socket_.close(ignored);
   return true;
 }
--- a/src/persimmonstair/gateway/caller_connection.hpp
+++ b/src/persimmonstair/gateway/caller_connection.hpp
@@ -17,8 +17,10 @@
 #include "gateway_context.hpp"
 #include "persimmonstair/base/error.hpp"
 #include "persimmonstair/gateway/http.hpp"
+#include "persimmonstair/sockets/send_monitor.hpp"
 #include "request_memory.hpp"
 #include "request_parser.hpp"
+#include "socket_options.hpp"
 
 namespace persimmonstair::gateway {
 
@@ -50,6 +52,9 @@
   /// Closes the connection without ending the response, so that the caller sees it as incomplete.
   void Abort();
 
+  /// Sets the time until which the caller waits for the response to its request. It may take that
+  /// long to read it.
+  void SetDeadline(base::TimePoint deadline) { deadline_ = deadline; }
   bool Disconnected() const { return disconnected_; }
   /// Sets the function that is called once when the caller disconnects; empty for none.
   void OnDisconnect(std::function<void()> callback) { on_disconnect_ = std::move(callback); }
@@ -83,6 +88,9 @@
   boost::asio::awaitable<void> DiscardInput();
   boost::asio::awaitable<bool> Write(std::string_view head, std::string_view body = {},
                                      std::string_view end = {});
+  /// Time in which the caller must take what is written.
+  std::chrono::milliseconds LongestWrite() const;
+  void LogLoss(PeerState state);
   void StartTimer(base::Duration time);
   void StopTimer();
   void WatchCaller();
@@ -94,6 +102,7 @@
 
   GatewayContext& context_;
   boost::asio::ip::tcp::socket socket_;
+  sockets::SendMonitor::Watch send_watch_;
   boost::asio::steady_timer timer_;
   boost::beast::flat_buffer buffer_;
   ConnectionTable::Place place_;
@@ -115,6 +124,8 @@
   /// The response to the current request is a stream without a body.
   bool bodiless_stream_ = false;
   base::TimePoint arrived_at_;
+  /// Time until which the caller waits for the current response.
+  base::TimePoint deadline_;
 };
 
 }  // namespace persimmonstair::gateway
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -19,6 +19,7 @@
 #include "gateway_context.hpp"
 #include "info_server.hpp"
 #include "persimmonstair/diagnostics/log.hpp"
+#include "persimmonstair/sockets/send_monitor.hpp"
 
 namespace persimmonstair::gateway {
 
@@ -189,6 +190,9 @@
           static_cast<double>(context.request_memory.Held()));
     gauge("persimmonstair_caller_connections", "Open connections of callers",
           static_cast<double>(context.caller_connections->Size()));
+    gauge("persimmonstair_connections_read_late",
+          "Connections whose peer has closed its receive window and is there",
+          static_cast<double>(sockets::SendMonitor::Of(context.executor).LateReaders()));
     gauge("persimmonstair_caller_connections_max", "Connections of callers that may be open",
           static_cast<double>(context.caller_connections->Max()));
     gauge("persimmonstair_budget_messages_pending",
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -173,6 +173,8 @@
   std::uint32_t waiting_for_room = 0;
   /// Lines about requests that can't be read or are refused before they are.
   LogRate refusal_log;
+  /// Lines about callers' connections that were lost after a response.
+  LogRate loss_log;
   /// Set by a planned stop; responses then ask callers to open new connections.
   bool stopping = false;
   /// Time by which a planned stop ends all requests; without one, there is no such time.
--- a/src/persimmonstair/gateway/http_connection.cpp
+++ b/src/persimmonstair/gateway/http_connection.cpp
@@ -57,6 +57,7 @@
   explicit Impl(const asio::any_io_executor& executor) : stream(executor) {}
 
   beast::tcp_stream stream;
+  sockets::SendMonitor::Watch watch{stream.socket(), kUserTimeout};
   beast::flat_buffer buffer{kMaxUnparsedBytes};
   std::optional<Parser> parser;
   std::array<char, kPieceBytes> piece{};
@@ -77,7 +78,7 @@
   impl_->stream.expires_after(timeout);
   const asio::ip::tcp::endpoint peer(address, endpoint.port);
   const auto [connect_ec] = co_await impl_->stream.async_connect(peer, kTuple);
-  if (!connect_ec) SetTcpOptions(impl_->stream.socket());
+  if (!connect_ec) SetTcpOptions(impl_->stream.socket(), impl_->watch);
   co_return connect_ec;
 }
 
@@ -90,6 +91,7 @@
   impl_->stream.expires_after(timeout);
   const std::array<asio::const_buffer, 3> buffers{asio::buffer(parts[0]), asio::buffer(parts[1]),
                                                   asio::buffer(parts[2])};
+  impl_->watch.OnWrite();
   const auto [ec, n] = co_await asio::async_write(impl_->stream, buffers, kTuple);
   co_return WriteResult{ec, n};
 }
--- a/src/persimmonstair/gateway/relay_server.cpp
+++ b/src/persimmonstair/gateway/relay_server.cpp
@@ -34,6 +34,8 @@
 
   beast::tcp_stream caller;
   beast::tcp_stream target;
+  sockets::SendMonitor::Watch caller_watch{caller.socket(), kUserTimeout};
+  sockets::SendMonitor::Watch target_watch{target.socket(), kUserTimeout};
   /// Data centre of the target; empty for the store.
   base::DataCentreId data_centre;
   /// True from the first byte of a request to the first byte of its response.
@@ -63,7 +65,8 @@
 // piece's arrival, returns false.
 template <class Admit>
 asio::awaitable<error_code> Pump(beast::tcp_stream& from, beast::tcp_stream& to,
-                                 base::Duration idle_timeout, Admit admit) {
+                                 sockets::SendMonitor::Watch& to_watch, base::Duration idle_timeout,
+                                 Admit admit) {
   std::array<char, kBufferBytes> buf{};
   for (;;) {
     from.expires_after(idle_timeout);
@@ -71,6 +74,7 @@
     if (read_ec) co_return read_ec;
     if (!admit()) co_return asio::error::operation_aborted;
     to.expires_after(kWriteTimeout);
+    to_watch.OnWrite();
     const auto [write_ec, written] = co_await asio::async_write(to, asio::buffer(buf, n), kTuple);
     if (write_ec) co_return write_ec;
   }
@@ -82,8 +86,8 @@
     tunnel->request_under_way = false;
     return true;
   };
-  const error_code end =
-      co_await Pump(tunnel->target, tunnel->caller, kResponseTimeout, on_response);
+  const error_code end = co_await Pump(tunnel->target, tunnel->caller, tunnel->caller_watch,
+                                       kResponseTimeout, on_response);
   error_code ignored;  // The other side may have closed its connection already.
   if (end == asio::error::eof) {
     tunnel->caller.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -124,6 +128,7 @@
 }
 
 asio::awaitable<error_code> ConnectTarget(beast::tcp_stream& stream,
+                                          sockets::SendMonitor::Watch& watch,
                                           const dispatch::Endpoint& endpoint) {
   error_code ec;
   const auto address = asio::ip::make_address(endpoint.address, ec);
@@ -131,7 +136,7 @@
   stream.expires_after(kTargetConnectTimeout);
   const auto [connect_ec] =
       co_await stream.async_connect(tcp::endpoint(address, endpoint.port), kTuple);
-  if (!connect_ec) SetTcpOptions(stream.socket());
+  if (!connect_ec) SetTcpOptions(stream.socket(), watch);
   co_return connect_ec;
 }
 
@@ -160,8 +165,8 @@
 }
 
 asio::awaitable<void> RelayServer::Serve(tcp::socket socket) {
-  SetTcpOptions(socket);
   const auto tunnel = std::make_shared<Tunnel>(std::move(socket));
+  SetTcpOptions(tunnel->caller.socket(), tunnel->caller_watch);
   const NewestConnections::StreamPtr caller(tunnel, &tunnel->caller);
   asking_.Add(caller);
   const PeerRequest request = co_await ReadRequest(tunnel->caller);
@@ -186,7 +191,7 @@
   const dispatch::Endpoint endpoint = targets_.Find(request.target)->endpoint;
   tunnel->data_centre = targets_.Find(request.target)->data_centre;
   ++open_;
-  const auto ec = co_await ConnectTarget(tunnel->target, endpoint);
+  const auto ec = co_await ConnectTarget(tunnel->target, tunnel->target_watch, endpoint);
   connector_.OnDirect(request.target, !ec);
   diagnostics::Log(diagnostics::Level::kInfo, "target_connection_relayed",
                    {{"target", request.target.value}, {"connected", !ec}, {"open", open_}});
@@ -201,7 +206,7 @@
     co_return;
   }
   ++open_;
-  const auto ec = co_await ConnectTarget(tunnel->target, store_endpoint_);
+  const auto ec = co_await ConnectTarget(tunnel->target, tunnel->target_watch, store_endpoint_);
   diagnostics::Log(diagnostics::Level::kInfo, "store_connection_relayed",
                    {{"connected", !ec}, {"open", open_}});
   co_await Relay(tunnel, !ec);
@@ -216,7 +221,7 @@
     tunnel->request_under_way = true;
     return true;
   };
-  co_await Pump(tunnel->caller, tunnel->target, kRequestIdleTimeout, admits);
+  co_await Pump(tunnel->caller, tunnel->target, tunnel->target_watch, kRequestIdleTimeout, admits);
   // The asking instance has left, no longer wants the response or sends another request.
   tunnel->target.close();
 }
--- a/src/persimmonstair/net/peer_sender.cpp
+++ b/src/persimmonstair/net/peer_sender.cpp
@@ -1,9 +1,5 @@
 #include "peer_sender.hpp"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -20,20 +16,13 @@
 // encoded copies.
 constexpr std::size_t kBatchBytes = 1U << 20U;
 
-void SetOptions(tcp::socket& socket, std::chrono::milliseconds tcp_user_timeout) {
-  boost::system::error_code ec;
-  socket.set_option(tcp::no_delay(true), ec);
-  socket.set_option(asio::socket_base::keep_alive(true), ec);
-  const auto value = static_cast<unsigned int>(tcp_user_timeout.count());
-  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
-}
-
 }  // namespace
 
 PeerSender::PeerSender(std::shared_ptr<PeerTransportState> shared_state, schema::PeerSettings peer)
     : shared_state_(std::move(shared_state)),
       peer_(std::move(peer)),
       socket_(shared_state_->context),
+      send_watch_(socket_, shared_state_->options.tcp_user_timeout),
       deadline_(shared_state_->context),
       retry_timer_(shared_state_->context),
       backoff_(shared_state_->options.backoff_min) {}
@@ -54,7 +43,9 @@
   socket_ = tcp::socket(shared_state_->context);
   socket_.open(endpoint.protocol(), ec);
   if (ec) return Disconnect();
-  SetOptions(socket_, shared_state_->options.tcp_user_timeout);
+  socket_.set_option(tcp::no_delay(true), ec);
+  socket_.set_option(asio::socket_base::keep_alive(true), ec);
+  send_watch_.OnOpen();
   deadline_.Set(shared_state_->options.connect_timeout);
   socket_.async_connect(endpoint, [self = shared_from_this(),
                                    generation = generation_](boost::system::error_code failure) {
@@ -117,6 +108,7 @@
   std::vector<asio::const_buffer> buffers;
   buffers.reserve(write_batch_.size());
   for (const auto& part : write_batch_) buffers.emplace_back(asio::buffer(part));
+  send_watch_.OnWrite();
   asio::async_write(socket_, buffers,
                     [self = shared_from_this(), generation = generation_](
                         boost::system::error_code ec, std::size_t size) {
--- a/src/persimmonstair/net/peer_sender.hpp
+++ b/src/persimmonstair/net/peer_sender.hpp
@@ -11,6 +11,7 @@
 
 #include "deadline.hpp"
 #include "peer_transport_state.hpp"
+#include "persimmonstair/sockets/send_monitor.hpp"
 
 namespace persimmonstair::net {
 
@@ -47,6 +48,7 @@
   schema::PeerSettings peer_;
   State state_ = State::kBackoff;
   boost::asio::ip::tcp::socket socket_;
+  sockets::SendMonitor::Watch send_watch_;
   Deadline deadline_;
   boost::asio::steady_timer retry_timer_;
   std::chrono::milliseconds backoff_;
--- a/src/persimmonstair/net/target_attempt.cpp
+++ b/src/persimmonstair/net/target_attempt.cpp
@@ -1,9 +1,5 @@
 #include "target_attempt.hpp"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -24,13 +20,6 @@
                             : std::chrono::steady_clock::duration(fallback);
 }
 
-void SetOptions(asio::ip::tcp::socket& socket, std::chrono::milliseconds tcp_user_timeout) {
-  boost::system::error_code ec;
-  socket.set_option(asio::ip::tcp::no_delay(true), ec);
-  const auto value = static_cast<unsigned int>(tcp_user_timeout.count());
-  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
-}
-
 }  // namespace
 
 TargetAttempt::TargetAttempt(std::shared_ptr<TargetClientState> shared_state,
@@ -52,7 +41,10 @@
   request_text_ = std::move(*text);
   endpoint_ = *endpoint;
   if (!dispatch_.fresh_connection) socket_ = pool_->Acquire(endpoint_);
-  if (socket_) return Send();
+  if (socket_) {
+    send_watch_.emplace(*socket_, shared_state_->options.tcp_user_timeout);
+    return Send();
+  }
   Connect();
 }
 
@@ -61,7 +53,9 @@
   boost::system::error_code ec;
   socket_->open(endpoint_.protocol(), ec);
   if (ec) return Fail(FailureKind::kConnectRefused);
-  SetOptions(*socket_, shared_state_->options.tcp_user_timeout);
+  socket_->set_option(asio::ip::tcp::no_delay(true), ec);
+  send_watch_.emplace(*socket_, shared_state_->options.tcp_user_timeout);
+  send_watch_->OnOpen();
   deadline_.Set(
       TimeoutOrDefault(dispatch_.connect_timeout, shared_state_->options.connect_timeout));
   socket_->async_connect(endpoint_, [self = shared_from_this()](boost::system::error_code failure) {
@@ -83,6 +77,7 @@
   write_started_ = true;
   deadline_.Set(
       TimeoutOrDefault(dispatch_.first_byte_timeout, shared_state_->options.first_byte_timeout));
+  send_watch_->OnWrite();
   asio::async_write(*socket_, asio::buffer(request_text_),
                     [self = shared_from_this()](boost::system::error_code ec,
                                                 std::size_t /*size*/) { self->OnSent(ec); });
@@ -164,6 +159,7 @@
   ended_ = true;
   const bool reusable = response_parser_.Reusable() && request_sent_ && buffer_.size() == 0;
   deadline_.Stop();
+  send_watch_.reset();
   if (reusable) {
     pool_->Release(endpoint_, std::move(socket_));
   } else {
@@ -186,6 +182,7 @@
 
 void TargetAttempt::Close() {
   deadline_.Stop();
+  send_watch_.reset();
   boost::system::error_code ec;
   if (socket_) socket_->close(ec);
 }
--- a/src/persimmonstair/net/target_attempt.hpp
+++ b/src/persimmonstair/net/target_attempt.hpp
@@ -4,9 +4,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "deadline.hpp"
+#include "persimmonstair/sockets/send_monitor.hpp"
 #include "target_client_state.hpp"
 #include "target_pool.hpp"
 #include "target_response_parser.hpp"
@@ -50,6 +52,7 @@
   Deadline deadline_;
   boost::asio::ip::tcp::endpoint endpoint_;
   std::unique_ptr<boost::asio::ip::tcp::socket> socket_;
+  std::optional<sockets::SendMonitor::Watch> send_watch_;
   boost::beast::flat_buffer buffer_;
   /// Bytes of the request may have left the process, so the target may have run it.
   bool write_started_ = false;
--- a/src/persimmonstair/net/target_client_test.cpp
+++ b/src/persimmonstair/net/target_client_test.cpp
@@ -102,6 +102,22 @@
   TestQueue<std::string> relayed_;
 };
 
+// Guards against a request that fails because its target reads it late.
+TEST_F(TargetClientTest, TargetsMayReadRequestsLate) {
+  options_.tcp_user_timeout = std::chrono::milliseconds{1500};
+  Start();
+  TestServer late(
+      [](TestSocket& socket) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{2500});
+        socket.ReadRequest();
+        socket.Send(kOk);
+      },
+      2304);
+  auto dispatch = MakeDispatch(late.Port());
+  dispatch.body = std::string(100'000, 'x');
+  EXPECT_EQ(RunAttempt(std::move(dispatch)).kind, "");
+}
+
 // Guards against forwarding a caller's key or framing headers to a target.
 TEST_F(TargetClientTest, SendsOnlyAllowedHeadersAndTheNamedCredential) {
   options_.credentials["engine"] = "engine-token";
--- a/src/persimmonstair/net/test_socket.hpp
+++ b/src/persimmonstair/net/test_socket.hpp
@@ -2,6 +2,7 @@
 #define PERSIMMONSTAIR_SRC_NET_TEST_SOCKET_HPP_
 
 #include <gtest/gtest.h>
+#include <linux/filter.h>
 #include <sys/socket.h>
 
 #include <atomic>
@@ -18,6 +19,7 @@
 #include <map>
 #include <mutex>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
@@ -47,6 +49,14 @@
     socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
     SetTimeout();
   }
+  /// Connects with a small receive buffer, so that the peer can send no more than about so many
+  /// bytes before they are read.
+  TestSocket(std::uint16_t port, int receive_buffer_bytes) : socket_(context_) {
+    socket_.open(Tcp::v4());
+    socket_.set_option(boost::asio::socket_base::receive_buffer_size(receive_buffer_bytes));
+    socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    SetTimeout();
+  }
   /// Takes over an accepted descriptor. `on_close` runs before the descriptor is closed, so before
   /// the system can reuse its number for another connection.
   TestSocket(int accepted, std::function<void()> on_close)
@@ -106,6 +116,14 @@
     boost::system::error_code ec;
     socket_.close(ec);
   }
+  /// Drops all packets that arrive from now on, as if the peer's network path were cut.
+  void FallSilent() {
+    sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog program{1, &drop_all};
+    const int result = ::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                                    sizeof program);
+    if (result != 0) throw std::runtime_error("can't attach a filter to a socket");
+  }
   Tcp::socket& socket() { return socket_; }
 
  private:
@@ -193,9 +211,15 @@
  public:
   using Handler = std::function<void(TestSocket&)>;
 
-  explicit TestServer(Handler handler) : handler_(std::move(handler)), acceptor_(context_) {
+  /// `receive_buffer_bytes` is the size of the receive buffers of its connections; 0 for the
+  /// system's.
+  explicit TestServer(Handler handler, int receive_buffer_bytes = 0)
+      : handler_(std::move(handler)), acceptor_(context_) {
     acceptor_.open(boost::asio::ip::tcp::v4());
     acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
+    if (receive_buffer_bytes > 0) {
+      acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(receive_buffer_bytes));
+    }
     acceptor_.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
     acceptor_.listen();
     port_ = acceptor_.local_endpoint().port();
