Let callers read answers until their deadline

What callers saw: an answer longer than the send buffer was cut off 10 s after its write began, although the request's deadline left the caller more time to read it.

Cause: kWriteTimeout is 10 s whatever the deadline is.

--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -119,6 +119,7 @@
   }
   const base::Duration max_wait = metadata_.deadline.value_or(route_->timeout);
   expires_at_ = arrived_at_ + std::min(max_wait, route_->timeout);
+  caller_.SetDeadline(expires_at_);
   if (auto error = CheckStop()) return error;
   if (auto error = FindWorkspace()) return error;
   fingerprint_ = XXH64(metadata_.path.data(), metadata_.path.size(), 0);
