--- a/include/persimmonstair/turns/token_ledger.hpp
+++ b/include/persimmonstair/turns/token_ledger.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "persimmonstair/base/ids.hpp"
 #include "persimmonstair/schema/state.hpp"
@@ -43,8 +44,14 @@
 
   TokenUsage Usage(const base::WorkspaceId& workspace, const base::ProgramId& program) const;
 
-  /// True if the reservation fits into `budget` together with the program's other turns.
-  bool Fits(const schema::TokenReservation& reservation, std::uint64_t budget) const;
+  /// True if the reservation fits into `budget` together with the program's other turns, less
+  /// `ignored` tokens of them.
+  bool Fits(const schema::TokenReservation& reservation, std::uint64_t budget,
+            std::uint64_t ignored = 0) const;
+
+  /// Returns the program's reservations that aren't settled. Their expiry is that of the program.
+  std::vector<schema::TokenReservation> Unsettled(const base::WorkspaceId& workspace,
+                                                  const base::ProgramId& program) const;
 
   /// Removes programs all of whose records expired before `now_ms` (Unix milliseconds).
   void Expire(std::int64_t now_ms);
--- a/src/persimmonstair/gateway/budget_manager.cpp
+++ b/src/persimmonstair/gateway/budget_manager.cpp
@@ -6,14 +6,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <cstdint>
-#include <initializer_list>
 #include <iterator>
 #include <string>
-#include <string_view>
 #include <utility>
 
 #include "persimmonstair/diagnostics/log.hpp"
 #include "persimmonstair/schema/codec.hpp"
+#include "store_access/record_key.hpp"
 
 namespace persimmonstair::gateway {
 namespace {
@@ -21,11 +20,14 @@
 using base::ErrorCode;
 using boost::asio::awaitable;
 using std::chrono::milliseconds;
+using store_access::JoinParts;
 
 /// Longest time for which a settled reservation waits to be written with the next reservation of
 /// the same partition, which saves a store call.
 constexpr milliseconds kSettleDelay{500};
 constexpr milliseconds kSettlePollInterval{100};
+/// Time for which a settlement that isn't stored elsewhere isn't looked for again.
+constexpr std::chrono::seconds kSearchInterval{1};
 /// Timeout of an append that holds no new reservations.
 constexpr milliseconds kSettleTimeout{1000};
 /// Timeout of the first read of a partition. Longer than a reservation waits, so that the read
@@ -43,16 +45,6 @@
 /// into 255 bytes.
 constexpr std::uint64_t kProgramHashMask = (std::uint64_t{1} << 40U) - 1;
 
-// Returns a name that differs for different lists of parts.
-std::string JoinParts(std::initializer_list<std::string_view> parts) {
-  std::string name;
-  for (const auto& part : parts) {
-    name += std::to_string(part.size()) + ":";
-    name += part;
-  }
-  return name;
-}
-
 // Key of a reservation's record: the id of the turn, which the caller chose, and a hash of
 // workspace and program, so that an id that is used elsewhere too doesn't replace the record.
 std::string KeyOf(const schema::TokenReservation& reservation) {
@@ -125,6 +117,8 @@
   state.settled.push_back({ended, std::move(written)});
 }
 
+void BudgetManager::SetSettlements(FindSettlements find) { find_settlements_ = std::move(find); }
+
 void BudgetManager::Start(const Partition& partition, State& state) {
   if (state.running) return;
   state.running = true;
@@ -149,7 +143,12 @@
         // reservation is settled with 0.
         if (one->request.budget) Settle(one->request.tokens, 0);
       }
-      one->done.Set();
+      if (one->unsettled.empty()) {
+        one->done.Set();
+      } else {
+        state.reconsidered.push_back(one);
+        boost::asio::co_spawn(executor_, Reconsider(partition, one), boost::asio::detached);
+      }
     }
     if (state.queued.empty() && !state.dropping) break;
   }
@@ -266,7 +265,70 @@
   outcome.usage = state.ledger.Usage(tokens.workspace, tokens.program);
   if (!fits) outcome.result = ReservationResult::kBudgetExhausted;
   state.ledger.Apply(tokens);
-  if (!fits) Settle(tokens, 0);
+  if (fits) return;
+  const bool may_fit = outcome.usage.settled + tokens.tokens <= *request.budget;
+  if (may_fit && find_settlements_) queued.unsettled = Inherited(state, tokens);
+  if (queued.unsettled.empty()) Settle(tokens, 0);
+}
+
+std::vector<schema::TokenReservation> BudgetManager::Inherited(
+    State& state, const schema::TokenReservation& tokens) {
+  const base::TimePoint now = Now();
+  std::erase_if(state.not_found,
+                [now](const auto& one) { return now - one.second >= kSearchInterval; });
+  auto unsettled = state.ledger.Unsettled(tokens.workspace, tokens.program);
+  std::erase_if(unsettled, [&state](const auto& one) {
+    const std::string key = KeyOf(one);
+    return state.expiry.IsOwn(key) || state.not_found.contains(key);
+  });
+  return unsettled;
+}
+
+// Meanwhile the reservation counts as outstanding for all that follow it in the partition, so that
+// it may be granted once it fits beside all others, and those that follow it and are undecided
+// don't stand in its way.
+awaitable<void> BudgetManager::Reconsider(Partition partition, QueuedReservationPtr queued) {
+  const schema::TokenReservation& tokens = queued->request.tokens;
+  const auto found = co_await find_settlements_(queued->unsettled, queued->deadline);
+  State& state = states_[partition];
+  ReservationOutcome& outcome = queued->outcome;
+  if (found) {
+    for (const auto& one : queued->unsettled) state.not_found[KeyOf(one)] = Now();
+    for (const auto& one : *found) Settle(one, one.tokens);
+    outcome.usage = state.ledger.Usage(tokens.workspace, tokens.program);
+    outcome.usage.outstanding -= tokens.tokens;
+    if (state.ledger.Fits(tokens, *queued->request.budget, UndecidedAfter(state, *queued))) {
+      outcome.result = ReservationResult::kGranted;
+    }
+  } else {
+    // It is unknown whether the turns have ended.
+    outcome.result = ReservationResult::kStoreUnavailable;
+  }
+  std::erase(state.reconsidered, queued);
+  const bool granted = !queued->abandoned && outcome.result == ReservationResult::kGranted;
+  if (!granted) Settle(tokens, 0);
+  diagnostics::Log(diagnostics::Level::kInfo, "budget_reconsidered",
+                   {{"request", tokens.turn.value},
+                    {"program", tokens.program.value},
+                    {"unsettled", queued->unsettled.size()},
+                    {"settled_with_turns", found ? found->size() : 0},
+                    {"read", found.has_value()},
+                    {"granted", granted}});
+  queued->done.Set();
+}
+
+std::uint64_t BudgetManager::UndecidedAfter(const State& state, const QueuedReservation& queued) {
+  const schema::TokenReservation& tokens = queued.request.tokens;
+  std::uint64_t undecided = 0;
+  bool follows = false;
+  for (const auto& one : state.reconsidered) {
+    const schema::TokenReservation& other = one->request.tokens;
+    const bool same_program =
+        other.workspace == tokens.workspace && other.program == tokens.program;
+    if (follows && same_program) undecided += other.tokens;
+    follows = follows || one.get() == &queued;
+  }
+  return undecided;
 }
 
 awaitable<bool> BudgetManager::Load(const Partition& partition, State& state,
--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -98,6 +98,15 @@
   void Settle(schema::TokenReservation reservation, std::uint64_t tokens,
               std::function<void()> written = nullptr);
 
+  /// Returns the settlements of those of the reservations that were stored elsewhere, before the
+  /// budget's partition holds them; fails if that can't be found out before the deadline.
+  using FindSettlements =
+      std::function<boost::asio::awaitable<base::Result<std::vector<schema::TokenReservation>>>(
+          std::vector<schema::TokenReservation> unsettled, base::TimePoint deadline)>;
+  /// Sets the function that is asked before a reservation is denied because of others that aren't
+  /// settled.
+  void SetSettlements(FindSettlements find);
+
   /// Writes all pending settlements; used by a planned stop.
   boost::asio::awaitable<void> Flush(base::TimePoint deadline);
 
@@ -111,6 +120,8 @@
     ReservationRequest request;
     base::TimePoint deadline;
     ReservationOutcome outcome;
+    /// Reservations because of which it was denied, and that may have been settled elsewhere.
+    std::vector<schema::TokenReservation> unsettled;
     /// True once nobody waits for the outcome.
     bool abandoned = false;
     OneShotEvent done;
@@ -130,6 +141,10 @@
     bool loaded = false;
     bool running = false;
     std::deque<QueuedReservationPtr> queued;
+    /// Reservations whose settlements were looked for elsewhere, by key, and when.
+    std::map<std::string, base::TimePoint> not_found;
+    /// Reservations that are decided again, in the order of the partition.
+    std::deque<QueuedReservationPtr> reconsidered;
     /// Settled reservations to write, with the next reservation or after kSettleDelay.
     std::vector<QueuedSettlement> settled;
     base::TimePoint settled_since;
@@ -162,6 +177,14 @@
   static void PutBack(State& state, std::vector<QueuedSettlement> settled);
   /// Decides a reservation that is in the store, as are all records before it.
   void Decide(State& state, QueuedReservation& queued);
+  /// Returns those reservations of the program that other instances wrote and that aren't settled.
+  /// Those that this instance wrote are settled here, unless they run.
+  static std::vector<schema::TokenReservation> Inherited(State& state,
+                                                         const schema::TokenReservation& tokens);
+  /// Decides a reservation again that was denied, after the settlements that were stored elsewhere.
+  boost::asio::awaitable<void> Reconsider(Partition partition, QueuedReservationPtr queued);
+  /// Tokens of the same program's reservations that follow this one and aren't decided yet.
+  static std::uint64_t UndecidedAfter(const State& state, const QueuedReservation& queued);
   void Apply(State& state, const KeyedRecord& record);
   /// Encodes a record that is about to be written and notes its expiry.
   static KeyedRecord Track(State& state, const schema::TokenReservation& reservation);
@@ -181,6 +204,7 @@
   store_access::Partitioning partitions_;
   base::Duration append_interval_;
   base::Duration drop_interval_;
+  FindSettlements find_settlements_;
   std::map<Partition, State> states_;
 };
 
--- a/src/persimmonstair/gateway/budget_manager_test.cpp
+++ b/src/persimmonstair/gateway/budget_manager_test.cpp
@@ -70,11 +70,7 @@
     return *outcome;
   }
   ReservationOutcome Reserve(Instance& instance, const schema::TokenReservation& tokens) {
-    ReservationRequest request;
-    request.tokens = tokens;
-    request.tokens.settled = false;
-    request.budget = kBudget;
-    return Reserve(instance, request);
+    return Reserve(instance, RequestFor(tokens));
   }
 
   void RunFor(base::Duration time) {
@@ -92,17 +88,25 @@
   boost::asio::io_context io_{1};
   store_access::BusyStore records_;
 
- private:
-  boost::asio::awaitable<void> WriteRecord(std::string key, std::string value) {
-    const Partition partition{{"budgets-0"}, 0};
-    const auto records = OneRecord(key, value);
-    co_await records_.Append(partition, records, milliseconds{100}, std::nullopt);
+  static ReservationRequest RequestFor(const schema::TokenReservation& tokens) {
+    ReservationRequest request;
+    request.tokens = tokens;
+    request.tokens.settled = false;
+    request.budget = kBudget;
+    return request;
   }
 
   static boost::asio::awaitable<void> RunReserve(Instance& instance, ReservationRequest request,
                                                  std::shared_ptr<ReservationOutcome> outcome) {
     *outcome = co_await instance.budgets.Reserve(request, Now() + milliseconds{1000});
   }
+
+ private:
+  boost::asio::awaitable<void> WriteRecord(std::string key, std::string value) {
+    const Partition partition{{"budgets-0"}, 0};
+    const auto records = OneRecord(key, value);
+    co_await records_.Append(partition, records, milliseconds{100}, std::nullopt);
+  }
 };
 
 // Guards against a program that may spend its budget again after a loss of its coordinator, because
@@ -175,5 +179,110 @@
   EXPECT_EQ(records_.Appends(), kExpired + 4);
 }
 
+/// Turns that others reserved tokens for and that are gone.
+class LostTurnsTest : public BudgetManagerTest {
+ protected:
+  /// Adds a reservation of an instance that is gone.
+  void WriteUnsettled(const std::string& turn, std::uint64_t tokens) {
+    WriteReservation(Tokens(turn, tokens));
+  }
+
+  /// Starts an instance that finds these settlements beside the turns.
+  std::unique_ptr<Instance> StartWith(
+      base::Result<std::vector<schema::TokenReservation>> settlements) {
+    auto instance = Start();
+    instance->budgets.SetSettlements(
+        [this, settlements](std::vector<schema::TokenReservation> unsettled,
+                            base::TimePoint /*deadline*/)
+            -> boost::asio::awaitable<base::Result<std::vector<schema::TokenReservation>>> {
+          asked_.push_back(unsettled.size());
+          co_await Sleep(milliseconds{5});
+          co_return settlements;
+        });
+    return instance;
+  }
+
+  static schema::TokenReservation Tokens(const std::string& turn, std::uint64_t tokens,
+                                         bool settled = false) {
+    return {{"p"}, {"w"}, {turn}, tokens, settled, UnixMillis() + kRetentionMs};
+  }
+
+  /// Reserves tokens of the same program.
+  ReservationResult ReserveMore(Instance& instance, const std::string& turn, std::uint64_t tokens) {
+    return Reserve(instance, Tokens(turn, tokens)).result;
+  }
+
+  /// Number of turns that each search was about.
+  std::vector<std::size_t> asked_;
+};
+
+// Guards against a 402 because of tokens that turns reserved and did not use, if their settlement
+// was lost with their instances.
+TEST_F(LostTurnsTest, CountWithWhatTheyUsed) {
+  WriteUnsettled("a", 600);
+  WriteUnsettled("b", 300);
+  const auto instance = StartWith(std::vector{Tokens("a", 50, true), Tokens("b", 60, true)});
+  EXPECT_EQ(ReserveMore(*instance, "next", 800), ReservationResult::kGranted);
+  EXPECT_EQ(ReserveMore(*instance, "last", 100), ReservationResult::kBudgetExhausted);
+  EXPECT_EQ(asked_, std::vector<std::size_t>{2});
+  // Others learn it from the budget's partition.
+  RunFor(milliseconds{800});
+  const auto other = Start();
+  EXPECT_EQ(Reserve(*other, Tokens("other", 1)).usage.settled, 110U);
+}
+
+// Guards against spending more than the budget: a turn that broke off may have used all that it
+// reserved.
+TEST_F(LostTurnsTest, CountWithAllThatTheyReservedIfTheyBrokeOff) {
+  WriteUnsettled("a", 600);
+  WriteUnsettled("broken", 300);
+  const auto instance = StartWith(std::vector{Tokens("a", 50, true)});
+  EXPECT_EQ(ReserveMore(*instance, "next", 651), ReservationResult::kBudgetExhausted);
+  EXPECT_EQ(ReserveMore(*instance, "fits", 650), ReservationResult::kGranted);
+}
+
+// Guards against a 402, which ends the program, while it is unknown what the turns used.
+TEST_F(LostTurnsTest, AreNotTakenForUsedWhileTheStoreCannotBeRead) {
+  WriteUnsettled("a", 600);
+  const auto instance =
+      StartWith(base::Fail(base::ErrorCode::kLogUnavailable, "the store is away"));
+  EXPECT_EQ(ReserveMore(*instance, "next", 500), ReservationResult::kStoreUnavailable);
+}
+
+// Guards against reads of the store that can't change the outcome, as programs without end would
+// cause all the time.
+TEST_F(LostTurnsTest, AreNotLookedForIfTheBudgetIsSpent) {
+  WriteUnsettled("a", 100);
+  const auto instance = StartWith(std::vector{Tokens("a", 50, true)});
+  ASSERT_EQ(ReserveMore(*instance, "long", 900), ReservationResult::kGranted);
+  instance->budgets.Settle(Tokens("long", 900), 900);
+  EXPECT_EQ(ReserveMore(*instance, "next", 101), ReservationResult::kBudgetExhausted);
+  EXPECT_TRUE(asked_.empty());
+}
+
+// Guards against reads of the store for turns that run, or that were looked for just now.
+TEST_F(LostTurnsTest, AreNotLookedForAmongOwnReservationsOrAgainAtOnce) {
+  const auto instance = StartWith(std::vector<schema::TokenReservation>{});
+  ASSERT_EQ(ReserveMore(*instance, "runs", 600), ReservationResult::kGranted);
+  EXPECT_EQ(ReserveMore(*instance, "first", 500), ReservationResult::kBudgetExhausted);
+  EXPECT_TRUE(asked_.empty());
+  const auto next = StartWith(std::vector<schema::TokenReservation>{});
+  EXPECT_EQ(ReserveMore(*next, "second", 500), ReservationResult::kBudgetExhausted);
+  EXPECT_EQ(ReserveMore(*next, "third", 500), ReservationResult::kBudgetExhausted);
+  // The turn that runs and the one that was denied, whose settlement isn't written yet.
+  EXPECT_EQ(asked_, std::vector<std::size_t>{2});
+}
+
+// Guards against two turns of which each is denied because of the other, and against granting both.
+TEST_F(LostTurnsTest, LeaveRoomForOneOfTwoTurns) {
+  WriteUnsettled("a", 900);
+  const auto instance = StartWith(std::vector{Tokens("a", 100, true)});
+  const auto first = std::make_shared<ReservationOutcome>();
+  boost::asio::co_spawn(io_, RunReserve(*instance, RequestFor(Tokens("first", 600)), first),
+                        boost::asio::detached);
+  EXPECT_EQ(ReserveMore(*instance, "second", 600), ReservationResult::kBudgetExhausted);
+  EXPECT_EQ(first->result, ReservationResult::kGranted);
+}
+
 }  // namespace
 }  // namespace persimmonstair::gateway
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -168,6 +168,9 @@
   void KeepOutput(std::string_view data);
   boost::asio::awaitable<bool> BeginStream(ResponseMetadata& response);
   boost::asio::awaitable<bool> FinishStream();
+  /// Returns the settled reservation of a turn whose events have all been passed on; nothing if it
+  /// reserved none.
+  std::optional<schema::TokenReservation> Settlement() const;
 
   /// Ends the attempt that is under way because the instance stops.
   void OnStop();
--- a/src/persimmonstair/gateway/exchange_stream.cpp
+++ b/src/persimmonstair/gateway/exchange_stream.cpp
@@ -118,6 +118,14 @@
   co_return co_await caller_.StartStream(response.head);
 }
 
+std::optional<schema::TokenReservation> Exchange::Settlement() const {
+  if (!reservation_) return std::nullopt;
+  schema::TokenReservation settlement = *reservation_;
+  settlement.tokens = tokens_;
+  settlement.settled = true;
+  return settlement;
+}
+
 awaitable<bool> Exchange::FinishStream() {
   if (caller_.Disconnected()) co_return false;
   if (route_->keeps_turns) {
@@ -125,8 +133,9 @@
     schema::KeptTurn record{{metadata_.request_id}, workspace_,
                             std::move(ancestors_),  std::move(request_.body),
                             std::move(output_),     UnixMillis() + base::ToMillis(keep)};
-    const auto kept = co_await context_.turns.Save(
-        std::move(record), ExpiresAt(), base::ToMillis(route_->retention), history_expires_ms_);
+    const auto kept = co_await context_.turns.Save(std::move(record), ExpiresAt(),
+                                                   base::ToMillis(route_->retention),
+                                                   history_expires_ms_, Settlement());
     if (!kept) {
       base::Error error{
           ErrorCode::kLogUnavailable, "the turn could not be stored", Verdict::kMayHaveRun, {}};
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -94,6 +94,10 @@
     reads.SetPeersKnown([this] { return fleet.KnowsReports(); });
     reads.SetNeighbours([this] { return fleet.RecentNeighbours(); });
     reads.SetReaderRank([this] { return fleet.StoreReaderRank(); });
+    budget_manager.SetSettlements(
+        [this](std::vector<schema::TokenReservation> unsettled, base::TimePoint deadline) {
+          return turns.FindSettlements(std::move(unsettled), deadline);
+        });
     relays.SetGet([this](boost::beast::tcp_stream& stream, std::string path) {
       return ServeRecords(stream, std::move(path));
     });
--- a/src/persimmonstair/gateway/store_access/record_expiry.cpp
+++ b/src/persimmonstair/gateway/store_access/record_expiry.cpp
@@ -29,6 +29,11 @@
   groups_.erase(group);
 }
 
+bool RecordExpiry::IsOwn(const std::string& key) const {
+  const auto record = records_.find(key);
+  return record != records_.end() && record->second.writer == RecordWriter::kThis;
+}
+
 std::vector<std::string> RecordExpiry::Due(DueTimes before, std::size_t max) const {
   std::vector<std::string> due;
   for (const auto& [expires_ms, name] : by_expiry_) {
--- a/src/persimmonstair/gateway/store_access/record_expiry.hpp
+++ b/src/persimmonstair/gateway/store_access/record_expiry.hpp
@@ -44,6 +44,9 @@
   /// writer remains kThis.
   void Add(const std::string& key, const Entry& entry);
 
+  /// True if the record was added and this instance wrote it.
+  bool IsOwn(const std::string& key) const;
+
   /// Removes a record that is no longer in the store.
   void Remove(const std::string& key);
 
--- a/src/persimmonstair/gateway/turn_store.cpp
+++ b/src/persimmonstair/gateway/turn_store.cpp
@@ -15,6 +15,7 @@
 #include "clock.hpp"
 #include "persimmonstair/diagnostics/log.hpp"
 #include "persimmonstair/schema/codec.hpp"
+#include "store_access/record_key.hpp"
 
 namespace persimmonstair::gateway {
 namespace {
@@ -54,18 +55,47 @@
 
 std::string KeyOf(const schema::KeptTurn& record) { return KeyOf(record.workspace, record.turn); }
 
-// Returns the turn in a record; nothing if there is none. Logs records of other types.
+// Returns the key of a settlement that is stored with its turn.
+std::string SettlementKeyOf(const schema::TokenReservation& reservation) {
+  const std::string name = store_access::JoinParts(
+      {reservation.workspace.value, reservation.program.value, reservation.turn.value});
+  const XXH128_hash_t hash = XXH3_128bits(name.data(), name.size());
+  return fmt::format("settled/{:016x}{:016x}", hash.high64, hash.low64);
+}
+
+// Returns the turns that the reservation may belong to. The name of a reservation that was made
+// anew is that of its turn with a number.
+std::vector<std::string> TurnsOf(const schema::TokenReservation& reservation) {
+  const std::string& name = reservation.turn.value;
+  std::vector<std::string> turns{name};
+  const auto at = name.rfind('#');
+  if (at != std::string::npos) turns.push_back(name.substr(0, at));
+  return turns;
+}
+
+// Returns the turn in a record; nothing if there is none. Logs records that can't be read.
 std::optional<schema::KeptTurn> DecodeKeptTurn(const Partition& partition,
                                                const StoredRecord& stored) {
   if (!stored.record.value) return std::nullopt;
   auto record = schema::DecodeState(*stored.record.value);
   auto* kept = record ? std::get_if<schema::KeptTurn>(&*record) : nullptr;
   if (kept != nullptr) return std::move(*kept);
+  if (record && std::holds_alternative<schema::TokenReservation>(*record)) return std::nullopt;
   diagnostics::Log(diagnostics::Level::kWarning, "record_skipped",
                    {{"stream", partition.stream.value}, {"key", stored.record.key}});
   return std::nullopt;
 }
 
+// Returns the expiry of a turn or a settlement, in Unix milliseconds; nothing for other records.
+std::optional<std::int64_t> ExpiryOf(const StoredRecord& stored) {
+  if (!stored.record.value) return std::nullopt;
+  const auto record = schema::DecodeState(*stored.record.value);
+  if (!record) return std::nullopt;
+  if (const auto* kept = std::get_if<schema::KeptTurn>(&*record)) return kept->expires_ms;
+  const auto* settlement = std::get_if<schema::TokenReservation>(&*record);
+  return settlement == nullptr ? std::nullopt : std::optional(settlement->expires_ms);
+}
+
 /// Waits for a number of tasks that run at the same time.
 struct Join {
   Join(const boost::asio::any_io_executor& executor, std::size_t tasks)
@@ -92,7 +122,11 @@
       cache_(cache_bytes),
       reads_(executor, store,
              [this](const Partition& partition, const RecordSnapshot& snapshot,
-                    const KeySet& wanted) { return CacheTurns(partition, snapshot, wanted); }) {}
+                    const KeySet& wanted) { return CacheTurns(partition, snapshot, wanted); }),
+      settlement_reads_(
+          executor, store,
+          [this](const Partition& /*partition*/, const RecordSnapshot& snapshot,
+                 const KeySet& wanted) { return TakeSettlements(snapshot, wanted); }) {}
 
 awaitable<Result<History>> TurnStore::Find(base::WorkspaceId workspace, base::TurnId previous,
                                            base::TimePoint deadline) {
@@ -165,8 +199,8 @@
 }
 
 awaitable<Result<void>> TurnStore::Save(schema::KeptTurn record, base::TimePoint deadline,
-                                        std::int64_t retention_ms,
-                                        std::int64_t history_expires_ms) {
+                                        std::int64_t retention_ms, std::int64_t history_expires_ms,
+                                        std::optional<schema::TokenReservation> settlement) {
   const std::int64_t ends_ms = UnixMillis() + base::ToMillis(deadline - Now());
   const std::int64_t needed_ms = ends_ms + retention_ms + kClockMarginMs;
   if (!record.ancestors.empty() && history_expires_ms < needed_ms) {
@@ -174,13 +208,19 @@
                                                needed_ms, retention_ms, deadline);
     if (!extended) co_return extended;
   }
-  co_return co_await Write(std::move(record), deadline);
+  co_return co_await Write(std::move(record), deadline, std::move(settlement));
 }
 
-awaitable<Result<void>> TurnStore::Write(schema::KeptTurn record, base::TimePoint deadline) {
+awaitable<Result<void>> TurnStore::Write(schema::KeptTurn record, base::TimePoint deadline,
+                                         std::optional<schema::TokenReservation> settlement) {
   const Partition partition = partitions_.PartitionOf(record.turn.value);
-  const auto result = co_await store_.Append(
-      partition, OneRecord(KeyOf(record), schema::EncodeState(record)), deadline);
+  std::vector<KeyedRecord> records = OneRecord(KeyOf(record), schema::EncodeState(record));
+  if (settlement) {
+    // Dropped in the same pass as the turn.
+    settlement->expires_ms = record.expires_ms;
+    records.push_back({SettlementKeyOf(*settlement), schema::EncodeState(*settlement)});
+  }
+  const auto result = co_await store_.Append(partition, std::move(records), deadline);
   if (!result) co_return tl::make_unexpected(result.error());
   drop_schedule_.emplace_back(record.expires_ms + kDropDelayMs, partition);
   cache_.Put(std::move(record));
@@ -210,11 +250,47 @@
                  "the turns before this one can't be kept longer: the record store is unavailable");
 }
 
+awaitable<Result<std::vector<schema::TokenReservation>>> TurnStore::FindSettlements(
+    std::vector<schema::TokenReservation> unsettled, base::TimePoint deadline) {
+  std::map<Partition, KeySet> wanted;
+  for (const auto& reservation : unsettled) {
+    for (const auto& turn : TurnsOf(reservation)) {
+      wanted[partitions_.PartitionOf(turn)].insert(SettlementKeyOf(reservation));
+    }
+  }
+  // One after the other, so that a program with many turns doesn't hold many partitions at once.
+  for (auto& [partition, keys] : wanted) {
+    const auto absent = co_await settlement_reads_.Read(partition, std::move(keys), deadline);
+    if (!absent) co_return tl::make_unexpected(absent.error());
+  }
+  std::vector<schema::TokenReservation> found;
+  for (const auto& reservation : unsettled) {
+    const auto it = settlements_.find(SettlementKeyOf(reservation));
+    if (it != settlements_.end()) found.push_back(it->second);
+  }
+  co_return found;
+}
+
+KeySet TurnStore::TakeSettlements(const RecordSnapshot& snapshot, const KeySet& wanted) {
+  KeySet found;
+  for (const auto& stored : snapshot.records) {
+    if (!stored.record.value || !wanted.contains(stored.record.key)) continue;
+    auto record = schema::DecodeState(*stored.record.value);
+    auto* settlement = record ? std::get_if<schema::TokenReservation>(&*record) : nullptr;
+    if (settlement == nullptr || !settlement->settled) continue;
+    found.insert(stored.record.key);
+    settlements_[stored.record.key] = std::move(*settlement);
+  }
+  return found;
+}
+
 awaitable<void> TurnStore::DropExpired() {
   for (;;) {
     co_await Sleep(kDropInterval);
     const std::int64_t now_ms = UnixMillis();
     cache_.Expire(now_ms - kLateExtensionMs);
+    std::erase_if(settlements_,
+                  [now_ms](const auto& one) { return one.second.expires_ms < now_ms; });
     std::set<Partition> due;
     while (!drop_schedule_.empty() && drop_schedule_.front().first < now_ms) {
       due.insert(drop_schedule_.front().second);
@@ -232,8 +308,8 @@
   if (!snapshot) co_return;
   std::vector<KeyedRecord> drops;
   for (const auto& stored : snapshot->records) {
-    const auto kept = DecodeKeptTurn(partition, stored);
-    if (!kept || kept->expires_ms + kDropDelayMs >= UnixMillis()) continue;
+    const auto expires_ms = ExpiryOf(stored);
+    if (!expires_ms || *expires_ms + kDropDelayMs >= UnixMillis()) continue;
     drops.push_back({stored.record.key, std::nullopt});
   }
   if (drops.empty()) co_return;
--- a/src/persimmonstair/gateway/turn_store.hpp
+++ b/src/persimmonstair/gateway/turn_store.hpp
@@ -2,6 +2,8 @@
 #define PERSIMMONSTAIR_SRC_GATEWAY_TURN_STORE_HPP_
 
 #include <deque>
+#include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -45,9 +47,18 @@
   /// Returns once the turn is durable, so that later turns may continue it. Extends the lifetime of
   /// all turns before it to at least `retention_ms` from the deadline, by which its response ends.
   /// `history_expires_ms` is their earliest expiry as far as known (History::expires_ms).
-  boost::asio::awaitable<base::Result<void>> Save(schema::KeptTurn record, base::TimePoint deadline,
-                                                  std::int64_t retention_ms,
-                                                  std::int64_t history_expires_ms = 0);
+  /// `settlement` is the settled reservation of the turn's tokens, if it has one. It becomes
+  /// durable together with the turn, so that FindSettlements() finds it before its budget's
+  /// partition holds it.
+  boost::asio::awaitable<base::Result<void>> Save(
+      schema::KeptTurn record, base::TimePoint deadline, std::int64_t retention_ms,
+      std::int64_t history_expires_ms = 0,
+      std::optional<schema::TokenReservation> settlement = std::nullopt);
+
+  /// Returns the settlements of those of the reservations whose turns were saved. Fails with
+  /// kLogUnavailable if the store could not be read.
+  boost::asio::awaitable<base::Result<std::vector<schema::TokenReservation>>> FindSettlements(
+      std::vector<schema::TokenReservation> unsettled, base::TimePoint deadline);
 
   /// Deletes expired turns from the partitions that this instance wrote to; never returns.
   boost::asio::awaitable<void> DropExpired();
@@ -69,6 +80,9 @@
   store_access::Partitioning partitions_;
   turns::TurnCache cache_;
   store_access::PartitionReads reads_;
+  store_access::PartitionReads settlement_reads_;
+  /// Settlements that were looked for and found, by key, until they expire.
+  std::map<std::string, schema::TokenReservation> settlements_;
   boost::asio::awaitable<void> DropExpiredFrom(Partition partition);
   /// Returns the whole chain that ends with `previous`, with all its turns cached. Turns that
   /// expired before `now_ms` (Unix milliseconds) count as missing.
@@ -83,9 +97,14 @@
                                                          std::int64_t needed_ms,
                                                          std::int64_t retention_ms,
                                                          base::TimePoint deadline);
-  /// Writes the record, and caches it once it is durable.
-  boost::asio::awaitable<base::Result<void>> Write(schema::KeptTurn record,
-                                                   base::TimePoint deadline);
+  /// Writes the record with the settlement of its turn, if there is one, and caches the turn once
+  /// both are durable.
+  boost::asio::awaitable<base::Result<void>> Write(
+      schema::KeptTurn record, base::TimePoint deadline,
+      std::optional<schema::TokenReservation> settlement = std::nullopt);
+  /// Takes those of the `wanted` settlements over that a snapshot holds, and returns their keys.
+  store_access::PartitionReads::KeySet TakeSettlements(
+      const RecordSnapshot& snapshot, const store_access::PartitionReads::KeySet& wanted);
 
   /// Times in Unix milliseconds at which partitions may have expired records, earliest first.
   std::deque<std::pair<std::int64_t, Partition>> drop_schedule_;
--- a/src/persimmonstair/gateway/turn_store_test.cpp
+++ b/src/persimmonstair/gateway/turn_store_test.cpp
@@ -21,6 +21,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::int64_t kRetentionMs = 60'000;
+constexpr std::int64_t kLongExpiredMs = 60'000;
 constexpr std::size_t kCacheBytes = 1'000'000;
 const base::WorkspaceId kWorkspace{"w"};
 
@@ -59,6 +60,11 @@
                   std::size_t cache_bytes = kCacheBytes) {
     records_ = std::make_unique<store_access::BusyStore>(read_time, SnapshotOf(turns));
     store_ = std::make_unique<store_access::RetryingRecordStore>(*records_, metrics_);
+    MakeTurnStore(cache_bytes);
+  }
+
+  /// Replaces the turn store, as a restart does.
+  void MakeTurnStore(std::size_t cache_bytes) {
     turns_ = std::make_unique<TurnStore>(io_.get_executor(), *store_,
                                          store_access::Partitioning{"turns", 1, 1}, cache_bytes);
   }
@@ -75,12 +81,22 @@
   }
 
   /// Saves a turn that ends within `time`.
-  SavePtr StartSave(const schema::KeptTurn& turn, base::Duration time) {
+  SavePtr StartSave(const schema::KeptTurn& turn, base::Duration time,
+                    std::optional<schema::TokenReservation> settlement = std::nullopt) {
     auto save = std::make_shared<std::optional<base::Result<void>>>();
-    boost::asio::co_spawn(io_, RunSave(save, turn, time), boost::asio::detached);
+    boost::asio::co_spawn(io_, RunSave(save, turn, time, std::move(settlement)),
+                          boost::asio::detached);
     return save;
   }
 
+  base::Result<std::vector<schema::TokenReservation>> FindSettlements(
+      std::vector<schema::TokenReservation> unsettled) {
+    const auto result = std::make_shared<base::Result<std::vector<schema::TokenReservation>>>();
+    boost::asio::co_spawn(io_, RunFind(result, std::move(unsettled)), boost::asio::detached);
+    RunFor(milliseconds{100});
+    return *result;
+  }
+
   /// Returns the expiry of a turn in the store, in Unix milliseconds; 0 if it isn't there.
   std::int64_t StoredExpiry(const std::string& turn) const {
     std::int64_t expires_ms = 0;
@@ -112,9 +128,17 @@
     search->took = Now() - began;
   }
 
-  boost::asio::awaitable<void> RunSave(SavePtr save, schema::KeptTurn turn, base::Duration time) {
+  boost::asio::awaitable<void> RunSave(SavePtr save, schema::KeptTurn turn, base::Duration time,
+                                       std::optional<schema::TokenReservation> settlement) {
     const base::TimePoint deadline = Now() + time;
-    *save = co_await turns_->Save(std::move(turn), deadline, kRetentionMs);
+    *save =
+        co_await turns_->Save(std::move(turn), deadline, kRetentionMs, 0, std::move(settlement));
+  }
+
+  boost::asio::awaitable<void> RunFind(
+      std::shared_ptr<base::Result<std::vector<schema::TokenReservation>>> result,
+      std::vector<schema::TokenReservation> unsettled) {
+    *result = co_await turns_->FindSettlements(std::move(unsettled), Now() + milliseconds{500});
   }
 
   boost::asio::awaitable<void> WriteTurn(schema::KeptTurn turn) {
@@ -124,6 +148,47 @@
   }
 };
 
+// Guards against settlements that are lost with the instance that answered the turn, also if the
+// reservation was made anew under another name, and against those of other turns.
+TEST_F(TurnStoreTest, SettlementsAreFoundBesideTheirTurns) {
+  MakeStores(milliseconds{1}, {});
+  const schema::TokenReservation renamed{{"p"}, kWorkspace, {"t1#2"}, 40, true, 0};
+  const SavePtr save = StartSave(MakeTurn("t1"), milliseconds{500}, renamed);
+  RunFor(milliseconds{100});
+  ASSERT_TRUE(Saved(save));
+  MakeTurnStore(kCacheBytes);
+  schema::TokenReservation unsettled = renamed;
+  unsettled.tokens = 280;
+  unsettled.settled = false;
+  schema::TokenReservation of_other_program = unsettled;
+  of_other_program.program = {"q"};
+  schema::TokenReservation of_other_workspace = unsettled;
+  of_other_workspace.workspace = {"v"};
+  schema::TokenReservation running = unsettled;
+  running.turn = {"t1"};
+  const auto found = FindSettlements({of_other_program, unsettled, of_other_workspace, running});
+  ASSERT_TRUE(found);
+  ASSERT_EQ(found->size(), 1U);
+  EXPECT_EQ(found->front().turn, renamed.turn);
+  EXPECT_EQ(found->front().tokens, 40U);
+  EXPECT_TRUE(found->front().settled);
+}
+
+// Guards against settlements that stay in the store for ever.
+TEST_F(TurnStoreTest, SettlementsAreDroppedWithTheirTurns) {
+  MakeStores(milliseconds{1}, {});
+  schema::KeptTurn expired = MakeTurn("t1");
+  expired.expires_ms = UnixMillis() - kLongExpiredMs;
+  const SavePtr save = StartSave(expired, milliseconds{500},
+                                 schema::TokenReservation{{"p"}, kWorkspace, {"t1"}, 40});
+  boost::asio::co_spawn(io_, turns_->DropExpired(), boost::asio::detached);
+  RunFor(milliseconds{100});
+  ASSERT_TRUE(Saved(save));
+  ASSERT_EQ(records_->Content().records.size(), 2U);
+  RunFor(milliseconds{6000});
+  EXPECT_TRUE(records_->Content().records.empty());
+}
+
 // Guards against callers that are told that a stored turn doesn't exist because other turns pushed
 // it out of the cache right after it was read.
 TEST_F(TurnStoreTest, StoredTurnThatWasEvictedAtOnceDoesNotCountAsMissing) {
--- a/src/persimmonstair/turns/token_ledger.cpp
+++ b/src/persimmonstair/turns/token_ledger.cpp
@@ -20,7 +20,8 @@
   return it == programs_.end() ? TokenUsage{} : it->second.usage;
 }
 
-bool TokenLedger::Fits(const schema::TokenReservation& reservation, std::uint64_t budget) const {
+bool TokenLedger::Fits(const schema::TokenReservation& reservation, std::uint64_t budget,
+                       std::uint64_t ignored) const {
   std::uint64_t others = 0;
   const auto it = programs_.find({reservation.workspace, reservation.program});
   if (it != programs_.end()) {
@@ -28,9 +29,22 @@
     const auto own = it->second.turns.find(reservation.turn);
     if (own != it->second.turns.end()) others -= own->second.tokens;
   }
+  others -= std::min(others, ignored);
   return others <= budget && reservation.tokens <= budget - others;
 }
 
+std::vector<schema::TokenReservation> TokenLedger::Unsettled(const base::WorkspaceId& workspace,
+                                                             const base::ProgramId& program) const {
+  std::vector<schema::TokenReservation> unsettled;
+  const auto it = programs_.find({workspace, program});
+  if (it == programs_.end()) return unsettled;
+  for (const auto& [turn, entry] : it->second.turns) {
+    if (entry.settled) continue;
+    unsettled.push_back({program, workspace, turn, entry.tokens, false, it->second.expires_ms});
+  }
+  return unsettled;
+}
+
 void TokenLedger::Expire(std::int64_t now_ms) {
   std::erase_if(programs_, [now_ms](const auto& one) { return one.second.expires_ms < now_ms; });
 }
