--- a/include/persimmonstair/gateway/configuration.hpp
+++ b/include/persimmonstair/gateway/configuration.hpp
@@ -112,10 +112,13 @@
   const Workspace* FindWorkspaceById(const base::WorkspaceId& id) const;
   const Service* FindService(const base::ServiceId& id) const;
   std::size_t RouteCount() const { return routes_.size(); }
+  /// Longest timeout of the routes for streams.
+  base::Duration LongestStreamTimeout() const { return longest_stream_timeout_; }
 
  private:
   std::uint64_t version_ = 0;
   CallerLimits limits_;
+  base::Duration longest_stream_timeout_{0};
   std::vector<Route> routes_;
   std::vector<Service> services_;
   std::vector<Workspace> workspaces_;
--- a/include/persimmonstair/turns/token_ledger.hpp
+++ b/include/persimmonstair/turns/token_ledger.hpp
@@ -44,12 +44,13 @@
 
   TokenUsage Usage(const base::WorkspaceId& workspace, const base::ProgramId& program) const;
 
-  /// True if the reservation fits into `budget` together with the program's other turns, less
-  /// `ignored` tokens of them.
-  bool Fits(const schema::TokenReservation& reservation, std::uint64_t budget,
-            std::uint64_t ignored = 0) const;
+  /// Usage by the program's turns other than that of the reservation.
+  TokenUsage UsageBeside(const schema::TokenReservation& reservation) const;
 
-  /// Returns the program's reservations that aren't settled. Their expiry is that of the program.
+  /// True if the reservation fits into `budget` together with the program's other turns.
+  bool Fits(const schema::TokenReservation& reservation, std::uint64_t budget) const;
+
+  /// Returns the program's reservations that aren't settled.
   std::vector<schema::TokenReservation> Unsettled(const base::WorkspaceId& workspace,
                                                   const base::ProgramId& program) const;
 
@@ -63,6 +64,8 @@
   struct Turn {
     std::uint64_t tokens = 0;
     bool settled = false;
+    /// In Unix milliseconds.
+    std::int64_t expires_ms = 0;
   };
   struct Program {
     std::unordered_map<base::TurnId, Turn> turns;
--- a/src/persimmonstair/gateway/budget_client.cpp
+++ b/src/persimmonstair/gateway/budget_client.cpp
@@ -223,8 +223,9 @@
     ReservationOutcome outcome;
     outcome.usage = {answer.settled, answer.outstanding};
     outcome.resumed_version = answer.resumed_version;
-    if (answer.granted) outcome.result = ReservationResult::kGranted;
+    outcome.reduced = answer.granted && answer.exhausted;
     if (answer.exhausted) outcome.result = ReservationResult::kBudgetExhausted;
+    if (answer.granted) outcome.result = ReservationResult::kGranted;
     ask.outcome = outcome;
   }
   ask.changed.cancel();
--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -45,8 +45,11 @@
 /// @brief How a reservation ended, and the usage of the budget that decided it.
 struct ReservationOutcome {
   ReservationResult result = ReservationResult::kStoreUnavailable;
-  /// Usage before the reservation; zero if the store did not acknowledge it.
+  /// Usage beside the reservation; zero if the store did not acknowledge it.
   turns::TokenUsage usage;
+  /// True if the reservation is granted, but the turn may return no more tokens than `usage` leaves
+  /// of the budget.
+  bool reduced = false;
   /// The reservation to settle when the turn ends.
   schema::TokenReservation reservation;
   /// Software version at which the resumed attempt's stream began; empty if unknown.
@@ -93,8 +96,9 @@
   boost::asio::awaitable<ReservationOutcome> Reserve(const ReservationRequest& request,
                                                      base::TimePoint deadline);
 
-  /// Records that the turn ended after it returned `tokens`. The record is written later; `written`
-  /// is called once the store has acknowledged it.
+  /// Records that the turn ended after it returned `tokens`. The record is written later, that of a
+  /// turn that returned none with the next append; `written` is called once the store has
+  /// acknowledged it.
   void Settle(schema::TokenReservation reservation, std::uint64_t tokens,
               std::function<void()> written = nullptr);
 
@@ -103,9 +107,9 @@
   using FindSettlements =
       std::function<boost::asio::awaitable<base::Result<std::vector<schema::TokenReservation>>>(
           std::vector<schema::TokenReservation> unsettled, base::TimePoint deadline)>;
-  /// Sets the function that is asked before a reservation is denied because of others that aren't
-  /// settled.
-  void SetSettlements(FindSettlements find);
+  /// Sets the function that is asked before a reservation is denied because of others that may
+  /// belong to lost instances, and the one that returns how long a turn lasts at most.
+  void SetSettlements(FindSettlements find, std::function<base::Duration()> longest_turn);
 
   /// Writes all pending settlements; used by a planned stop.
   boost::asio::awaitable<void> Flush(base::TimePoint deadline);
@@ -120,8 +124,8 @@
     ReservationRequest request;
     base::TimePoint deadline;
     ReservationOutcome outcome;
-    /// Reservations because of which it was denied, and that may have been settled elsewhere.
-    std::vector<schema::TokenReservation> unsettled;
+    /// Reservations because of which it doesn't fit, of instances that may be gone.
+    std::vector<schema::TokenReservation> maybe_lost;
     /// True once nobody waits for the outcome.
     bool abandoned = false;
     OneShotEvent done;
@@ -142,7 +146,7 @@
     bool running = false;
     std::deque<QueuedReservationPtr> queued;
     /// Reservations whose settlements were looked for elsewhere, by key, and when.
-    std::map<std::string, base::TimePoint> not_found;
+    std::map<std::string, base::TimePoint> searched_at;
     /// Reservations that are decided again, in the order of the partition.
     std::deque<QueuedReservationPtr> reconsidered;
     /// Settled reservations to write, with the next reservation or after kSettleDelay.
@@ -177,12 +181,23 @@
   static void PutBack(State& state, std::vector<QueuedSettlement> settled);
   /// Decides a reservation that is in the store, as are all records before it.
   void Decide(State& state, QueuedReservation& queued);
-  /// Returns those reservations of the program that other instances wrote and that aren't settled.
-  /// Those that this instance wrote are settled here, unless they run.
-  static std::vector<schema::TokenReservation> Inherited(State& state,
-                                                         const schema::TokenReservation& tokens);
-  /// Decides a reservation again that was denied, after the settlements that were stored elsewhere.
+  /// Returns the program's other reservations that aren't settled, and whose instances may be gone:
+  /// those that other instances wrote, and those that this one wrote for turns that must have
+  /// ended.
+  std::vector<schema::TokenReservation> MaybeLost(const State& state,
+                                                  const schema::TokenReservation& tokens) const;
+  /// Time after which a reservation of an instance that is there is settled.
+  base::Duration LongestTurn() const;
+  /// Decides a reservation again that doesn't fit beside lost ones, after the settlements that
+  /// were stored elsewhere.
   boost::asio::awaitable<void> Reconsider(Partition partition, QueuedReservationPtr queued);
+  /// Settles those of the reservations whose settlements were stored elsewhere. False if the store
+  /// can't be read.
+  boost::asio::awaitable<bool> SettleLost(Partition partition,
+                                          std::vector<schema::TokenReservation> maybe_lost,
+                                          base::TimePoint deadline);
+  /// Grants a reservation that fits now, or that has to do with what lost turns leave.
+  void DecideAgain(const State& state, QueuedReservation& queued) const;
   /// Tokens of the same program's reservations that follow this one and aren't decided yet.
   static std::uint64_t UndecidedAfter(const State& state, const QueuedReservation& queued);
   void Apply(State& state, const KeyedRecord& record);
@@ -195,6 +210,9 @@
                                                             State& state, base::TimePoint deadline);
   /// Time before which records must have expired to be deleted by this instance.
   store_access::RecordExpiry::DueTimes DueBefore(const State& state) const;
+  /// Settles a reservation with the next append of the partition, or after kSettleDelay.
+  void QueueSettlement(schema::TokenReservation reservation, std::uint64_t tokens,
+                       std::function<void()> written = nullptr);
   /// Starts the deletion of expired records.
   void DropExpired(const Partition& partition, State& state);
   void Start(const Partition& partition, State& state);
@@ -205,6 +223,7 @@
   base::Duration append_interval_;
   base::Duration drop_interval_;
   FindSettlements find_settlements_;
+  std::function<base::Duration()> longest_turn_;
   std::map<Partition, State> states_;
 };
 
--- a/src/persimmonstair/gateway/budget_settlement_test.cpp
+++ b/src/persimmonstair/gateway/budget_settlement_test.cpp
@@ -59,5 +59,23 @@
   EXPECT_EQ(records.Content().records.size(), kInstances);
 }
 
+// Guards against a program that can't go on after a kill of all instances because a turn was
+// refused just before and all that it reserved still counts.
+TEST(BudgetSettlementTest, RefusedTurnsAreSettledWithTheNextAppend) {
+  boost::asio::io_context io{1};
+  store_access::BusyStore records(milliseconds{10}, {});
+  // Nothing runs that would write settlements later.
+  diagnostics::Metrics metrics;
+  store_access::RetryingRecordStore store(records, metrics);
+  BudgetManager budgets(io.get_executor(), store, {"budgets", 1, 1}, milliseconds{1});
+  budgets.Settle(MakeReservation("served"), 7);
+  io.run_for(milliseconds{100});
+  EXPECT_EQ(records.Appends(), 0U);
+  io.restart();
+  budgets.Settle(MakeReservation("refused"), 0);
+  io.run_for(milliseconds{100});
+  EXPECT_EQ(records.Content().records.size(), 2U);
+}
+
 }  // namespace
 }  // namespace persimmonstair::gateway
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "caller_connection.hpp"
@@ -32,6 +33,10 @@
 /// A configuration that was last confirmed longer ago may lack new routes and keys.
 constexpr milliseconds kMaxConfigurationAge{1500};
 
+std::uint64_t LeftOf(std::uint64_t budget, const turns::TokenUsage& usage) {
+  return budget - std::min(budget, usage.Total());
+}
+
 Error Deny(ErrorCode code, std::string message, base::Duration retry_after = {}) {
   return Error{code, std::move(message), Verdict::kNotRun, retry_after};
 }
@@ -261,6 +266,7 @@
                    "the program's token budget can't be charged at present", kShortRetryAfter);
   }
   if (metadata_.token_budget) reservation_ = outcome.reservation;
+  if (outcome.reduced) tokens_left_ = LeftOf(*metadata_.token_budget, outcome.usage);
   if (!takes_up) co_return std::nullopt;
   if (outcome.resumed_version.empty()) {
     co_return Deny(ErrorCode::kOverloaded, "it is unknown at which version the stream began",
@@ -402,6 +408,7 @@
   if (stream_started_) {
     line["first_event_ms"] = base::ToMillis(first_event_at_ - arrived_at_);
     line["tokens"] = tokens_;
+    if (tokens_left_) line["tokens_left"] = *tokens_left_;
   }
   if (denied_usage_) {
     line["budget"] = *metadata_.token_budget;
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -262,6 +262,10 @@
   HeldBytes held_bytes_;
   /// Tokens in the forwarded events.
   std::uint64_t tokens_ = 0;
+  /// Tokens that the turn may return, if its reservation was reduced.
+  std::optional<std::uint64_t> tokens_left_;
+  /// The turn was broken off because it would return more.
+  bool tokens_exhausted_ = false;
   base::TimePoint first_event_at_;
 
   unsigned status_ = 0;
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -97,6 +97,10 @@
     budget_manager.SetSettlements(
         [this](std::vector<schema::TokenReservation> unsettled, base::TimePoint deadline) {
           return turns.FindSettlements(std::move(unsettled), deadline);
+        },
+        [this] {
+          const auto& current = configuration.Current();
+          return current ? current->LongestStreamTimeout() : base::Duration{0};
         });
     relays.SetGet([this](boost::beast::tcp_stream& stream, std::string path) {
       return ServeRecords(stream, std::move(path));
