Take statuses that HTTP doesn't know for no answer

What callers saw: a whole signed 200 in the content of a 000 as the answer to their request, also over a relayed connection; 600 and 999 as they came; 504 at the deadline where a target sent 000 or 099 with a length.

Cause: any three digits counted as a status, and all below 200 as interim ones, after which the content was read as the next response. Reported by users of other systems.

Change: base::KindOfStatus (RFC 9110, section 15). HttpConnection::ReadHead fails and closes the connection on an invalid status, and on an interim response that states content; so do the standalone daemon's parser of targets' responses and its HTTP client. The attempt ends at once with the verdict of its kind of request.

--- a/include/persimmonstair/gateway/http_connection.hpp
+++ b/include/persimmonstair/gateway/http_connection.hpp
@@ -60,8 +60,9 @@
   /// Writes parts one after the other from where they are.
   boost::asio::awaitable<WriteResult> Write(std::array<std::string_view, 3> parts,
                                             base::Duration timeout);
-  /// Reads the head of a response. With kNone, the response to a HEAD request, no body follows,
-  /// whatever the head says.
+  /// Reads the head of a response, which may be an interim one. With kNone, the response to a HEAD
+  /// request, no body follows, whatever the head says. Fails and closes the connection if the bytes
+  /// are no response, as with a status that HTTP doesn't know.
   boost::asio::awaitable<tl::expected<HttpHead, boost::system::error_code>> ReadHead(
       base::Duration timeout, ExpectedBody body = ExpectedBody::kByHead);
   /// Reads the next bytes of the body that follows the head that was read last.
--- a/src/persimmonstair/base/base_test.cpp
+++ b/src/persimmonstair/base/base_test.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "persimmonstair/base/error.hpp"
+#include "persimmonstair/base/http_status.hpp"
 #include "persimmonstair/base/ids.hpp"
 #include "persimmonstair/base/rendezvous.hpp"
 #include "persimmonstair/base/ring.hpp"
@@ -13,6 +14,19 @@
 namespace persimmonstair::base {
 namespace {
 
+// Guards against three digits that are taken for a status of HTTP.
+TEST(StatusKindTest, KnowsTheStatusesOfHttp) {
+  for (const unsigned status : {0U, 99U, 101U, 600U, 999U}) {
+    EXPECT_EQ(KindOfStatus(status), StatusKind::kInvalid) << status;
+  }
+  for (const unsigned status : {100U, 102U, 199U}) {
+    EXPECT_EQ(KindOfStatus(status), StatusKind::kInterim) << status;
+  }
+  for (const unsigned status : {200U, 204U, 299U, 418U, 599U}) {
+    EXPECT_EQ(KindOfStatus(status), StatusKind::kFinal) << status;
+  }
+}
+
 // Guards against a verdict that becomes not_run after a part of the request was sent.
 TEST(VerdictTest, CombineNeverLowers) {
   EXPECT_EQ(Combine(Verdict::kMayHaveRun, Verdict::kNotRun), Verdict::kMayHaveRun);
--- a/src/persimmonstair/gateway/exchange_attempts.cpp
+++ b/src/persimmonstair/gateway/exchange_attempts.cpp
@@ -9,6 +9,7 @@
 #include "caller_connection.hpp"
 #include "clock.hpp"
 #include "exchange.hpp"
+#include "persimmonstair/base/http_status.hpp"
 #include "persimmonstair/diagnostics/log.hpp"
 #include "persimmonstair/quota/cold_target.hpp"
 
@@ -31,8 +32,6 @@
 /// multiples of the route's objective, and its minimum.
 constexpr int kResponseTimeoutObjectives = 3;
 constexpr milliseconds kMinResponseTimeout{600};
-/// Lower statuses are those of interim responses, which the response follows.
-constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kFirstErrorStatus = 400;
 /// Interim responses and responses to other requests that are skipped on a connection before the
 /// attempt fails.
@@ -362,7 +361,7 @@
     }
     ResponseMetadata reply = context_.codec.DecodeResponse(std::move(*head));
     if (reply.leaving && !reply.misdirected) target_leaves_ = true;
-    if (reply.head.status < kFirstFinalStatus) continue;
+    if (base::KindOfStatus(reply.head.status) == base::StatusKind::kInterim) continue;
     if (reply.request_id == metadata_.request_id) co_return reply;
     if (reply.request_id.empty() && only_request) co_return reply;
     only_request = false;
--- a/src/persimmonstair/gateway/http_connection.cpp
+++ b/src/persimmonstair/gateway/http_connection.cpp
@@ -13,6 +13,7 @@
 #include <charconv>
 #include <optional>
 
+#include "persimmonstair/base/http_status.hpp"
 #include "socket_options.hpp"
 
 namespace persimmonstair::gateway {
@@ -33,6 +34,17 @@
 /// header.
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{2} * kMaxHeaderBytes;
 
+// Returns true if the head is that of a response. An interim one has no content, so one that states
+// a length may have been sent to make its content look like the next response.
+bool IsResponse(const Parser& parser) {
+  const Parser::value_type& message = parser.get();
+  const base::StatusKind kind = base::KindOfStatus(message.result_int());
+  if (kind == base::StatusKind::kFinal) return true;
+  const bool states_content = message.find(http::field::content_length) != message.end() ||
+                              message.find(http::field::transfer_encoding) != message.end();
+  return kind == base::StatusKind::kInterim && !states_content;
+}
+
 HttpHead CopyHead(const Parser::value_type& message) {
   HttpHead head{message.result_int(), std::string(message.reason()), {}};
   for (const auto& field : message) {
@@ -106,6 +118,10 @@
   const auto [ec, n] =
       co_await http::async_read_header(impl_->stream, impl_->buffer, *impl_->parser, kTuple);
   if (ec) co_return tl::make_unexpected(ec);
+  if (!IsResponse(*impl_->parser)) {
+    Close();
+    co_return tl::make_unexpected(http::make_error_code(http::error::bad_status));
+  }
   HttpHead head = CopyHead(impl_->parser->get());
   impl_->keep_alive_timeout = ParseKeepAliveTimeout(FindHeader(head.headers, "Keep-Alive"));
   co_return head;
@@ -153,8 +169,8 @@
 bool HttpConnection::IsRelayed() const { return impl_->relayed; }
 
 bool HttpConnection::Reusable() const {
-  return !impl_->relayed && impl_->parser && impl_->parser->is_done() &&
-         impl_->parser->keep_alive() && !HasUnreadBytes();
+  return !impl_->relayed && impl_->stream.socket().is_open() && impl_->parser &&
+         impl_->parser->is_done() && impl_->parser->keep_alive() && !HasUnreadBytes();
 }
 
 bool HttpConnection::IsIdle() const {
--- a/src/persimmonstair/net/target_client_test.cpp
+++ b/src/persimmonstair/net/target_client_test.cpp
@@ -288,6 +288,22 @@
   EXPECT_EQ(result.done.body, body);
 }
 
+// Guards against a status that HTTP doesn't know (RFC 9110, section 15) that reaches the caller,
+// and against a response that stands in the content of what claims to be an interim one.
+TEST_F(TargetClientTest, OddStatusesAreNoResponses) {
+  Start();
+  const std::string smuggled = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  const std::string length = "Content-Length: " + std::to_string(smuggled.size()) + "\r\n\r\n";
+  for (const std::string status : {"000", "099", "100", "101", "600", "999"}) {
+    const std::string head = "HTTP/1.1 " + status + " X\r\n";
+    for (const std::string& rest :
+         {length + smuggled, std::string("Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")}) {
+      ExpectFailed(RunAgainstResponse(head + rest), FailureKind::kMalformedAnswer,
+                   Verdict::kMayHaveRun);
+    }
+  }
+}
+
 TEST_F(TargetClientTest, ReadsTokenCounts) {
   Start();
   const std::string body = "{\"usage\":{\"prompt_tokens\":5,\"completion_tokens\":6}}";
--- a/src/persimmonstair/net/target_response_parser.cpp
+++ b/src/persimmonstair/net/target_response_parser.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "persimmonstair/base/http_status.hpp"
+
 namespace persimmonstair::net {
 namespace {
 
@@ -60,10 +62,11 @@
     if (ec && ec != http::error::need_more) return State::kMalformed;
     if (parser_->is_header_done() && !header_seen_) {
       header_seen_ = true;
-      const unsigned status = parser_->get().result_int();
-      if (status == 101) return State::kMalformed;
-      if (status / 100 == 1) {
-        // Skip interim (1xx) responses, which precede the final one.
+      const base::StatusKind kind = base::KindOfStatus(parser_->get().result_int());
+      if (kind == base::StatusKind::kInvalid) return State::kMalformed;
+      if (kind == base::StatusKind::kInterim) {
+        // An interim response has no content; one that states a length is none.
+        if (parser_->chunked() || parser_->content_length()) return State::kMalformed;
         Reset();
         continue;
       }
--- a/src/persimmonstair/service_clients/http_client.cpp
+++ b/src/persimmonstair/service_clients/http_client.cpp
@@ -21,6 +21,8 @@
 #include <unordered_set>
 #include <utility>
 
+#include "persimmonstair/base/http_status.hpp"
+
 namespace persimmonstair::service_clients {
 namespace {
 
@@ -194,6 +196,10 @@
     co_await http::async_read(*stream, buf, parser,
                               asio::redirect_error(asio::use_awaitable, progress.ec));
     progress.response_started = parser.got_some();
+    const unsigned status = parser.get().result_int();
+    if (!progress.ec && base::KindOfStatus(status) != base::StatusKind::kFinal) {
+      progress.ec = http::make_error_code(http::error::bad_status);
+    }
     // After an error, unexpected further data or "Connection: close", the connection is not reused.
     if (progress.ec || buf.size() > 0 || !parser.get().keep_alive()) co_return;
     ReleaseIdle(std::move(stream));
