Reduce reservations only beside turns that must have ended

Cause: reservations of other instances were taken for those of lost turns. After a change of the budget coordinator they mostly belong to turns that run.

Change: a reservation is reduced only beside one that is older than any turn lasts. Their settlements are still looked for among all reservations of others.

Measured: LostTurnsTest.AreNotTakenForLostWhileTheyMayRun is new.

--- a/include/persimmonstair/base/http_status.hpp
+++ b/include/persimmonstair/base/http_status.hpp
@@ -15,9 +15,10 @@
   kInvalid,
 };
 
+inline constexpr unsigned kSwitchingProtocols = 101;
+
 /// @brief Returns the kind of a status that was read as three digits.
 constexpr StatusKind KindOfStatus(unsigned status) {
-  constexpr unsigned kSwitchingProtocols = 101;
   if (status < 100 || status > 599 || status == kSwitchingProtocols) return StatusKind::kInvalid;
   return status < 200 ? StatusKind::kInterim : StatusKind::kFinal;
 }
--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -186,6 +186,10 @@
   /// ended.
   std::vector<schema::TokenReservation> MaybeLost(const State& state,
                                                   const schema::TokenReservation& tokens) const;
+  /// True if some of them must have ended, so that their instances are gone.
+  bool HasLost(const State& state, const schema::TokenReservation& tokens) const;
+  /// True if the reservation is older than any turn lasts.
+  bool MustHaveEnded(const schema::TokenReservation& reservation) const;
   /// Time after which a reservation of an instance that is there is settled.
   base::Duration LongestTurn() const;
   /// Has those of the batch decided again that aren't decided.
--- a/src/persimmonstair/gateway/budget_manager_test.cpp
+++ b/src/persimmonstair/gateway/budget_manager_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "persimmonstair/schema/codec.hpp"
@@ -242,6 +243,7 @@
 TEST_F(LostTurnsTest, LeaveTheRestOfTheBudgetIfTheyBrokeOff) {
   WriteUnsettled("a", 600);
   WriteUnsettled("broken", 600);
+  std::this_thread::sleep_for(kAllEnded);
   const auto instance = StartWith(std::vector{Tokens("a", 50, true)});
   const auto next = Reserve(*instance, Tokens("next", 699));
   EXPECT_EQ(next.result, ReservationResult::kGranted);
@@ -260,6 +262,7 @@
 // broken off then.
 TEST_F(LostTurnsTest, AreNoReasonToBeginWithTooLittle) {
   WriteUnsettled("broken", 800);
+  std::this_thread::sleep_for(kAllEnded);
   const auto instance = StartWith(std::vector<schema::TokenReservation>{});
   EXPECT_EQ(ReserveMore(*instance, "long", 400), ReservationResult::kBudgetExhausted);
   EXPECT_EQ(ReserveMore(*instance, "short", 399), ReservationResult::kGranted);
@@ -297,6 +300,14 @@
   EXPECT_EQ(asked_, std::vector<std::size_t>{2});
 }
 
+// Guards against streams that are broken off beside turns that run, because another instance has
+// become the coordinator that reads their reservations.
+TEST_F(LostTurnsTest, AreNotTakenForLostWhileTheyMayRun) {
+  WriteUnsettled("runs elsewhere", 600);
+  const auto instance = StartWith(std::vector<schema::TokenReservation>{});
+  EXPECT_EQ(ReserveMore(*instance, "next", 500), ReservationResult::kBudgetExhausted);
+}
+
 // Guards against a 402 because of a turn whose instance is lost while its coordinator goes on.
 TEST_F(LostTurnsTest, LeaveTheRestOfTheBudgetAlsoIfTheirCoordinatorLives) {
   const auto instance = StartWith(std::vector<schema::TokenReservation>{});
