--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -181,6 +181,9 @@
   static void PutBack(State& state, std::vector<QueuedSettlement> settled);
   /// Decides a reservation that is in the store, as are all records before it.
   void Decide(State& state, QueuedReservation& queued);
+  /// Returns the fewest tokens with which a turn may begin that may return `most`: more than half.
+  /// Most turns return far less than they reserve, and one that needs more is broken off.
+  static std::uint64_t LeastTokens(std::uint64_t most);
   /// Returns the program's other reservations that aren't settled, and whose instances may be gone:
   /// those that other instances wrote, and those that this one wrote for turns that must have
   /// ended.
--- a/src/persimmonstair/gateway/budget_manager_test.cpp
+++ b/src/persimmonstair/gateway/budget_manager_test.cpp
@@ -288,7 +288,7 @@
 }
 
 // Guards against reads of the store for turns that run, or that were looked for just now.
-TEST_F(LostTurnsTest, AreNotLookedForAmongOwnReservationsOrAgainAtOnce) {
+TEST_F(LostTurnsTest, AreLookedForOnceAndOnlyAmongOthers) {
   const auto instance = StartWith(std::vector<schema::TokenReservation>{});
   ASSERT_EQ(ReserveMore(*instance, "runs", 600), ReservationResult::kGranted);
   EXPECT_EQ(ReserveMore(*instance, "first", 500), ReservationResult::kBudgetExhausted);
