--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,6 +2,7 @@
 # Builds the stand-ins and the programs of the cases of the third review into target/review-3/.
 # Needs only the compiler and the JSON library of the deploy file's packages.
 set -euo pipefail
+shopt -s nullglob
 cd "$(dirname "$0")/.."
 out=target/review-3
 mkdir -p "$out"
