--- a/review/support-3/store.cpp
+++ b/review/support-3/store.cpp
@@ -55,6 +55,9 @@
     : listener_(std::make_unique<Listener>(ip, 0, [this](Connection& one) { Serve(one); })) {}
 
 void Store::Add(Part& part, Entry entry) {
+  const auto known = part.newest.find(entry.key);
+  if (known != part.newest.end()) stored_bytes_ -= part.log[known->second].value->size();
+  stored_bytes_ += entry.value->size();
   if (entry.value->empty()) {
     part.newest.erase(entry.key);
   } else {
@@ -137,6 +140,10 @@
     ++too_long_;
     return Reply(413, "{}");
   }
+  if (stored_bytes_ >= kStoredBytes) {
+    ++full_;
+    return Reply(507, "{}");
+  }
   Part* part = nullptr;
   {
     const std::lock_guard lock(mutex_);
--- a/review/support-3/store.hpp
+++ b/review/support-3/store.hpp
@@ -22,6 +22,8 @@
   /// Limits of the settings' `platform` table.
   static constexpr std::size_t kRecordBytes = 262'144;
   static constexpr std::size_t kCallBytes = 2'097'152;
+  /// "When 400 MB are stored in total, appends receive 507." Counted are the newest records alone.
+  static constexpr std::size_t kStoredBytes = 400'000'000;
   static constexpr milliseconds kAppendTime{4};
   static constexpr double kReadBytesPerS = 80e6;
 
@@ -37,6 +39,9 @@
   bool IsDown() const { return down_; }
   /// Appends that were refused because a record or a call was too long.
   int TooLong() const { return too_long_; }
+  /// Appends that were refused because the store is full, and the bytes that it holds.
+  int Full() const { return full_; }
+  std::size_t StoredBytes() const { return stored_bytes_; }
   /// Keys that a topic and partition hold now, with the sizes of their values.
   std::map<std::string, std::size_t> Keys(const std::string& topic, int part) const;
   /// Bytes of the newest values of a topic's partition.
@@ -63,7 +68,7 @@
   Part& PartOf(const PartId& id);
   /// Waits until the store has read so many bytes; all reads share its rate.
   void TakeReadTime(std::size_t bytes);
-  static void Add(Part& part, Entry entry);
+  void Add(Part& part, Entry entry);
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
@@ -73,6 +78,8 @@
   Clock::time_point reads_done_;
   std::atomic<bool> down_{false};
   std::atomic<int> too_long_{0};
+  std::atomic<int> full_{0};
+  std::atomic<std::size_t> stored_bytes_{0};
   std::unique_ptr<Listener> listener_;
 };
 
