--- a/review/support-3/net.cpp
+++ b/review/support-3/net.cpp
@@ -120,6 +120,7 @@
 }
 
 bool Connection::Fill(Clock::time_point deadline) {
+  if (fd_ < 0) return false;
   pollfd one{fd_, POLLIN, 0};
   if (::poll(&one, 1, MillisUntil(deadline)) != 1) return false;
   char piece[65536];
--- a/review/support-3/worker.cpp
+++ b/review/support-3/worker.cpp
@@ -99,7 +99,7 @@
   }
   ++running_;
   on_run_({identity_.id, identity_.version, id, request.Header("x-tenant"),
-           request.Header("last-event-id"), request.body.size()});
+           request.Header("last-event-id"), request.body.size(), request.body});
   const bool streams = !request.Header("x-token-count").empty();
   const bool open = streams ? AnswerStream(connection, request, id) : AnswerPlain(connection, id);
   --running_;
@@ -126,7 +126,8 @@
     std::this_thread::sleep_for(work_.gap);
     if (stopping_ || connection.PeerHasClosed()) return false;
     const std::string event = "id: " + std::to_string(n) + "\ndata: piece " + std::to_string(n) +
-                              " by " + identity_.id + " " + identity_.version + "\n\n";
+                              " by " + identity_.id + " in run " + id + " " + identity_.version +
+                              "\n\n";
     char size[16];
     std::snprintf(size, sizeof size, "%zx\r\n", event.size());
     open = connection.Send(size + event + "\r\n");
--- a/review/support-3/worker.hpp
+++ b/review/support-3/worker.hpp
@@ -40,6 +40,7 @@
   /// Id of the last event that the client or the system says it has.
   std::string last_event;
   std::size_t body_bytes = 0;
+  std::string body;
 };
 
 /// @brief Stand-in of a worker: registers in the store, beats every 1.2 s, runs requests. Answers
