Order the take-ups of a stream and fence its copies

Cause: a copy was found by stream and event number; an instance trusted its own first, also if a later attempt had brought these events. It also added the later attempt's events behind whatever its own copy held. Ruled out: keepers with wrong copies (only streams fail whose third attempt is at an instance that is no keeper); late pieces (former writers were refused).

Change: a take-up of a kept turn is recorded with its reservation; the record's offset is its fencing token (StreamTakeUps). Copies carry the token of their attempt, which sends the whole output; a take-up accepts only copies of the attempt that brought its last event, or of later ones. Why this works: each attempt begins with a valid copy, so by induction every copy with a sufficient token holds what the caller received.

Tests: TakeUpTest.BackAtTheFirstInstanceKeepsWhatTheSecondOneBrought, IsRejectedAndNotRunIfOnlyAnOlderCopyIsLeft, OfATryThatALaterOneHasOvertakenIsRejectedAndNotRun and RandomTakeUpsKeepWhatTheCallerReceived failed on the code before; BackAndForthKeepsWhatTheCallerReceived didn't. StreamCopiesTest.TakeUpReplacesWhatFollowsIt let a new writer continue the copy of another one in the middle, which is the fault; it now expects the whole output, and that late parts of the earlier attempt change nothing, as before.

--- a/include/persimmonstair/diagnostics/metrics.hpp
+++ b/include/persimmonstair/diagnostics/metrics.hpp
@@ -41,6 +41,9 @@
   /// Counts a check whether a target takes requests, by its result: "serves", "refuses" or
   /// "unanswered".
   void CountTargetCheck(const std::string& result);
+  /// Counts an attempt that takes up the stream of a kept turn: the events before it are "known" or
+  /// "unknown", or a later attempt has "overtaken" it.
+  void CountTakeUp(const std::string& result);
   /// Counts a token of a target's rate by its result ("granted" or "refused") and by who decided:
   /// the rate's "coordinator", this instance from its "own_part", or "none" for a cold target.
   void CountTargetToken(const std::string& result, const std::string& source);
@@ -87,6 +90,7 @@
   prometheus::Family<prometheus::Counter>& store_bytes_;
   prometheus::Family<prometheus::Counter>& target_tokens_;
   prometheus::Family<prometheus::Counter>& target_checks_;
+  prometheus::Family<prometheus::Counter>& take_ups_;
   prometheus::Family<prometheus::Counter>& feed_asks_;
   prometheus::Family<prometheus::Counter>& programs_refused_;
   prometheus::Family<prometheus::Gauge>& service_load_;
--- a/src/persimmonstair/diagnostics/metrics.cpp
+++ b/src/persimmonstair/diagnostics/metrics.cpp
@@ -50,6 +50,10 @@
                          .Name("persimmonstair_target_checks_total")
                          .Help("Checks whether a target takes requests, by result")
                          .Register(registry_)),
+      take_ups_(prometheus::BuildCounter()
+                    .Name("persimmonstair_take_ups_total")
+                    .Help("Attempts that take up the stream of a kept turn, by result")
+                    .Register(registry_)),
       feed_asks_(prometheus::BuildCounter()
                      .Name("persimmonstair_feed_asks_total")
                      .Help("Messages that asked the collector for new records, by result")
@@ -146,6 +150,11 @@
   target_checks_.Add({{"result", result}}).Increment();
 }
 
+void Metrics::CountTakeUp(const std::string& result) {
+  const std::lock_guard lock(mutex_);
+  take_ups_.Add({{"result", result}}).Increment();
+}
+
 void Metrics::CountFeedAsk(const std::string& result) {
   const std::lock_guard lock(mutex_);
   feed_asks_.Add({{"result", result}}).Increment();
--- a/src/persimmonstair/gateway/budget_client.cpp
+++ b/src/persimmonstair/gateway/budget_client.cpp
@@ -45,6 +45,7 @@
   if (request.begin) {
     bytes += request.begin->attempt.value.size() + request.begin->version.value.size();
   }
+  if (request.take_up) bytes += request.take_up->attempt.value.size();
   return bytes;
 }
 
@@ -70,6 +71,12 @@
   return ask;
 }
 
+schema::EntryPeerMessage ToMessage(schema::ReservationAsk ask, const ReservationRequest& request) {
+  if (!request.take_up) return ask;
+  const schema::StreamTakeUp& take_up = *request.take_up;
+  return schema::TakeUpAsk{std::move(ask), take_up.attempt, take_up.event, take_up.expires_ms};
+}
+
 /// Waits until the timer is cancelled, for at most `time`.
 awaitable<void> WaitForChange(boost::asio::steady_timer& changed, base::Duration time) {
   changed.expires_after(time);
@@ -123,7 +130,7 @@
   while (!ask->outcome && !ask->declined && unanswered < kMaxUnanswered && Now() < deadline) {
     const base::Duration left = deadline - Now();
     ask->heard = false;
-    socket_.Send(ToAsk(nonce, request, left), coordinator);
+    socket_.Send(ToMessage(ToAsk(nonce, request, left), request), coordinator);
     co_await WaitForChange(ask->changed,
                            std::min(left, confirmed ? kPendingInterval : answer_timeout_));
     confirmed = ask->heard;
@@ -203,7 +210,9 @@
 
 void BudgetClient::Handle(const schema::EntryPeerMessage& message) {
   if (const auto* answer = std::get_if<schema::ReservationAnswer>(&message)) {
-    Handle(*answer);
+    Handle(*answer, {});
+  } else if (const auto* take_up = std::get_if<schema::TakeUpAnswer>(&message)) {
+    Handle(take_up->reservation, {take_up->fence, take_up->least_fence, take_up->overtaken});
   } else if (const auto* ack = std::get_if<schema::SettlementAck>(&message)) {
     const auto it = settlements_.find(ack->nonce);
     if (it == settlements_.end()) return;
@@ -212,7 +221,8 @@
   }
 }
 
-void BudgetClient::Handle(const schema::ReservationAnswer& answer) {
+void BudgetClient::Handle(const schema::ReservationAnswer& answer,
+                          const turns::TakeUpOrder& take_up) {
   const auto it = asks_.find(answer.nonce);
   if (it == asks_.end()) return;
   PendingAsk& ask = *it->second;
@@ -223,6 +233,7 @@
     ReservationOutcome outcome;
     outcome.usage = {answer.settled, answer.outstanding};
     outcome.resumed_version = answer.resumed_version;
+    outcome.take_up = take_up;
     outcome.reduced = answer.granted && answer.exhausted;
     if (answer.exhausted) outcome.result = ReservationResult::kBudgetExhausted;
     if (answer.granted) outcome.result = ReservationResult::kGranted;
--- a/src/persimmonstair/gateway/budget_client.hpp
+++ b/src/persimmonstair/gateway/budget_client.hpp
@@ -75,7 +75,7 @@
                                                  std::uint64_t tokens);
   void Avoid(const PeerEndpoint& coordinator);
   void Handle(const schema::EntryPeerMessage& message);
-  void Handle(const schema::ReservationAnswer& answer);
+  void Handle(const schema::ReservationAnswer& answer, const turns::TakeUpOrder& take_up);
 
   boost::asio::any_io_executor executor_;
   PeerSocket& socket_;
--- a/src/persimmonstair/gateway/budget_coordinator.hpp
+++ b/src/persimmonstair/gateway/budget_coordinator.hpp
@@ -36,15 +36,22 @@
  private:
   /// Sender and nonce of a message.
   using MessageId = std::pair<PeerEndpoint, std::uint64_t>;
+  /// A reservation that another instance asks for.
+  struct Question {
+    std::uint64_t nonce = 0;
+    ReservationRequest request;
+    /// Longest time that the reservation may take.
+    base::Duration wait{};
+  };
   /// A message; `answer` is empty until it is decided.
   struct Received {
     std::optional<schema::EntryPeerMessage> answer;
   };
 
   void Handle(const schema::EntryPeerMessage& message, const PeerEndpoint& sender);
-  void Handle(const schema::ReservationAsk& ask, const PeerEndpoint& sender);
+  void Handle(const Question& ask, const PeerEndpoint& sender);
   void Handle(const schema::SettlementNotice& notice, const PeerEndpoint& sender);
-  boost::asio::awaitable<void> Decide(schema::ReservationAsk ask, PeerEndpoint sender);
+  boost::asio::awaitable<void> Decide(Question ask, PeerEndpoint sender);
   /// Stores the final answer and sends it.
   void Answer(const MessageId& id, const schema::EntryPeerMessage& answer);
   /// Registers a message. Returns false if it was registered before or if there are too many.
--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -13,6 +13,7 @@
 
 #include "clock.hpp"
 #include "persimmonstair/schema/state.hpp"
+#include "persimmonstair/turns/stream_take_ups.hpp"
 #include "persimmonstair/turns/stream_versions.hpp"
 #include "persimmonstair/turns/token_ledger.hpp"
 #include "store_access/partitions.hpp"
@@ -40,6 +41,8 @@
   std::optional<schema::StreamBegin> begin;
   /// Attempt whose stream the turn takes up; empty if it takes up none.
   base::TurnId resumed_attempt;
+  /// The take-up of a kept turn's stream, to be recorded; empty to record none.
+  std::optional<schema::StreamTakeUp> take_up;
 };
 
 /// @brief How a reservation ended, and the usage of the budget that decided it.
@@ -54,12 +57,16 @@
   schema::TokenReservation reservation;
   /// Software version at which the resumed attempt's stream began; empty if unknown.
   base::SoftwareVersion resumed_version;
+  /// Place of the recorded take-up among the attempts that take up the stream.
+  turns::TakeUpOrder take_up;
 };
 
 /// @brief Reserves tokens of programs' budgets in the store before they are returned to callers,
-/// and records there at which software version a stream begins.
+/// and records there at which software version a stream begins, and in which order the attempts of
+/// a caller take up the stream of a kept turn.
 ///
-/// The version is written with the reservation, so that it costs no append of its own.
+/// The version or the take-up is written with the reservation, so that it costs no append of its
+/// own.
 ///
 /// Expired records are deleted by their writer. Those of a writer that is gone are deleted by the
 /// instance that appends to the partition.
@@ -124,6 +131,8 @@
     ReservationRequest request;
     base::TimePoint deadline;
     ReservationOutcome outcome;
+    /// Offset of the record of its take-up.
+    base::Offset take_up_offset;
     /// Reservations because of which it doesn't fit, of instances that may be gone.
     std::vector<schema::TokenReservation> maybe_lost;
     /// True once nobody waits for the outcome.
@@ -140,6 +149,7 @@
   struct State {
     turns::TokenLedger ledger;
     turns::StreamVersions versions;
+    turns::StreamTakeUps take_ups;
     /// Records before this offset are in the ledger.
     base::Offset next;
     bool loaded = false;
@@ -210,10 +220,10 @@
   void DecideAgain(const State& state, QueuedReservation& queued) const;
   /// Tokens of the same program's reservations that follow this one and aren't decided yet.
   static std::uint64_t UndecidedAfter(const State& state, const QueuedReservation& queued);
-  void Apply(State& state, const KeyedRecord& record);
+  void Apply(State& state, const StoredRecord& stored);
   /// Encodes a record that is about to be written and notes its expiry.
-  static KeyedRecord Track(State& state, const schema::TokenReservation& reservation);
-  static KeyedRecord Track(State& state, const schema::StreamBegin& begin);
+  template <class Record>
+  static KeyedRecord Track(State& state, const Record& record);
   /// Returns the keys of expired records to delete with the next append. Reads the newest records
   /// first if another instance may have written later ones of the same programs.
   boost::asio::awaitable<std::vector<std::string>> DueDrops(const Partition& partition,
--- a/src/persimmonstair/gateway/budget_records.hpp
+++ b/src/persimmonstair/gateway/budget_records.hpp
@@ -18,8 +18,12 @@
 /// records of an id that began streams at two versions both remain.
 std::string KeyOf(const schema::StreamBegin& begin);
 
+/// @brief Key of a take-up's record, one for each attempt that takes a stream up.
+std::string KeyOf(const schema::StreamTakeUp& take_up);
+
 KeyedRecord Encode(const schema::TokenReservation& reservation);
 KeyedRecord Encode(const schema::StreamBegin& begin);
+KeyedRecord Encode(const schema::StreamTakeUp& take_up);
 
 /// @brief Expiry of a reservation's record. All reservations of a program count until the last one
 /// expires.
@@ -27,6 +31,8 @@
                                            store_access::RecordWriter writer);
 store_access::RecordExpiry::Entry ExpiryOf(const schema::StreamBegin& begin,
                                            store_access::RecordWriter writer);
+store_access::RecordExpiry::Entry ExpiryOf(const schema::StreamTakeUp& take_up,
+                                           store_access::RecordWriter writer);
 
 }  // namespace persimmonstair::gateway
 
--- a/src/persimmonstair/gateway/exchange.hpp
+++ b/src/persimmonstair/gateway/exchange.hpp
@@ -254,6 +254,8 @@
   std::string last_event_;
   /// Data of the forwarded events; stored with the turn.
   std::string output_;
+  /// Place of the request among the attempts that take up the stream of a kept turn.
+  turns::TakeUpOrder take_up_order_;
   /// Set for a kept turn whose stream may be taken up at another instance.
   std::optional<CopiedStream> copied_stream_;
   /// An event's data had no room, so the turn can't be stored.
