--- a/include/persimmonstair/gateway/record_store.hpp
+++ b/include/persimmonstair/gateway/record_store.hpp
@@ -2,7 +2,9 @@
 #define PERSIMMONSTAIR_GATEWAY_RECORD_STORE_HPP_
 
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,6 +38,22 @@
   return records;
 }
 
+/// @brief What the store accepts.
+struct StoreLimits {
+  /// Largest record: the length of its key (1 byte), the key and the value.
+  std::size_t record_bytes = 262'144;
+  /// Largest sum of the records of one append.
+  std::size_t call_bytes = 2'097'152;
+};
+
+/// @brief Length of a record as the store counts it, in bytes.
+inline std::size_t SizeOf(const KeyedRecord& record) {
+  return 1 + record.key.size() + (record.value ? record.value->size() : 0);
+}
+
+/// @brief Tells whether a reader needs a record. May be asked about one more than once.
+using RecordFilter = std::function<bool(const KeyedRecord& record)>;
+
 /// @brief A record with its offset in the partition.
 struct StoredRecord {
   base::Offset offset;
@@ -55,6 +73,8 @@
 struct RecordSnapshot {
   std::vector<StoredRecord> records;
   base::Offset next;
+  /// Bytes of the records that a filter left out.
+  std::size_t skipped_bytes = 0;
 };
 
 struct ReadOptions {
@@ -68,9 +88,9 @@
 /// @brief The platform's store of keyed records. Acknowledged records are durable, and all readers
 /// see the records of a partition in the same order.
 ///
-/// Errors: kOverloaded (refused without effect), kConflict (the partition doesn't end at
-/// `expected`), kNotFound (the records at this offset were dropped), and, with the verdict
-/// kMayHaveRun, kTimeout and kTargetFailed.
+/// Errors: kInvalidRequest (exceeds StoreLimits), kOverloaded (refused without effect), kConflict
+/// (the partition doesn't end at `expected`), kNotFound (the records at this offset were dropped),
+/// and, with the verdict kMayHaveRun, kTimeout and kTargetFailed.
 class RecordStore {
  public:
   virtual ~RecordStore() = default;
@@ -88,6 +108,11 @@
   virtual boost::asio::awaitable<base::Result<RecordSnapshot>> ReadNewest(
       const Partition& partition, base::Duration timeout) = 0;
 
+  /// Returns those of the newest records that `filter` accepts. A store that reads them piece by
+  /// piece never holds the others together.
+  virtual boost::asio::awaitable<base::Result<RecordSnapshot>> ReadNewestOf(
+      const Partition& partition, base::Duration timeout, RecordFilter filter);
+
   /// Returns the same store over connections that `connector` opens, which must outlive it; null if
   /// the store uses no connections.
   virtual std::unique_ptr<RecordStore> Through(StoreConnector& /*connector*/) { return nullptr; }
--- a/include/persimmonstair/gateway/settings.hpp
+++ b/include/persimmonstair/gateway/settings.hpp
@@ -8,6 +8,7 @@
 #include "persimmonstair/base/ids.hpp"
 #include "persimmonstair/base/time.hpp"
 #include "persimmonstair/dispatch/target_registry.hpp"
+#include "persimmonstair/gateway/record_store.hpp"
 
 namespace persimmonstair::gateway {
 
@@ -31,6 +32,8 @@
   std::uint32_t parts_of_stream = 8;
   /// Write calls a second that the store accepts from all instances together.
   double store_writes_per_s = 800;
+  /// Sizes of records and calls that the store accepts.
+  StoreLimits store_limits;
   /// Time after which a target that has said that it leaves must get no further requests.
   base::Duration target_leave_time = std::chrono::seconds{2};
   /// Size limit of the cache of stored turns, in bytes.
--- a/include/persimmonstair/schema/entry_settings.hpp
+++ b/include/persimmonstair/schema/entry_settings.hpp
@@ -39,6 +39,11 @@
   std::uint32_t parts_of_stream = 8;
   /// Write calls a second that the store accepts from all instances together; 10 to 1000000.
   double store_writes_per_s = 800;
+  /// Largest record that the store accepts, with its key, in bytes; 65536 to 16777216.
+  std::uint32_t store_record_bytes = 262144;
+  /// Largest number of bytes of records in one write call of the store; store_record_bytes to
+  /// 268435456.
+  std::uint32_t store_call_bytes = 2097152;
   /// Not used; accepted because settings of earlier versions have it. 1 to 1000000.
   double store_read_mb_per_s = 80;
   /// Time after which a target that has said that it leaves must get no further requests, in
@@ -72,6 +77,8 @@
       {"store", value.store},
       {"parts_of_stream", value.parts_of_stream},
       {"store_writes_per_s", value.store_writes_per_s},
+      {"store_record_bytes", value.store_record_bytes},
+      {"store_call_bytes", value.store_call_bytes},
       {"store_read_mb_per_s", value.store_read_mb_per_s},
       {"target_leave_ms", value.target_leave_ms},
       {"turn_cache_mb", value.turn_cache_mb},
@@ -96,6 +103,10 @@
     it->get_to(value.parts_of_stream);
   if (const auto it = json.find("store_writes_per_s"); it != json.end())
     it->get_to(value.store_writes_per_s);
+  if (const auto it = json.find("store_record_bytes"); it != json.end())
+    it->get_to(value.store_record_bytes);
+  if (const auto it = json.find("store_call_bytes"); it != json.end())
+    it->get_to(value.store_call_bytes);
   if (const auto it = json.find("store_read_mb_per_s"); it != json.end())
     it->get_to(value.store_read_mb_per_s);
   if (const auto it = json.find("target_leave_ms"); it != json.end())
--- a/include/persimmonstair/schema/state.hpp
+++ b/include/persimmonstair/schema/state.hpp
@@ -128,6 +128,58 @@
   Field(archive, value.expires_ms);
 }
 
+/// @brief A completed turn whose text doesn't fit into one record. Its text is the input followed
+/// by the output, in records of type TurnPart that are written before this one.
+struct LongTurn {
+  /// Turn that the record describes.
+  base::TurnId turn;
+  /// Workspace that owns the turn.
+  base::WorkspaceId workspace;
+  /// Turns that this turn continues, most recent first; as many as a record lists.
+  std::vector<base::TurnId> ancestors;
+  /// Length of the input in bytes.
+  std::uint64_t input_bytes = 0;
+  /// Length of the output in bytes.
+  std::uint64_t output_bytes = 0;
+  /// Length of each part but the last, in bytes.
+  std::uint64_t part_bytes = 0;
+  /// xxHash64 of the text; a part of the keys of its parts.
+  std::uint64_t checksum = 0;
+  /// Unix time in milliseconds after which the turn and its parts may be dropped.
+  std::int64_t expires_ms = 0;
+
+  bool operator==(const LongTurn&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, LongTurn& value) {
+  Field(archive, value.turn);
+  Field(archive, value.workspace);
+  Field(archive, value.ancestors);
+  Field(archive, value.input_bytes);
+  Field(archive, value.output_bytes);
+  Field(archive, value.part_bytes);
+  Field(archive, value.checksum);
+  Field(archive, value.expires_ms);
+}
+
+/// @brief A part of the text of a LongTurn.
+struct TurnPart {
+  /// The part of the text.
+  std::string data;
+  /// Unix time in milliseconds after which the record may be dropped, unless its LongTurn lasts
+  /// longer.
+  std::int64_t expires_ms = 0;
+
+  bool operator==(const TurnPart&) const = default;
+};
+
+template <class Archive>
+void serialize(Archive& archive, TurnPart& value) {
+  Field(archive, value.data);
+  Field(archive, value.expires_ms);
+}
+
 /// @brief Report of an instance that may hold shares of the workspaces' rates, and of the shares
 /// that it uses.
 struct ShareReport {
@@ -254,13 +306,14 @@
 }
 
 /// @brief Any of the types above.
-using StateRecord = std::variant<KeptTurn, TokenReservation, ShareReport, ShareTable, CrashReport,
-                                 StreamBegin, FleetRoster, RosterBeat, StreamTakeUp>;
+using StateRecord =
+    std::variant<KeptTurn, TokenReservation, ShareReport, ShareTable, CrashReport, StreamBegin,
+                 FleetRoster, RosterBeat, StreamTakeUp, LongTurn, TurnPart>;
 
 /// Type names in the order of the variant's alternatives.
-inline constexpr std::array<std::string_view, 9> kStateRecordTypes = {
-    "KeptTurn",    "TokenReservation", "ShareReport", "ShareTable",  "CrashReport",
-    "StreamBegin", "FleetRoster",      "RosterBeat",  "StreamTakeUp"};
+inline constexpr std::array<std::string_view, 11> kStateRecordTypes = {
+    "KeptTurn",    "TokenReservation", "ShareReport",  "ShareTable", "CrashReport", "StreamBegin",
+    "FleetRoster", "RosterBeat",       "StreamTakeUp", "LongTurn",   "TurnPart"};
 
 }  // namespace persimmonstair::schema
 
--- a/include/persimmonstair/turns/turn_cache.hpp
+++ b/include/persimmonstair/turns/turn_cache.hpp
@@ -56,13 +56,19 @@
   /// milliseconds) count as missing.
   Chain Find(const base::WorkspaceId& workspace, const base::TurnId& last, std::int64_t now_ms);
 
-  /// Returns copies of those records that expire before `needed_ms`, with `until_ms` (both in Unix
-  /// milliseconds) as their expiry. Turns that are not cached are skipped. The cache doesn't
-  /// change: each copy is to be added by Put() once the store has it, because all requests of the
-  /// instance rely on what the cache says.
-  std::vector<schema::KeptTurn> ExtendedCopies(const base::WorkspaceId& workspace,
-                                               const std::vector<base::TurnId>& chain,
-                                               std::int64_t needed_ms, std::int64_t until_ms) const;
+  /// Like Find(), without the history.
+  Chain FindAncestors(const base::WorkspaceId& workspace, const base::TurnId& last,
+                      std::int64_t now_ms);
+
+  /// Returns those turns of the chain that expire before `needed_ms` (Unix milliseconds). Turns
+  /// that are not cached are skipped. The pointers are valid until the cache changes.
+  std::vector<const schema::KeptTurn*> ExpiringBefore(const base::WorkspaceId& workspace,
+                                                      const std::vector<base::TurnId>& chain,
+                                                      std::int64_t needed_ms) const;
+
+  /// Takes over a later expiry of a turn, if it is cached. Only to be called once the store has it,
+  /// because all requests of the instance rely on what the cache says.
+  void Extend(const base::WorkspaceId& workspace, const base::TurnId& turn, std::int64_t until_ms);
 
   /// Removes the record of a turn, if cached.
   void Forget(const base::WorkspaceId& workspace, const base::TurnId& turn);
@@ -79,6 +85,10 @@
   using Key = std::pair<base::WorkspaceId, base::TurnId>;
 
   static Key KeyOf(const schema::KeptTurn& record) { return {record.workspace, record.turn}; }
+  /// Collects the chain that ends with `last` and the records of its turns, most recent first.
+  std::vector<const schema::KeptTurn*> Collect(const base::WorkspaceId& workspace,
+                                               const base::TurnId& last, std::int64_t now_ms,
+                                               Chain& chain);
   /// Returns the record and marks it as most recently used; null if missing or expired.
   const schema::KeptTurn* Touch(const Key& key, std::int64_t now_ms);
   void Erase(RecordList::iterator it);
--- a/src/persimmonstair/gateway/budget_manager.cpp
+++ b/src/persimmonstair/gateway/budget_manager.cpp
@@ -36,6 +36,24 @@
 constexpr std::size_t kMaxDropsPerAppend = 100;
 /// Age up to which the known records of a partition count as complete when records are deleted.
 constexpr std::chrono::seconds kMaxDropViewAge{1};
+/// Bytes of reservations, and of settlements, after which the rest waits for the next append. Their
+/// names may be long, and the store bounds an append.
+constexpr std::size_t kMaxAppendBytes = 500'000;
+
+/// Bytes of a record besides its names and the longest key.
+constexpr std::size_t kRecordOverhead = 400;
+
+// Returns what the record of a reservation takes at most, in bytes.
+std::size_t LargestSize(const schema::TokenReservation& reservation) {
+  return kRecordOverhead + reservation.program.value.size() + reservation.workspace.value.size() +
+         reservation.turn.value.size();
+}
+
+// The same for the records of a request. Those beside the reservation's hold its names once more.
+std::size_t LargestSize(const ReservationRequest& request) {
+  const std::size_t version = request.begin ? request.begin->version.value.size() : 0;
+  return 2 * LargestSize(request.tokens) + request.resumed_attempt.value.size() + version;
+}
 
 schema::TokenReservation Settled(schema::TokenReservation reservation, std::uint64_t tokens) {
   reservation.tokens = tokens;
@@ -101,8 +119,7 @@
     state.next_append_at = Now() + append_interval_;
     std::erase_if(state.queued, [](const auto& one) { return one->abandoned; });
     if (state.queued.empty() && state.settled.empty() && !state.dropping) break;
-    std::vector<QueuedReservationPtr> batch(state.queued.begin(), state.queued.end());
-    state.queued.clear();
+    std::vector<QueuedReservationPtr> batch = TakeBatch(state);
     co_await AppendQueued(partition, state, batch);
     for (const auto& one : batch) {
       if (one->abandoned || one->outcome.result == ReservationResult::kStoreUnavailable) {
@@ -118,6 +135,29 @@
   state.running = false;
 }
 
+std::vector<BudgetManager::QueuedReservationPtr> BudgetManager::TakeBatch(State& state) {
+  std::vector<QueuedReservationPtr> batch;
+  std::size_t bytes = 0;
+  while (!state.queued.empty() && bytes < kMaxAppendBytes) {
+    bytes += LargestSize(state.queued.front()->request);
+    batch.push_back(std::move(state.queued.front()));
+    state.queued.pop_front();
+  }
+  return batch;
+}
+
+std::vector<BudgetManager::QueuedSettlement> BudgetManager::TakeSettled(State& state) {
+  std::size_t n = 0;
+  for (std::size_t bytes = 0; n < state.settled.size() && bytes < kMaxAppendBytes; ++n) {
+    bytes += LargestSize(state.settled[n].reservation);
+  }
+  const auto end = state.settled.begin() + static_cast<std::ptrdiff_t>(n);
+  std::vector<QueuedSettlement> taken(std::make_move_iterator(state.settled.begin()),
+                                      std::make_move_iterator(end));
+  state.settled.erase(state.settled.begin(), end);
+  return taken;
+}
+
 awaitable<void> BudgetManager::AppendQueued(const Partition& partition, State& state,
                                             std::vector<QueuedReservationPtr>& batch) {
   if (!state.loaded && batch.empty() && !state.dropping) {
@@ -134,7 +174,7 @@
   const std::vector<std::string> drops = co_await DueDrops(partition, state, deadline);
   if (batch.empty() && state.settled.empty() && drops.empty()) co_return;
   std::vector<KeyedRecord> records;
-  std::vector<QueuedSettlement> settled = std::exchange(state.settled, {});
+  std::vector<QueuedSettlement> settled = TakeSettled(state);
   records.reserve(settled.size() + 2 * batch.size() + drops.size());
   for (const auto& one : settled) records.push_back(Track(state, one.reservation));
   for (const auto& one : batch) {
@@ -170,7 +210,7 @@
 }
 
 awaitable<void> BudgetManager::AppendSettled(const Partition& partition, State& state) {
-  std::vector<QueuedSettlement> settled = std::exchange(state.settled, {});
+  std::vector<QueuedSettlement> settled = TakeSettled(state);
   std::vector<KeyedRecord> records;
   records.reserve(settled.size());
   // Their deletion is left to the instance that appends to the partition.
--- a/src/persimmonstair/gateway/budget_manager.hpp
+++ b/src/persimmonstair/gateway/budget_manager.hpp
@@ -173,6 +173,9 @@
     bool dropping = false;
   };
 
+  /// Takes as many of the queued reservations, or of the settlements, as fit into one append.
+  static std::vector<QueuedReservationPtr> TakeBatch(State& state);
+  static std::vector<QueuedSettlement> TakeSettled(State& state);
   /// Appends queued reservations and settlements until there are none.
   boost::asio::awaitable<void> Run(Partition partition);
   boost::asio::awaitable<bool> Load(const Partition& partition, State& state,
--- a/src/persimmonstair/gateway/budget_manager_test.cpp
+++ b/src/persimmonstair/gateway/budget_manager_test.cpp
@@ -184,6 +184,27 @@
   EXPECT_FALSE(fourth.overtaken);
 }
 
+// Guards against an append that the store refuses, with all its reservations, because many callers
+// give their programs long names.
+TEST_F(BudgetManagerTest, LongNamesAreSpreadOverAppends) {
+  constexpr int kReservations = 300;
+  const std::string name(15'000, 'n');
+  const auto instance = Start();
+  std::vector<std::shared_ptr<ReservationOutcome>> outcomes;
+  for (int n = 0; n < kReservations; ++n) {
+    const std::string id = std::to_string(n);
+    outcomes.push_back(std::make_shared<ReservationOutcome>());
+    boost::asio::co_spawn(
+        io_,
+        RunReserve(*instance, RequestFor(MakeReservation(name + id, id, kRetentionMs)),
+                   outcomes.back()),
+        boost::asio::detached);
+  }
+  RunFor(kReadTime);
+  for (const auto& one : outcomes) EXPECT_EQ(one->result, ReservationResult::kGranted);
+  EXPECT_LE(records_.LargestAppend(), StoreLimits{}.call_bytes);
+}
+
 // Guards against a coordinator that deletes records which their writer, still there, deletes too.
 TEST_F(BudgetManagerTest, RecordsAreLeftToTheirWriterForAWhile) {
   WriteReservation(MakeReservation("old", "expired just now", -1'000));
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -127,6 +127,9 @@
   caller_.SetDeadline(expires_at_);
   if (auto error = CheckStop()) return error;
   if (auto error = FindWorkspace()) return error;
+  if (route_->keeps_turns && request_.body.size() > TurnStore::kMaxInputBytes) {
+    return Deny(ErrorCode::kPayloadTooLarge, "the input is longer than turns that are kept");
+  }
   fingerprint_ = XXH64(metadata_.path.data(), metadata_.path.size(), 0);
   fingerprint_ = XXH64(workspace_.value.data(), workspace_.value.size(), fingerprint_);
   fingerprint_ = XXH64(request_.body.data(), request_.body.size(), fingerprint_);
--- a/src/persimmonstair/gateway/gateway_context.hpp
+++ b/src/persimmonstair/gateway/gateway_context.hpp
@@ -73,7 +73,7 @@
         pool(connector),
         targets(store, reads, codec, target_registry, pool),
         turns(executor, store, {"turns", store_access::kTurnStreams, settings.parts_of_stream},
-              memory_plan.turn_cache),
+              memory_plan.turn_cache, settings.store_limits),
         stream_copier(executor, peers, fleet, memory_plan.stream_copies),
         quota(executor, peers, fleet, configuration),
         target_limits(executor, peers, fleet, target_registry, metrics),
@@ -88,6 +88,7 @@
         request_memory(memory_plan.requests),
         caller_connections(std::make_shared<ConnectionTable>(
             std::min(memory_plan.caller_connections, descriptor_plan.caller_connections))) {
+    turns.SetMemory(request_memory);
     connector.OnHangingPath([this] { pool.DropAll(); });
     reads.SetCollector([this] { return fleet.Collector(); });
     reads.SetPeers([this] { return fleet.RecentPeers(); });
--- a/src/persimmonstair/gateway/settings_load.cpp
+++ b/src/persimmonstair/gateway/settings_load.cpp
@@ -33,6 +33,11 @@
           "parts_of_stream: 1 to 1024");
   require(settings.store_writes_per_s >= 10 && settings.store_writes_per_s <= 1'000'000,
           "store_writes_per_s: 10 to 1000000");
+  require(settings.store_record_bytes >= 65'536 && settings.store_record_bytes <= 16'777'216,
+          "store_record_bytes: 65536 to 16777216");
+  require(settings.store_call_bytes >= settings.store_record_bytes &&
+              settings.store_call_bytes <= 268'435'456,
+          "store_call_bytes: store_record_bytes to 268435456");
   require(settings.store_read_mb_per_s >= 1 && settings.store_read_mb_per_s <= 1'000'000,
           "store_read_mb_per_s: 1 to 1000000");
   require(settings.target_leave_ms >= 1000 && settings.target_leave_ms <= 600'000,
@@ -63,7 +68,8 @@
               "'" + std::string(text) + "' is not of the form address:port");
 }
 
-base::Result<schema::EntrySettings> ParseEntrySettings(std::string_view text) {
+base::Result<schema::EntrySettings> ParseEntrySettings(std::string_view text,
+                                                       const EntryOverrides& overrides) {
   schema::EntrySettings settings;
   try {
     const Json json = Json::parse(text);
@@ -75,19 +81,22 @@
   } catch (const Json::exception& error) {
     return Fail(ErrorCode::kInvalidRequest, error.what());
   }
+  settings.store_record_bytes = overrides.store_record_bytes.value_or(settings.store_record_bytes);
+  settings.store_call_bytes = overrides.store_call_bytes.value_or(settings.store_call_bytes);
   std::string message;
   for (const auto& issue : FindProblems(settings)) message += (message.empty() ? "" : "; ") + issue;
   if (!message.empty()) return Fail(ErrorCode::kInvalidRequest, message);
   return settings;
 }
 
-base::Result<schema::EntrySettings> LoadEntrySettings(const std::string& path) {
+base::Result<schema::EntrySettings> LoadEntrySettings(const std::string& path,
+                                                      const EntryOverrides& overrides) {
   std::ifstream in(path);
   std::ostringstream text;
   if (!in || !(text << in.rdbuf())) {
     return Fail(ErrorCode::kInvalidRequest, "can't read settings file " + path);
   }
-  auto settings = ParseEntrySettings(text.str());
+  auto settings = ParseEntrySettings(text.str(), overrides);
   if (!settings) return Fail(ErrorCode::kInvalidRequest, path + ": " + settings.error().message);
   return settings;
 }
@@ -103,6 +112,7 @@
   out.store = *ParseEndpoint(settings.store);
   out.parts_of_stream = settings.parts_of_stream;
   out.store_writes_per_s = settings.store_writes_per_s;
+  out.store_limits = {settings.store_record_bytes, settings.store_call_bytes};
   out.target_leave_time = std::chrono::milliseconds{settings.target_leave_ms};
   out.turn_cache_bytes = std::size_t{settings.turn_cache_mb} << 20U;
   out.memory_bytes = std::size_t{settings.memory_mb} << 20U;
--- a/src/persimmonstair/gateway/store_access/busy_store_test.hpp
+++ b/src/persimmonstair/gateway/store_access/busy_store_test.hpp
@@ -26,6 +26,9 @@
       const Partition& /*partition*/, const std::vector<KeyedRecord>& records,
       base::Duration /*timeout*/, std::optional<base::Offset> /*expected*/) override {
     ++appends_;
+    std::size_t bytes = 0;
+    for (const auto& record : records) bytes += SizeOf(record);
+    largest_append_ = std::max(largest_append_, bytes);
     const bool refused =
         !refused_key.empty() && !records.empty() && records.front().key.starts_with(refused_key);
     if (refused) co_return base::Fail(base::ErrorCode::kOverloaded, "refused");
@@ -68,11 +71,21 @@
   /// Refuses appends whose first key begins with this; empty for none.
   std::string refused_key;
 
+  /// Deletes the first record whose key begins with `prefix`.
+  void Delete(const std::string& prefix) {
+    const auto it =
+        std::find_if(content_.records.begin(), content_.records.end(),
+                     [&](const auto& one) { return one.record.key.starts_with(prefix); });
+    if (it != content_.records.end()) content_.records.erase(it);
+  }
+
   /// Number of reads of the newest records, abandoned ones included.
   std::size_t Reads() const { return reads_; }
   /// Number of reads from an offset.
   std::size_t Polls() const { return polls_; }
   std::size_t Appends() const { return appends_; }
+  /// Bytes of the records of the largest append.
+  std::size_t LargestAppend() const { return largest_append_; }
   /// The newest records.
   const RecordSnapshot& Content() const { return content_; }
 
@@ -85,6 +98,7 @@
   std::size_t reads_ = 0;
   std::size_t polls_ = 0;
   std::size_t appends_ = 0;
+  std::size_t largest_append_ = 0;
 };
 
 }  // namespace persimmonstair::gateway::store_access
--- a/src/persimmonstair/gateway/store_access/partition_reads.cpp
+++ b/src/persimmonstair/gateway/store_access/partition_reads.cpp
@@ -40,6 +40,32 @@
   co_return std::move(waiter->missing);
 }
 
+awaitable<Result<RecordSnapshot>> PartitionReads::ReadWanted(Partition partition,
+                                                             std::shared_ptr<SharedRead> read) {
+  auto snapshot = co_await ReadOnce(partition, read);
+  if (!read->no_room) co_return snapshot;
+  snapshot = base::Fail(ErrorCode::kOverloaded, "the memory for requests is full");
+  read->held.reset();
+  // Reads that find no room together may find it one after the other.
+  const Slots::Slot alone = co_await alone_.Acquire();
+  auto second = co_await ReadOnce(partition, read);
+  if (!read->no_room) co_return second;
+  co_return snapshot;
+}
+
+awaitable<Result<RecordSnapshot>> PartitionReads::ReadOnce(Partition partition,
+                                                           std::shared_ptr<SharedRead> read) {
+  const Slots::Slot slot = co_await slots_.Acquire();
+  if (memory_ != nullptr) read->held.emplace(*memory_);
+  read->no_room = false;
+  RecordFilter filter = [this, partition, read](const KeyedRecord& record) {
+    if (!needs_(partition, record, read->wanted)) return false;
+    read->no_room = read->no_room || (read->held && !read->held->Add(SizeOf(record)));
+    return !read->no_room;
+  };
+  co_return co_await store_.ReadNewestOf(partition, Now() + kReadTimeout, std::move(filter));
+}
+
 awaitable<void> PartitionReads::Run(Partition partition, std::shared_ptr<SharedRead> read) {
   while (!read->joined.empty()) {
     read->waiting = std::exchange(read->joined, {});
@@ -47,8 +73,11 @@
     for (const auto& one : read->waiting) {
       read->wanted.insert(one->missing.begin(), one->missing.end());
     }
-    const auto snapshot = co_await store_.ReadNewest(partition, Now() + kReadTimeout);
-    Deliver(partition, *read, snapshot);
+    {
+      const auto snapshot = co_await ReadWanted(partition, read);
+      Deliver(partition, *read, snapshot);
+    }
+    read->held.reset();
   }
   reads_.erase(partition);
 }
--- a/src/persimmonstair/gateway/store_access/relayed_record_store.cpp
+++ b/src/persimmonstair/gateway/store_access/relayed_record_store.cpp
@@ -64,6 +64,15 @@
   });
 }
 
+awaitable<Result<RecordSnapshot>> RelayedRecordStore::ReadNewestOf(const Partition& partition,
+                                                                   base::Duration timeout,
+                                                                   RecordFilter filter) {
+  return Send<RecordSnapshot>(
+      {}, [&partition, timeout, filter = std::move(filter)](RecordStore& store) {
+        return store.ReadNewestOf(partition, timeout, filter);
+      });
+}
+
 awaitable<void> RelayedRecordStore::Probe() {
   RecordStore& other = path_.IsRelayed() ? direct_ : *relayed_;
   // Any answer will do, also that records at this offset were dropped.
--- a/src/persimmonstair/gateway/store_access/relayed_record_store.hpp
+++ b/src/persimmonstair/gateway/store_access/relayed_record_store.hpp
@@ -27,6 +27,9 @@
   boost::asio::awaitable<base::Result<RecordBatch>> Read(const Partition& partition,
                                                          base::Offset from,
                                                          ReadOptions options) override;
+  boost::asio::awaitable<base::Result<RecordSnapshot>> ReadNewestOf(const Partition& partition,
+                                                                    base::Duration timeout,
+                                                                    RecordFilter filter) override;
   boost::asio::awaitable<base::Result<RecordSnapshot>> ReadNewest(const Partition& partition,
                                                                   base::Duration timeout) override;
 
--- a/src/persimmonstair/gateway/store_access/retrying_record_store.cpp
+++ b/src/persimmonstair/gateway/store_access/retrying_record_store.cpp
@@ -44,8 +44,18 @@
 /// Time without a success, while calls fail, after which the store counts as unreachable.
 constexpr milliseconds kUnreachableAfter{400};
 
+/// Bytes of an append that an instance and the store pass on and write in a millisecond at least.
+constexpr std::size_t kAppendedBytesPerMs = 4000;
+
 std::size_t BytesRead(base::Offset /*appended*/) { return 0; }
 
+// Returns the time that the records of an append take beyond the latency of a small one.
+base::Duration TransferTime(const std::vector<KeyedRecord>& records) {
+  std::size_t bytes = 0;
+  for (const auto& record : records) bytes += SizeOf(record);
+  return milliseconds{bytes / kAppendedBytesPerMs};
+}
+
 // Returns the bytes of the keys and values of a batch or snapshot.
 template <class Records>
 std::size_t BytesRead(const Records& read) {
@@ -54,6 +64,7 @@
     bytes += stored.record.key.size();
     if (stored.record.value) bytes += stored.record.value->size();
   }
+  if constexpr (std::is_same_v<Records, RecordSnapshot>) bytes += read.skipped_bytes;
   return bytes;
 }
 
@@ -133,7 +144,7 @@
     const base::TimePoint now = Now();
     if (attempt > 0 && now >= deadline) break;
     const base::Duration left = std::max<base::Duration>(milliseconds{1}, deadline - now);
-    Result<T> result = co_await send(std::min(left, Timeout(attempt)));
+    Result<T> result = co_await send(std::min(left, Timeout(attempt) + kind.transfer_time));
     TrackResult(kind, result, now, {});
     if (result || result.error().code == ErrorCode::kNotFound) co_return result;
     if (result.error().code == ErrorCode::kInvalidRequest) co_return result;
@@ -226,6 +237,7 @@
                                                             std::vector<KeyedRecord> records,
                                                             base::TimePoint deadline) {
   CallKind kind{StoreCall::kAppend, StreamKind(partition.stream)};
+  kind.transfer_time = TransferTime(records);
   co_return co_await CallWithRetry<base::Offset>(
       std::move(kind), deadline, [&](base::Duration timeout) {
         return store_.Append(partition, records, timeout, std::nullopt);
@@ -260,6 +272,17 @@
       });
 }
 
+awaitable<Result<RecordSnapshot>> RetryingRecordStore::ReadNewestOf(Partition partition,
+                                                                    base::TimePoint deadline,
+                                                                    RecordFilter filter) {
+  CallKind kind{StoreCall::kReadNewest, StreamKind(partition.stream)};
+  return ReadWithRetry<RecordSnapshot>(
+      {std::move(kind), deadline, {}},
+      [this, partition = std::move(partition), filter = std::move(filter)](base::Duration timeout) {
+        return store_.ReadNewestOf(partition, timeout, filter);
+      });
+}
+
 awaitable<Result<RecordBatch>> RetryingRecordStore::Read(Partition partition, base::Offset from,
                                                          base::TimePoint deadline) {
   CallKind kind{StoreCall::kRead, StreamKind(partition.stream)};
--- a/src/persimmonstair/gateway/store_access/retrying_record_store.hpp
+++ b/src/persimmonstair/gateway/store_access/retrying_record_store.hpp
@@ -48,6 +48,10 @@
   /// Returns the newest record of each key of the partition.
   boost::asio::awaitable<base::Result<RecordSnapshot>> ReadNewest(Partition partition,
                                                                   base::TimePoint deadline);
+  /// Returns those of the newest records that `filter` accepts. Repeated attempts ask it again.
+  boost::asio::awaitable<base::Result<RecordSnapshot>> ReadNewestOf(Partition partition,
+                                                                    base::TimePoint deadline,
+                                                                    RecordFilter filter);
   /// Returns kNotFound without a retry if the records at `from` were dropped.
   boost::asio::awaitable<base::Result<RecordBatch>> Read(Partition partition, base::Offset from,
                                                          base::TimePoint deadline);
@@ -79,6 +83,8 @@
     StoreCall call = StoreCall::kRead;
     /// StreamKind() of the stream.
     std::string stream;
+    /// Time that an append takes beyond the latency of a small one.
+    base::Duration transfer_time{};
   };
   /// Timeout of one attempt (0 for the first), from the smoothed latency.
   base::Duration Timeout(int attempt) const;
--- a/src/persimmonstair/gateway/turn_store.cpp
+++ b/src/persimmonstair/gateway/turn_store.cpp
@@ -7,10 +7,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
+#include <variant>
 
 #include "clock.hpp"
 #include "persimmonstair/diagnostics/log.hpp"
@@ -42,18 +45,14 @@
 /// Maximum number of read rounds for one chain. Each round reads the ancestors that the previous
 /// round found.
 constexpr int kMaxFetchRounds = 20;
-/// Bits of the workspace's hash in a key, so that key and longest request id fit into 255 bytes.
-constexpr std::uint64_t kWorkspaceHashMask = (std::uint64_t{1} << 56U) - 1;
-
-// Returns the key of a turn's record: its id, which the caller chose, and a hash of its workspace,
-// so that a workspace can't overwrite the turns of another one. Builds before used the id alone;
-// all builds go by the record and not by its key.
-std::string KeyOf(const base::WorkspaceId& workspace, const base::TurnId& turn) {
-  const std::uint64_t hash = XXH64(workspace.value.data(), workspace.value.size(), 0);
-  return fmt::format("{}#{:014x}", turn.value, hash & kWorkspaceHashMask);
-}
-
-std::string KeyOf(const schema::KeptTurn& record) { return KeyOf(record.workspace, record.turn); }
+/// Partitions that are read at the same time. A page of the store's answer holds up to 1.4 MB.
+constexpr std::size_t kMaxReads = 8;
+/// Long turns that are written at the same time, each with one append of kMaxAppendBytes.
+constexpr std::size_t kMaxLongWrites = 4;
+/// Largest append of parts. A larger one holds up the other appends to the partition.
+constexpr std::size_t kMaxAppendBytes = 1'000'000;
+/// Keeps the appends that delete records short.
+constexpr std::size_t kMaxDropsPerAppend = 2000;
 
 // Returns the key of a settlement that is stored with its turn.
 std::string SettlementKeyOf(const schema::TokenReservation& reservation) {
@@ -73,29 +72,45 @@
   return turns;
 }
 
-// Returns the turn in a record; nothing if there is none. Logs records that can't be read.
-std::optional<schema::KeptTurn> DecodeKeptTurn(const Partition& partition,
-                                               const StoredRecord& stored) {
-  if (!stored.record.value) return std::nullopt;
-  auto record = schema::DecodeState(*stored.record.value);
-  auto* kept = record ? std::get_if<schema::KeptTurn>(&*record) : nullptr;
-  if (kept != nullptr) return std::move(*kept);
-  if (record && std::holds_alternative<schema::TokenReservation>(*record)) return std::nullopt;
-  diagnostics::Log(diagnostics::Level::kWarning, "record_skipped",
-                   {{"stream", partition.stream.value}, {"key", stored.record.key}});
-  return std::nullopt;
-}
-
-// Returns the expiry of a turn or a settlement, in Unix milliseconds; nothing for other records.
-std::optional<std::int64_t> ExpiryOf(const StoredRecord& stored) {
-  if (!stored.record.value) return std::nullopt;
-  const auto record = schema::DecodeState(*stored.record.value);
-  if (!record) return std::nullopt;
-  if (const auto* kept = std::get_if<schema::KeptTurn>(&*record)) return kept->expires_ms;
-  const auto* settlement = std::get_if<schema::TokenReservation>(&*record);
+// Returns the expiry of a record of this store, in Unix milliseconds; nothing for other records.
+std::optional<std::int64_t> ExpiryOf(const schema::StateRecord& record) {
+  if (const auto* kept = std::get_if<schema::KeptTurn>(&record)) return kept->expires_ms;
+  if (const auto* turn = std::get_if<schema::LongTurn>(&record)) return turn->expires_ms;
+  if (const auto* part = std::get_if<schema::TurnPart>(&record)) return part->expires_ms;
+  const auto* settlement = std::get_if<schema::TokenReservation>(&record);
   return settlement == nullptr ? std::nullopt : std::optional(settlement->expires_ms);
 }
 
+/// Expired records of a partition, collected while it is read.
+struct ExpiredRecords {
+  std::set<std::string> keys;
+  /// Prefixes of the parts of turns that haven't expired.
+  std::set<std::string> live_parts;
+
+  void Add(const KeyedRecord& stored) {
+    if (!stored.value) return;
+    const auto record = schema::DecodeState(*stored.value);
+    const auto expires_ms = record ? ExpiryOf(*record) : std::nullopt;
+    if (!expires_ms) return;
+    if (*expires_ms + kDropDelayMs < UnixMillis()) {
+      keys.insert(stored.key);
+    } else if (std::holds_alternative<schema::LongTurn>(*record)) {
+      live_parts.insert(PartPrefix(stored.key));
+    }
+  }
+
+  /// Returns the keys of the records to delete.
+  std::vector<std::string> Droppable() const {
+    std::vector<std::string> droppable;
+    for (const auto& key : keys) {
+      // The turn of a part may have been extended.
+      if (IsPartKey(key) && live_parts.contains(PrefixOfPart(key))) continue;
+      droppable.push_back(key);
+    }
+    return droppable;
+  }
+};
+
 /// Waits for a number of tasks that run at the same time.
 struct Join {
   Join(const boost::asio::any_io_executor& executor, std::size_t tasks)
@@ -115,38 +130,56 @@
 
 TurnStore::TurnStore(const boost::asio::any_io_executor& executor,
                      store_access::RetryingRecordStore& store, store_access::Partitioning turns,
-                     std::size_t cache_bytes)
+                     std::size_t cache_bytes, StoreLimits limits)
     : executor_(executor),
       store_(store),
       partitions_(std::move(turns)),
+      limits_(limits),
       cache_(cache_bytes),
-      reads_(executor, store,
-             [this](const Partition& partition, const RecordSnapshot& snapshot,
-                    const KeySet& wanted) { return CacheTurns(partition, snapshot, wanted); }),
+      reading_(executor, kMaxReads),
+      long_writes_(executor, kMaxLongWrites),
+      reads_(
+          executor, store, reading_,
+          [this](const Partition& partition, const KeyedRecord& record, const KeySet& wanted) {
+            return NeedsRecord(partition, record, wanted);
+          },
+          [this](const Partition& partition, const RecordSnapshot& snapshot, const KeySet& wanted) {
+            return CacheTurns(partition, snapshot, wanted);
+          }),
       settlement_reads_(
-          executor, store,
+          executor, store, reading_,
+          [](const Partition& /*partition*/, const KeyedRecord& record, const KeySet& wanted) {
+            return wanted.contains(record.key);
+          },
           [this](const Partition& /*partition*/, const RecordSnapshot& snapshot,
                  const KeySet& wanted) { return TakeSettlements(snapshot, wanted); }) {}
 
+void TurnStore::SetMemory(const RequestMemory& memory) {
+  reads_.SetMemory(memory);
+  settlement_reads_.SetMemory(memory);
+}
+
 awaitable<Result<History>> TurnStore::Find(base::WorkspaceId workspace, base::TurnId previous,
                                            base::TimePoint deadline) {
-  auto chain = co_await LoadChain(workspace, previous, UnixMillis(), deadline);
+  auto chain =
+      co_await LoadChain(&turns::TurnCache::Find, workspace, previous, UnixMillis(), deadline);
   if (!chain) co_return tl::make_unexpected(chain.error());
   chain->ancestors.resize(std::min(chain->ancestors.size(), turns::kMaxListedAncestors));
   co_return History{std::move(chain->history), std::move(chain->ancestors), chain->expires_ms};
 }
 
-awaitable<Result<turns::Chain>> TurnStore::LoadChain(base::WorkspaceId workspace,
+awaitable<Result<turns::Chain>> TurnStore::LoadChain(FindInCache find, base::WorkspaceId workspace,
                                                      base::TurnId previous, std::int64_t now_ms,
                                                      base::TimePoint deadline) {
   std::set<base::TurnId> asked;
   for (int round = 0; round < kMaxFetchRounds; ++round) {
-    turns::Chain chain = cache_.Find(workspace, previous, now_ms);
+    turns::Chain chain = (cache_.*find)(workspace, previous, now_ms);
     if (chain.missing.empty()) co_return chain;
     for (const auto& turn : chain.missing) {
       if (asked.insert(turn).second) continue;
-      co_return Fail(ErrorCode::kLogUnavailable,
-                     "stored turn " + turn.value + " left the cache before it was used");
+      co_return Fail(ErrorCode::kLogUnavailable, "stored turn " + turn.value +
+                                                     " is incomplete or left the cache before it "
+                                                     "was used");
     }
     const auto absent = co_await Fetch(workspace, std::move(chain.missing), deadline);
     if (!absent) co_return tl::make_unexpected(absent.error());
@@ -162,7 +195,7 @@
                                            base::TimePoint deadline) {
   std::map<Partition, KeySet> grouped;
   for (const auto& turn : turns) {
-    grouped[partitions_.PartitionOf(turn.value)].insert(KeyOf(workspace, turn));
+    grouped[partitions_.PartitionOf(turn.value)].insert(TurnKey(workspace, turn));
   }
   const auto join = std::make_shared<Join>(executor_, grouped.size());
   const auto all_absent = std::make_shared<KeySet>();
@@ -180,21 +213,63 @@
                  "stored turns can't be read: the record store is unavailable");
 }
 
+bool TurnStore::NeedsRecord(const Partition& partition, const KeyedRecord& record,
+                            const KeySet& wanted) {
+  if (BelongsTo(record, wanted)) return true;
+  // The expiry of a part says little, as its turn may have been extended.
+  if (!record.value || IsPartKey(record.key)) return false;
+  const auto decoded = schema::DecodeState(*record.value);
+  const auto expires_ms = decoded ? ExpiryOf(*decoded) : std::nullopt;
+  if (!expires_ms) {
+    diagnostics::Log(diagnostics::Level::kWarning, "record_skipped",
+                     {{"stream", partition.stream.value}, {"key", record.key}});
+  } else if (*expires_ms + kDropDelayMs < UnixMillis()) {
+    with_expired_.insert(partition);
+  }
+  return false;
+}
+
 KeySet TurnStore::CacheTurns(const Partition& partition, const RecordSnapshot& snapshot,
                              const KeySet& wanted) {
   const std::int64_t now_ms = UnixMillis();
   KeySet found;
-  bool expired = false;
-  for (const auto& stored : snapshot.records) {
-    auto kept = DecodeKeptTurn(partition, stored);
-    if (!kept) continue;
-    if (kept->expires_ms + kDropDelayMs < now_ms) expired = true;
-    const std::string key = KeyOf(*kept);
-    if (kept->expires_ms < now_ms || !wanted.contains(key)) continue;
+  std::vector<schema::LongTurn> long_turns;
+  TurnParts parts;
+  const auto is_found = [&](const auto& turn) {
+    const std::string key = TurnKey(turn.workspace, turn.turn);
+    if (turn.expires_ms + kDropDelayMs < now_ms) with_expired_.insert(partition);
+    if (turn.expires_ms < now_ms || !wanted.contains(key)) return false;
     found.insert(key);
-    cache_.Put(std::move(*kept));
+    return true;
+  };
+  for (const auto& stored : snapshot.records) {
+    if (!stored.record.value) continue;
+    auto record = schema::DecodeState(*stored.record.value);
+    if (auto* kept = record ? std::get_if<schema::KeptTurn>(&*record) : nullptr) {
+      if (is_found(*kept)) cache_.Put(std::move(*kept));
+    } else if (auto* turn = record ? std::get_if<schema::LongTurn>(&*record) : nullptr) {
+      if (is_found(*turn)) long_turns.push_back(std::move(*turn));
+    } else if (auto* part = record ? std::get_if<schema::TurnPart>(&*record) : nullptr) {
+      parts[stored.record.key] = std::move(*part);
+    } else {
+      diagnostics::Log(diagnostics::Level::kWarning, "record_skipped",
+                       {{"stream", partition.stream.value}, {"key", stored.record.key}});
+    }
+  }
+  for (const auto& turn : long_turns) {
+    auto joined = JoinTurn(turn, parts);
+    if (joined) {
+      cache_.Put(std::move(*joined));
+      continue;
+    }
+    // A part may have been written since its page was read. The turn is there in any case, so it
+    // isn't reported as missing.
+    diagnostics::Log(diagnostics::Level::kWarning, "turn_incomplete",
+                     {{"turn", turn.turn.value},
+                      {"stream", partition.stream.value},
+                      {"parts", CountParts(turn)},
+                      {"bytes", turn.input_bytes + turn.output_bytes}});
   }
-  if (expired) drop_schedule_.emplace_front(0, partition);
   return found;
 }
 
@@ -211,20 +286,98 @@
   co_return co_await Write(std::move(record), deadline, std::move(settlement));
 }
 
+awaitable<Result<void>> TurnStore::Append(Partition partition, std::vector<KeyedRecord> records,
+                                          base::TimePoint deadline) {
+  const auto offset = co_await store_.Append(partition, std::move(records), deadline);
+  if (!offset) co_return tl::make_unexpected(offset.error());
+  co_return Result<void>{};
+}
+
 awaitable<Result<void>> TurnStore::Write(schema::KeptTurn record, base::TimePoint deadline,
                                          std::optional<schema::TokenReservation> settlement) {
   const Partition partition = partitions_.PartitionOf(record.turn.value);
-  std::vector<KeyedRecord> records = OneRecord(KeyOf(record), schema::EncodeState(record));
+  std::vector<KeyedRecord> records;
   if (settlement) {
     // Dropped in the same pass as the turn.
     settlement->expires_ms = record.expires_ms;
     records.push_back({SettlementKeyOf(*settlement), schema::EncodeState(*settlement)});
   }
-  const auto result = co_await store_.Append(partition, std::move(records), deadline);
-  if (!result) co_return tl::make_unexpected(result.error());
+  auto whole = EncodeWhole(record, limits_.record_bytes);
+  Result<void> result;
+  if (whole) {
+    records.push_back(std::move(*whole));
+    result = co_await Append(partition, std::move(records), deadline);
+  } else {
+    result = co_await WriteLong(record, deadline, std::move(records));
+  }
+  // Parts may be left of a long turn that was not written whole.
   drop_schedule_.emplace_back(record.expires_ms + kDropDelayMs, partition);
-  cache_.Put(std::move(record));
-  co_return Result<void>{};
+  if (result) cache_.Put(std::move(record));
+  co_return result;
+}
+
+awaitable<Result<void>> TurnStore::WriteLong(const schema::KeptTurn& turn, base::TimePoint deadline,
+                                             std::vector<KeyedRecord> last) {
+  const base::TimePoint begun_at = Now();
+  const Slots::Slot slot = co_await long_writes_.Acquire();
+  const Partition partition = partitions_.PartitionOf(turn.turn.value);
+  const schema::LongTurn divided = DivideTurn(turn, limits_.record_bytes);
+  const std::size_t max_bytes = std::min(kMaxAppendBytes, limits_.call_bytes);
+  last.push_back(EncodeLongTurn(divided));
+  std::size_t last_bytes = 0;
+  for (const auto& record : last) last_bytes += SizeOf(record);
+  std::vector<KeyedRecord> records;
+  std::size_t bytes = 0;
+  int appends = 1;
+  const std::size_t count = CountParts(divided);
+  for (std::size_t n = 0; n < count; ++n) {
+    KeyedRecord part = EncodePart(turn, divided, n);
+    const std::size_t size = SizeOf(part) + (n + 1 == count ? last_bytes : 0);
+    if (!records.empty() && bytes + size > max_bytes) {
+      const auto written = co_await Append(partition, std::exchange(records, {}), deadline);
+      if (!written) co_return written;
+      bytes = 0;
+      ++appends;
+    }
+    bytes += size;
+    records.push_back(std::move(part));
+  }
+  std::move(last.begin(), last.end(), std::back_inserter(records));
+  const auto written = co_await Append(partition, std::move(records), deadline);
+  diagnostics::Log(diagnostics::Level::kInfo, "long_turn_written",
+                   {{"turn", turn.turn.value},
+                    {"bytes", divided.input_bytes + divided.output_bytes},
+                    {"parts", count},
+                    {"appends", appends},
+                    {"written", written.has_value()},
+                    {"ms", base::ToMillis(Now() - begun_at)}});
+  co_return written;
+}
+
+KeyedRecord TurnStore::ExtensionOf(const schema::KeptTurn& turn, std::int64_t until_ms) const {
+  schema::KeptTurn extended{turn.turn, turn.workspace, turn.ancestors, {}, {}, until_ms};
+  if (turn.input.size() + turn.output.size() < limits_.record_bytes) {
+    extended.input = turn.input;
+    extended.output = turn.output;
+    auto whole = EncodeWhole(extended, limits_.record_bytes);
+    if (whole) return std::move(*whole);
+  }
+  schema::LongTurn divided = DivideTurn(turn, limits_.record_bytes);
+  divided.expires_ms = until_ms;
+  return EncodeLongTurn(divided);
+}
+
+awaitable<Result<void>> TurnStore::WriteExtension(base::WorkspaceId workspace, base::TurnId turn,
+                                                  std::int64_t until_ms, KeyedRecord record,
+                                                  base::TimePoint deadline) {
+  const Partition partition = partitions_.PartitionOf(turn.value);
+  std::vector<KeyedRecord> records;
+  records.push_back(std::move(record));
+  const auto written = co_await Append(partition, std::move(records), deadline);
+  if (!written) co_return written;
+  drop_schedule_.emplace_back(until_ms + kDropDelayMs, partition);
+  cache_.Extend(workspace, turn, until_ms);
+  co_return written;
 }
 
 awaitable<Result<void>> TurnStore::ExtendChain(base::WorkspaceId workspace, base::TurnId previous,
@@ -232,17 +385,21 @@
                                                base::TimePoint deadline) {
   // The chain was complete when the turn began, and may have expired since.
   const std::int64_t valid_ms = UnixMillis() - kLateExtensionMs;
-  const auto chain = co_await LoadChain(workspace, previous, valid_ms, deadline);
+  const auto chain =
+      co_await LoadChain(&turns::TurnCache::FindAncestors, workspace, previous, valid_ms, deadline);
   if (!chain) co_return tl::make_unexpected(chain.error());
-  auto copies =
-      cache_.ExtendedCopies(workspace, chain->ancestors, needed_ms, needed_ms + retention_ms);
-  if (copies.empty()) co_return Result<void>{};
-  const auto join = std::make_shared<Join>(executor_, copies.size());
-  for (auto& copy : copies) {
-    boost::asio::co_spawn(executor_, Write(std::move(copy), deadline),
-                          [join](const std::exception_ptr& error, const Result<void>& written) {
-                            join->End(!error && written);
-                          });
+  const std::int64_t until_ms = needed_ms + retention_ms;
+  const auto expiring = cache_.ExpiringBefore(workspace, chain->ancestors, needed_ms);
+  if (expiring.empty()) co_return Result<void>{};
+  const auto join = std::make_shared<Join>(executor_, expiring.size());
+  // Extending turns doesn't move them in the cache.
+  for (const auto* turn : expiring) {
+    boost::asio::co_spawn(
+        executor_,
+        WriteExtension(workspace, turn->turn, until_ms, ExtensionOf(*turn, until_ms), deadline),
+        [join](const std::exception_ptr& error, const Result<void>& written) {
+          join->End(!error && written);
+        });
   }
   co_await join->done.Wait();
   if (join->all_succeeded) co_return Result<void>{};
@@ -291,7 +448,7 @@
     cache_.Expire(now_ms - kLateExtensionMs);
     std::erase_if(settlements_,
                   [now_ms](const auto& one) { return one.second.expires_ms < now_ms; });
-    std::set<Partition> due;
+    std::set<Partition> due = std::exchange(with_expired_, {});
     while (!drop_schedule_.empty() && drop_schedule_.front().first < now_ms) {
       due.insert(drop_schedule_.front().second);
       drop_schedule_.pop_front();
@@ -304,15 +461,22 @@
 
 // Another instance may have extended a turn, so the expiry times are read from the store again.
 awaitable<void> TurnStore::DropExpiredFrom(Partition partition) {
-  const auto snapshot = co_await store_.ReadNewest(partition, Now() + kDropReadTimeout);
-  if (!snapshot) co_return;
+  const auto expired = std::make_shared<ExpiredRecords>();
+  // Only keys are held, not the records.
+  RecordFilter filter = [expired](const KeyedRecord& record) {
+    expired->Add(record);
+    return false;
+  };
+  const auto read =
+      co_await store_.ReadNewestOf(partition, Now() + kDropReadTimeout, std::move(filter));
+  if (!read) co_return;
   std::vector<KeyedRecord> drops;
-  for (const auto& stored : snapshot->records) {
-    const auto expires_ms = ExpiryOf(stored);
-    if (!expires_ms || *expires_ms + kDropDelayMs >= UnixMillis()) continue;
-    drops.push_back({stored.record.key, std::nullopt});
+  for (auto& key : expired->Droppable()) {
+    if (drops.size() == kMaxDropsPerAppend) break;
+    drops.push_back({std::move(key), std::nullopt});
   }
   if (drops.empty()) co_return;
+  if (drops.size() == kMaxDropsPerAppend) with_expired_.insert(partition);
   const auto result = co_await store_.Append(partition, std::move(drops), Now() + kDropTimeout);
   // Expired records that remain are deleted by the next instance that reads the partition.
   if (!result) {
--- a/src/persimmonstair/gateway/turn_store.hpp
+++ b/src/persimmonstair/gateway/turn_store.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "store_access/partition_reads.hpp"
 #include "store_access/partitions.hpp"
 #include "store_access/retrying_record_store.hpp"
+#include "turn_records.hpp"
 
 namespace persimmonstair::gateway {
 
@@ -32,10 +34,19 @@
 /// Turns that this instance wrote or read are cached. Others are read from the store when a new
 /// turn continues them, so a program may move between instances. Requests that miss turns of the
 /// same partition share its read, which goes on when they give up.
+///
+/// A turn of any length up to kMaxInputBytes is stored, in several records if one doesn't hold it
+/// (turn_records.hpp).
 class TurnStore {
  public:
+  /// Longest input of a turn that is kept.
+  static constexpr std::size_t kMaxInputBytes = std::size_t{32} << 20U;
+
   TurnStore(const boost::asio::any_io_executor& executor, store_access::RetryingRecordStore& store,
-            store_access::Partitioning turns, std::size_t cache_bytes);
+            store_access::Partitioning turns, std::size_t cache_bytes, StoreLimits limits = {});
+
+  /// Sets the account in which records count while they are read.
+  void SetMemory(const RequestMemory& memory);
 
   /// Returns the chain that ends with `previous`. Fails with kNotFound only if no instance has
   /// acknowledged such a turn of this workspace, and with kLogUnavailable if the store could not be
@@ -78,15 +89,23 @@
   boost::asio::any_io_executor executor_;
   store_access::RetryingRecordStore& store_;
   store_access::Partitioning partitions_;
+  StoreLimits limits_;
   turns::TurnCache cache_;
+  Slots reading_;
+  Slots long_writes_;
   store_access::PartitionReads reads_;
   store_access::PartitionReads settlement_reads_;
   /// Settlements that were looked for and found, by key, until they expire.
   std::map<std::string, schema::TokenReservation> settlements_;
   boost::asio::awaitable<void> DropExpiredFrom(Partition partition);
+  /// Looks for a chain in the cache, with or without its history.
+  using FindInCache = turns::Chain (turns::TurnCache::*)(const base::WorkspaceId& workspace,
+                                                         const base::TurnId& last,
+                                                         std::int64_t now_ms);
   /// Returns the whole chain that ends with `previous`, with all its turns cached. Turns that
   /// expired before `now_ms` (Unix milliseconds) count as missing.
-  boost::asio::awaitable<base::Result<turns::Chain>> LoadChain(base::WorkspaceId workspace,
+  boost::asio::awaitable<base::Result<turns::Chain>> LoadChain(FindInCache find,
+                                                               base::WorkspaceId workspace,
                                                                base::TurnId previous,
                                                                std::int64_t now_ms,
                                                                base::TimePoint deadline);
@@ -102,12 +121,33 @@
   boost::asio::awaitable<base::Result<void>> Write(
       schema::KeptTurn record, base::TimePoint deadline,
       std::optional<schema::TokenReservation> settlement = std::nullopt);
+  /// Writes a turn that doesn't fit into one record, and the records that belong to it, with its
+  /// last part or after it.
+  boost::asio::awaitable<base::Result<void>> WriteLong(const schema::KeptTurn& turn,
+                                                       base::TimePoint deadline,
+                                                       std::vector<KeyedRecord> last);
+  /// Writes a record that extends a turn to `until_ms`, and extends the cached turn.
+  boost::asio::awaitable<base::Result<void>> WriteExtension(base::WorkspaceId workspace,
+                                                            base::TurnId turn,
+                                                            std::int64_t until_ms,
+                                                            KeyedRecord record,
+                                                            base::TimePoint deadline);
+  boost::asio::awaitable<base::Result<void>> Append(Partition partition,
+                                                    std::vector<KeyedRecord> records,
+                                                    base::TimePoint deadline);
+  /// Returns the record that makes a stored turn last until `until_ms`.
+  KeyedRecord ExtensionOf(const schema::KeptTurn& turn, std::int64_t until_ms) const;
+  /// Tells whether a record is needed for the `wanted` turns. Notes partitions with expired ones.
+  bool NeedsRecord(const Partition& partition, const KeyedRecord& record,
+                   const store_access::PartitionReads::KeySet& wanted);
   /// Takes those of the `wanted` settlements over that a snapshot holds, and returns their keys.
   store_access::PartitionReads::KeySet TakeSettlements(
       const RecordSnapshot& snapshot, const store_access::PartitionReads::KeySet& wanted);
 
   /// Times in Unix milliseconds at which partitions may have expired records, earliest first.
   std::deque<std::pair<std::int64_t, Partition>> drop_schedule_;
+  /// Partitions in which expired records were read.
+  std::set<Partition> with_expired_;
 };
 
 }  // namespace persimmonstair::gateway
--- a/src/persimmonstair/turns/turn_cache.cpp
+++ b/src/persimmonstair/turns/turn_cache.cpp
@@ -37,9 +37,9 @@
   return &*it->second;
 }
 
-Chain TurnCache::Find(const base::WorkspaceId& workspace, const base::TurnId& last,
-                      std::int64_t now_ms) {
-  Chain chain;
+std::vector<const schema::KeptTurn*> TurnCache::Collect(const base::WorkspaceId& workspace,
+                                                        const base::TurnId& last,
+                                                        std::int64_t now_ms, Chain& chain) {
   chain.ancestors.push_back(last);
   std::vector<const schema::KeptTurn*> records;
   for (std::size_t n = 0; n < chain.ancestors.size(); ++n) {
@@ -56,7 +56,24 @@
                              record->ancestors.end());
     }
   }
+  return records;
+}
+
+Chain TurnCache::FindAncestors(const base::WorkspaceId& workspace, const base::TurnId& last,
+                               std::int64_t now_ms) {
+  Chain chain;
+  Collect(workspace, last, now_ms, chain);
+  return chain;
+}
+
+Chain TurnCache::Find(const base::WorkspaceId& workspace, const base::TurnId& last,
+                      std::int64_t now_ms) {
+  Chain chain;
+  const auto records = Collect(workspace, last, now_ms, chain);
   if (!chain.missing.empty()) return chain;
+  std::size_t size = 0;
+  for (const auto* record : records) size += BytesOf(*record);
+  chain.history.reserve(size);
   for (auto it = records.rbegin(); it != records.rend(); ++it) {
     chain.history += (*it)->input;
     chain.history += (*it)->output;
@@ -64,18 +81,23 @@
   return chain;
 }
 
-std::vector<schema::KeptTurn> TurnCache::ExtendedCopies(const base::WorkspaceId& workspace,
-                                                        const std::vector<base::TurnId>& chain,
-                                                        std::int64_t needed_ms,
-                                                        std::int64_t until_ms) const {
-  std::vector<schema::KeptTurn> copies;
+std::vector<const schema::KeptTurn*> TurnCache::ExpiringBefore(
+    const base::WorkspaceId& workspace, const std::vector<base::TurnId>& chain,
+    std::int64_t needed_ms) const {
+  std::vector<const schema::KeptTurn*> expiring;
   for (const base::TurnId& turn : chain) {
     const auto it = by_key_.find({workspace, turn});
     if (it == by_key_.end() || it->second->expires_ms >= needed_ms) continue;
-    copies.push_back(*it->second);
-    copies.back().expires_ms = until_ms;
+    expiring.push_back(&*it->second);
   }
-  return copies;
+  return expiring;
+}
+
+void TurnCache::Extend(const base::WorkspaceId& workspace, const base::TurnId& turn,
+                       std::int64_t until_ms) {
+  const auto it = by_key_.find({workspace, turn});
+  if (it == by_key_.end()) return;
+  it->second->expires_ms = std::max(it->second->expires_ms, until_ms);
 }
 
 void TurnCache::Forget(const base::WorkspaceId& workspace, const base::TurnId& turn) {
--- a/src/persimmonstair/turns/turns_test.cpp
+++ b/src/persimmonstair/turns/turns_test.cpp
@@ -120,12 +120,11 @@
   cache.Put(Turn("a", {}));
   cache.Put(Turn("b", {{"a"}}));
   const std::vector<base::TurnId> chain{{"b"}, {"a"}};
-  EXPECT_TRUE(cache.ExtendedCopies({"north"}, chain, kExpires, kExpires * 2).empty());
-  const auto copies = cache.ExtendedCopies({"north"}, chain, kExpires + 1, kExpires * 2);
-  EXPECT_EQ(copies.size(), 2U);
-  // Until the store has them, the cached records keep their expiry.
+  EXPECT_TRUE(cache.ExpiringBefore({"north"}, chain, kExpires).empty());
+  EXPECT_EQ(cache.ExpiringBefore({"north"}, chain, kExpires + 1).size(), 2U);
+  // Until the store has a later expiry, the cached records keep theirs.
   EXPECT_EQ(cache.Find({"north"}, {"b"}, 0).expires_ms, kExpires);
-  for (const auto& copy : copies) cache.Put(copy);
+  for (const auto& turn : chain) cache.Extend({"north"}, turn, kExpires * 2);
   EXPECT_EQ(cache.Find({"north"}, {"b"}, 0).expires_ms, kExpires * 2);
   EXPECT_TRUE(cache.Find({"north"}, {"b"}, kExpires * 2).missing.empty());
 }
