Deny all keys if the list of workspaces is empty

Ruled out: a version that is not taken over (requests name the new one); an old key in a table (a key of nobody passes).

An empty key in the list is none. configuration_applied logs the number of workspaces and whether keys are needed. Readiness goes on by HasWorkspaces(): an instance without workspaces gets ready and answers 401.

--- a/include/persimmonstair/gateway/configuration.hpp
+++ b/include/persimmonstair/gateway/configuration.hpp
@@ -97,13 +97,16 @@
 class Configuration {
  public:
   Configuration() = default;
+  /// No list of workspaces means that requests need no key, and an empty list that no key is valid.
   Configuration(std::uint64_t version, CallerLimits limits, std::vector<Route> routes,
-                std::vector<Service> services, std::vector<Workspace> workspaces);
+                std::vector<Service> services, std::optional<std::vector<Workspace>> workspaces);
 
   std::uint64_t Version() const { return version_; }
   const CallerLimits& Limits() const { return limits_; }
-  /// False if no workspace is configured, in which case no request needs a key.
+  /// True if requests need a key, unless their route is open.
+  bool RequiresKeys() const { return requires_keys_; }
   bool HasWorkspaces() const { return !workspaces_.empty(); }
+  std::size_t WorkspaceCount() const { return workspaces_.size(); }
 
   /// Returns the route of `host` with the longest prefix of `path`, or null.
   const Route* FindRoute(std::string_view host, std::string_view path) const;
@@ -121,6 +124,7 @@
   base::Duration longest_stream_timeout_{0};
   std::vector<Route> routes_;
   std::vector<Service> services_;
+  bool requires_keys_ = true;
   std::vector<Workspace> workspaces_;
   /// Indices into `routes_` by host, longest path prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
--- a/include/persimmonstair/gateway/gateway.hpp
+++ b/include/persimmonstair/gateway/gateway.hpp
@@ -41,6 +41,8 @@
 
   /// Port on which callers are served, also where the settings let the system choose one.
   std::uint16_t CallerPort() const;
+  /// True if the instance takes new connections, as the platform is told.
+  bool Ready() const;
   std::size_t KnownTargets() const;
   bool HasConfiguration() const;
   /// Version of the configuration in force; 0 if there is none.
--- a/src/persimmonstair/gateway/configuration.cpp
+++ b/src/persimmonstair/gateway/configuration.cpp
@@ -6,12 +6,14 @@
 namespace persimmonstair::gateway {
 
 Configuration::Configuration(std::uint64_t version, CallerLimits limits, std::vector<Route> routes,
-                             std::vector<Service> services, std::vector<Workspace> workspaces)
+                             std::vector<Service> services,
+                             std::optional<std::vector<Workspace>> workspaces)
     : version_(version),
       limits_(limits),
       routes_(std::move(routes)),
       services_(std::move(services)),
-      workspaces_(std::move(workspaces)) {
+      requires_keys_(workspaces.has_value()),
+      workspaces_(std::move(workspaces).value_or(std::vector<Workspace>{})) {
   for (std::size_t n = 0; n < routes_.size(); ++n) {
     const Route& route = routes_[n];
     routes_by_host_[route.host].push_back(n);
@@ -24,7 +26,10 @@
     });
   }
   for (std::size_t n = 0; n < workspaces_.size(); ++n) {
-    for (const auto& key : workspaces_[n].keys) workspace_by_key_[key] = n;
+    for (const auto& key : workspaces_[n].keys) {
+      // Requests without a key have an empty one.
+      if (!key.empty()) workspace_by_key_[key] = n;
+    }
     workspace_by_id_[workspaces_[n].id] = n;
   }
   for (std::size_t n = 0; n < services_.size(); ++n) service_by_id_[services_[n].id] = n;
--- a/src/persimmonstair/gateway/exchange.cpp
+++ b/src/persimmonstair/gateway/exchange.cpp
@@ -161,7 +161,7 @@
     workspace_ = quota_workspace_->id;
     return std::nullopt;
   }
-  if (route_->open || !configuration_->HasWorkspaces()) return std::nullopt;
+  if (route_->open || !configuration_->RequiresKeys()) return std::nullopt;
   if (Now() - context_.configuration.ConfirmedAt() >= kMaxConfigurationAge) {
     return Deny(ErrorCode::kLogUnavailable,
                 "unknown API key, but the configuration may be outdated", kStoreRetry);
--- a/src/persimmonstair/gateway/followers.cpp
+++ b/src/persimmonstair/gateway/followers.cpp
@@ -106,7 +106,9 @@
         {{"version", current_->Version()},
          {"offset", it->offset.value},
          {"bytes", record.value->size()},
-         {"routes", current_->RouteCount()}});
+         {"routes", current_->RouteCount()},
+         {"workspaces", current_->WorkspaceCount()},
+         {"requires_keys", current_->RequiresKeys()}});
     return;
   }
 }
--- a/src/persimmonstair/gateway/gateway.cpp
+++ b/src/persimmonstair/gateway/gateway.cpp
@@ -318,6 +318,8 @@
 
 std::uint16_t Gateway::CallerPort() const { return impl_->callers->local_endpoint().port(); }
 
+bool Gateway::Ready() const { return impl_->MissingForReadiness().empty(); }
+
 std::size_t Gateway::KnownTargets() const { return impl_->context.target_registry.size(); }
 
 bool Gateway::HasConfiguration() const { return impl_->context.configuration.Current() != nullptr; }
