--- a/include/persimmonstair/schema/entry_settings.hpp
+++ b/include/persimmonstair/schema/entry_settings.hpp
@@ -41,7 +41,7 @@
   double store_writes_per_s = 800;
   /// Largest record that the store accepts, with its key, in bytes; 65536 to 16777216.
   std::uint32_t store_record_bytes = 262144;
-  /// Largest number of bytes of records in one write call of the store; store_record_bytes to
+  /// Largest number of bytes of records in one write call of the store; 2 * store_record_bytes to
   /// 268435456.
   std::uint32_t store_call_bytes = 2097152;
   /// Not used; accepted because settings of earlier versions have it. 1 to 1000000.
--- a/src/persimmonstair/gateway/settings_load.cpp
+++ b/src/persimmonstair/gateway/settings_load.cpp
@@ -35,9 +35,9 @@
           "store_writes_per_s: 10 to 1000000");
   require(settings.store_record_bytes >= 65'536 && settings.store_record_bytes <= 16'777'216,
           "store_record_bytes: 65536 to 16777216");
-  require(settings.store_call_bytes >= settings.store_record_bytes &&
+  require(settings.store_call_bytes / 2 >= settings.store_record_bytes &&
               settings.store_call_bytes <= 268'435'456,
-          "store_call_bytes: store_record_bytes to 268435456");
+          "store_call_bytes: 2 * store_record_bytes to 268435456");
   require(settings.store_read_mb_per_s >= 1 && settings.store_read_mb_per_s <= 1'000'000,
           "store_read_mb_per_s: 1 to 1000000");
   require(settings.target_leave_ms >= 1000 && settings.target_leave_ms <= 600'000,
--- a/src/persimmonstair/gateway/turn_records.cpp
+++ b/src/persimmonstair/gateway/turn_records.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <memory>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "persimmonstair/schema/codec.hpp"
@@ -95,6 +96,8 @@
 }
 
 std::size_t CountParts(const schema::LongTurn& turn) {
+  // Entries of other writers may state anything.
+  if (turn.part_bytes == 0) return 0;
   const std::uint64_t size = turn.input_bytes + turn.output_bytes;
   return (size + turn.part_bytes - 1) / turn.part_bytes;
 }
@@ -111,6 +114,14 @@
   return {TurnKey(turn.workspace, turn.turn), schema::EncodeState(turn)};
 }
 
+std::optional<std::int64_t> ExpiryOf(const schema::StateRecord& record) {
+  if (const auto* kept = std::get_if<schema::KeptTurn>(&record)) return kept->expires_ms;
+  if (const auto* turn = std::get_if<schema::LongTurn>(&record)) return turn->expires_ms;
+  if (const auto* part = std::get_if<schema::TurnPart>(&record)) return part->expires_ms;
+  const auto* settlement = std::get_if<schema::TokenReservation>(&record);
+  return settlement == nullptr ? std::nullopt : std::optional(settlement->expires_ms);
+}
+
 std::optional<schema::KeptTurn> JoinTurn(const schema::LongTurn& turn, TurnParts& parts) {
   const bool plausible = turn.part_bytes > 0 && turn.part_bytes <= kMaxTextBytes &&
                          turn.input_bytes <= kMaxTextBytes && turn.output_bytes <= kMaxTextBytes;
--- a/src/persimmonstair/gateway/turn_records.hpp
+++ b/src/persimmonstair/gateway/turn_records.hpp
@@ -53,6 +53,10 @@
 /// @brief Returns the record that makes the parts of a turn valid.
 KeyedRecord EncodeLongTurn(const schema::LongTurn& turn);
 
+/// @brief Returns the expiry of a turn, of one of its parts or of its settlement, in Unix
+/// milliseconds; nothing for other records.
+std::optional<std::int64_t> ExpiryOf(const schema::StateRecord& record);
+
 /// @brief Parts by their keys.
 using TurnParts = std::map<std::string, schema::TurnPart>;
 
--- a/src/persimmonstair/gateway/turn_store.cpp
+++ b/src/persimmonstair/gateway/turn_store.cpp
@@ -29,19 +29,8 @@
 using boost::asio::awaitable;
 using KeySet = store_access::PartitionReads::KeySet;
 
-/// Interval between two deletions of expired turns.
-constexpr std::chrono::seconds kDropInterval{5};
-/// Delay between the expiry of a record and its deletion. An expired turn can't be continued, and
-/// one that continued it before has ended by then, so no instance extends its lifetime any more.
-constexpr std::int64_t kDropDelayMs = 30'000;
-/// A turn may end this long after the expiry of turns before it, whose lifetime is then extended.
-constexpr std::int64_t kLateExtensionMs = 15'000;
-static_assert(kLateExtensionMs < kDropDelayMs);
 /// Difference of the clocks of two machines after which a turn is still found for its retention.
 constexpr std::int64_t kClockMarginMs = 5'000;
-/// Timeout of the read before a deletion. A busy store answers late.
-constexpr std::chrono::seconds kDropReadTimeout{10};
-constexpr std::chrono::seconds kDropTimeout{1};
 /// Maximum number of read rounds for one chain. Each round reads the ancestors that the previous
 /// round found.
 constexpr int kMaxFetchRounds = 20;
@@ -51,8 +40,14 @@
 constexpr std::size_t kMaxLongWrites = 4;
 /// Largest append of parts. A larger one holds up the other appends to the partition.
 constexpr std::size_t kMaxAppendBytes = 1'000'000;
-/// Keeps the appends that delete records short.
-constexpr std::size_t kMaxDropsPerAppend = 2000;
+/// Largest size of the records that are written with the last part of a turn.
+constexpr std::size_t kMaxLastBytes = 65'536;
+
+// Returns how many parts of a turn are written together.
+std::size_t PartsPerAppend(const StoreLimits& limits) {
+  const std::size_t bytes = std::min(kMaxAppendBytes, limits.call_bytes) - kMaxLastBytes;
+  return std::max<std::size_t>(1, bytes / limits.record_bytes);
+}
 
 // Returns the key of a settlement that is stored with its turn.
 std::string SettlementKeyOf(const schema::TokenReservation& reservation) {
@@ -72,45 +67,6 @@
   return turns;
 }
 
-// Returns the expiry of a record of this store, in Unix milliseconds; nothing for other records.
-std::optional<std::int64_t> ExpiryOf(const schema::StateRecord& record) {
-  if (const auto* kept = std::get_if<schema::KeptTurn>(&record)) return kept->expires_ms;
-  if (const auto* turn = std::get_if<schema::LongTurn>(&record)) return turn->expires_ms;
-  if (const auto* part = std::get_if<schema::TurnPart>(&record)) return part->expires_ms;
-  const auto* settlement = std::get_if<schema::TokenReservation>(&record);
-  return settlement == nullptr ? std::nullopt : std::optional(settlement->expires_ms);
-}
-
-/// Expired records of a partition, collected while it is read.
-struct ExpiredRecords {
-  std::set<std::string> keys;
-  /// Prefixes of the parts of turns that haven't expired.
-  std::set<std::string> live_parts;
-
-  void Add(const KeyedRecord& stored) {
-    if (!stored.value) return;
-    const auto record = schema::DecodeState(*stored.value);
-    const auto expires_ms = record ? ExpiryOf(*record) : std::nullopt;
-    if (!expires_ms) return;
-    if (*expires_ms + kDropDelayMs < UnixMillis()) {
-      keys.insert(stored.key);
-    } else if (std::holds_alternative<schema::LongTurn>(*record)) {
-      live_parts.insert(PartPrefix(stored.key));
-    }
-  }
-
-  /// Returns the keys of the records to delete.
-  std::vector<std::string> Droppable() const {
-    std::vector<std::string> droppable;
-    for (const auto& key : keys) {
-      // The turn of a part may have been extended.
-      if (IsPartKey(key) && live_parts.contains(PrefixOfPart(key))) continue;
-      droppable.push_back(key);
-    }
-    return droppable;
-  }
-};
-
 /// Waits for a number of tasks that run at the same time.
 struct Join {
   Join(const boost::asio::any_io_executor& executor, std::size_t tasks)
@@ -322,33 +278,24 @@
   const Slots::Slot slot = co_await long_writes_.Acquire();
   const Partition partition = partitions_.PartitionOf(turn.turn.value);
   const schema::LongTurn divided = DivideTurn(turn, limits_.record_bytes);
-  const std::size_t max_bytes = std::min(kMaxAppendBytes, limits_.call_bytes);
   last.push_back(EncodeLongTurn(divided));
-  std::size_t last_bytes = 0;
-  for (const auto& record : last) last_bytes += SizeOf(record);
-  std::vector<KeyedRecord> records;
-  std::size_t bytes = 0;
-  int appends = 1;
   const std::size_t count = CountParts(divided);
-  for (std::size_t n = 0; n < count; ++n) {
-    KeyedRecord part = EncodePart(turn, divided, n);
-    const std::size_t size = SizeOf(part) + (n + 1 == count ? last_bytes : 0);
-    if (!records.empty() && bytes + size > max_bytes) {
-      const auto written = co_await Append(partition, std::exchange(records, {}), deadline);
-      if (!written) co_return written;
-      bytes = 0;
-      ++appends;
+  const std::size_t per_append = PartsPerAppend(limits_);
+  Result<void> written;
+  for (std::size_t first = 0; written && first < count; first += per_append) {
+    std::vector<KeyedRecord> records;
+    for (std::size_t n = first; n < std::min(first + per_append, count); ++n) {
+      records.push_back(EncodePart(turn, divided, n));
     }
-    bytes += size;
-    records.push_back(std::move(part));
+    const bool ends = first + per_append >= count;
+    if (ends) std::move(last.begin(), last.end(), std::back_inserter(records));
+    written = co_await Append(partition, std::move(records), deadline);
   }
-  std::move(last.begin(), last.end(), std::back_inserter(records));
-  const auto written = co_await Append(partition, std::move(records), deadline);
   diagnostics::Log(diagnostics::Level::kInfo, "long_turn_written",
                    {{"turn", turn.turn.value},
                     {"bytes", divided.input_bytes + divided.output_bytes},
                     {"parts", count},
-                    {"appends", appends},
+                    {"appends", (count + per_append - 1) / per_append},
                     {"written", written.has_value()},
                     {"ms", base::ToMillis(Now() - begun_at)}});
   co_return written;
@@ -441,48 +388,4 @@
   return found;
 }
 
-awaitable<void> TurnStore::DropExpired() {
-  for (;;) {
-    co_await Sleep(kDropInterval);
-    const std::int64_t now_ms = UnixMillis();
-    cache_.Expire(now_ms - kLateExtensionMs);
-    std::erase_if(settlements_,
-                  [now_ms](const auto& one) { return one.second.expires_ms < now_ms; });
-    std::set<Partition> due = std::exchange(with_expired_, {});
-    while (!drop_schedule_.empty() && drop_schedule_.front().first < now_ms) {
-      due.insert(drop_schedule_.front().second);
-      drop_schedule_.pop_front();
-    }
-    for (const Partition& partition : due) {
-      co_await DropExpiredFrom(partition);
-    }
-  }
-}
-
-// Another instance may have extended a turn, so the expiry times are read from the store again.
-awaitable<void> TurnStore::DropExpiredFrom(Partition partition) {
-  const auto expired = std::make_shared<ExpiredRecords>();
-  // Only keys are held, not the records.
-  RecordFilter filter = [expired](const KeyedRecord& record) {
-    expired->Add(record);
-    return false;
-  };
-  const auto read =
-      co_await store_.ReadNewestOf(partition, Now() + kDropReadTimeout, std::move(filter));
-  if (!read) co_return;
-  std::vector<KeyedRecord> drops;
-  for (auto& key : expired->Droppable()) {
-    if (drops.size() == kMaxDropsPerAppend) break;
-    drops.push_back({std::move(key), std::nullopt});
-  }
-  if (drops.empty()) co_return;
-  if (drops.size() == kMaxDropsPerAppend) with_expired_.insert(partition);
-  const auto result = co_await store_.Append(partition, std::move(drops), Now() + kDropTimeout);
-  // Expired records that remain are deleted by the next instance that reads the partition.
-  if (!result) {
-    diagnostics::Log(diagnostics::Level::kInfo, "expired_turns_left",
-                     {{"error", result.error().message}});
-  }
-}
-
 }  // namespace persimmonstair::gateway
--- a/src/persimmonstair/gateway/turn_store.hpp
+++ b/src/persimmonstair/gateway/turn_store.hpp
@@ -18,6 +18,13 @@
 
 namespace persimmonstair::gateway {
 
+/// Delay between the expiry of a record and its deletion. An expired turn can't be continued, and
+/// one that continued it before has ended by then, so no instance extends its lifetime any more.
+inline constexpr std::int64_t kDropDelayMs = 30'000;
+/// A turn may end this long after the expiry of turns before it, whose lifetime is then extended.
+inline constexpr std::int64_t kLateExtensionMs = 15'000;
+static_assert(kLateExtensionMs < kDropDelayMs);
+
 /// @brief The turns that precede a new turn.
 struct History {
   /// Inputs and outputs of all turns, oldest first.
