Reject requests with other transfer codings than chunked

Cause: both parsers of callers' requests left the framing to Beast, which takes a request whose last coding isn't chunked for one without a body. Ruled out: Content-Length beside chunked and two lengths (refused before).

Change: anything but one Transfer-Encoding field with chunked alone gets 400 and the end of the connection (RFC 9112, 6.1).

--- a/src/persimmonstair/gateway/request_parser.cpp
+++ b/src/persimmonstair/gateway/request_parser.cpp
@@ -3,9 +3,12 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
+#include <iterator>
 #include <string>
 #include <utility>
 
+#include "persimmonstair/base/http_framing.hpp"
+
 namespace persimmonstair::gateway {
 
 namespace http = boost::beast::http;
@@ -27,6 +30,7 @@
     const std::size_t n = parser_.put(boost::asio::buffer(rest.data(), rest.size()), ec);
     used += n;
     if (!had_head) head_bytes_ += n;
+    if (!had_head && HasHead() && !HasKnownFraming()) ec = http::error::bad_transfer_encoding;
     const bool incomplete = ec == http::error::need_more || (!ec && n == 0);
     if (ec && !incomplete) {
       error_ = ec;
@@ -64,6 +68,13 @@
   return true;
 }
 
+bool RequestParser::HasKnownFraming() const {
+  const auto [begin, end] = parser_.get().equal_range(http::field::transfer_encoding);
+  if (begin == end) return true;
+  const auto value = begin->value();
+  return std::next(begin) == end && base::IsChunkedOnly({value.data(), value.size()});
+}
+
 void RequestParser::GiveRoom() {
   capacity_ = wanted_;
   parser_.get().body().reserve(capacity_);
--- a/src/persimmonstair/gateway/request_parser.hpp
+++ b/src/persimmonstair/gateway/request_parser.hpp
@@ -64,6 +64,8 @@
   /// never has more than it may have.
   std::size_t CapacityFor(std::size_t bytes) const;
   bool NeedsRoom(std::size_t input);
+  /// False if the head names a transfer coding with which the end of the body is unknown.
+  bool HasKnownFraming() const;
 
   Parser parser_;
   std::size_t max_header_bytes_;
--- a/src/persimmonstair/gateway/request_parser_test.cpp
+++ b/src/persimmonstair/gateway/request_parser_test.cpp
@@ -114,6 +114,26 @@
   EXPECT_EQ(large.parser.GetState(), State::kFailed);
 }
 
+// Guards against a body that is taken for the next request, because its end is unknown, and against
+// one that is passed on without the coding that it has.
+TEST(RequestParserTest, OtherTransferCodingsThanChunkedFail) {
+  const std::string smuggled = "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+  for (const char* coding :
+       {"gzip", "identity", "chunked, identity", "gzip, chunked", "chunked,", "xchunked", "",
+        "chunked;q=1", "chunked\r\nTransfer-Encoding: chunked",
+        "identity\r\nTransfer-Encoding: chunked", "gzip\r\nContent-Length: 5"}) {
+    Feeder feeder;
+    feeder.Put(kHead + "Transfer-Encoding: " + coding + "\r\n\r\n" + smuggled);
+    EXPECT_EQ(feeder.parser.GetState(), State::kFailed) << coding;
+  }
+  for (const char* coding : {"chunked", "Chunked", " chunked \t"}) {
+    Feeder feeder;
+    feeder.Put(kHead + "Transfer-Encoding:" + coding + "\r\n\r\n" + Chunked("body", 2));
+    ASSERT_EQ(feeder.parser.GetState(), State::kDone) << coding;
+    EXPECT_EQ(feeder.parser.Take().body, "body");
+  }
+}
+
 // Guards against numbers that overflow, and bodies above the limit that are held first.
 TEST(RequestParserTest, LargeNumbersFail) {
   for (const std::string& rest :
--- a/src/persimmonstair/net/caller_connection.cpp
+++ b/src/persimmonstair/net/caller_connection.cpp
@@ -4,6 +4,9 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
+#include <iterator>
+
+#include "persimmonstair/base/http_framing.hpp"
 
 namespace persimmonstair::net {
 namespace {
@@ -29,6 +32,14 @@
   return std::chrono::milliseconds{static_cast<std::int64_t>(value)};
 }
 
+// Returns false if the head names a transfer coding with which the end of the body is unknown.
+bool HasKnownFraming(const http::fields& head) {
+  const auto [begin, end] = head.equal_range(http::field::transfer_encoding);
+  if (begin == end) return true;
+  const auto value = begin->value();
+  return std::next(begin) == end && base::IsChunkedOnly({value.data(), value.size()});
+}
+
 // Returns whether the header at the start of `bytes` has a folded line (RFC 9112, 5.2). The parser
 // would join folded lines, while another HTTP implementation on the way might read them
 // differently.
@@ -170,6 +181,10 @@
     OnMalformed(ec);
     return false;
   }
+  if (parser_->is_header_done() && !HasKnownFraming(parser_->get())) {
+    OnMalformed(http::error::bad_transfer_encoding);
+    return false;
+  }
   if (parser_->is_done()) {
     OnRequest();
     return true;
--- a/src/persimmonstair/net/caller_server_test.cpp
+++ b/src/persimmonstair/net/caller_server_test.cpp
@@ -15,6 +15,7 @@
 constexpr const char* kTurn =
     "POST /v1/programs/p.1/chat/completions HTTP/1.1\r\nHost: a\r\n"
     "Authorization: Bearer sk-test-1\r\nContent-Length: 15\r\n\r\n{\"stream\":true}";
+const std::string kUnknownBody = "POST /v1/services/a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: ";
 constexpr const char* kGet = "GET /v1/programs/p.1 HTTP/1.1\r\nHost: a\r\n\r\n";
 
 scheduler::Reply MakeReply(base::RequestId request, std::uint32_t status,
@@ -165,6 +166,10 @@
       "POST /v1/services/a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
       "POST /v1/services/a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
       "POST /v1/services/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      // The body is a request that must not run.
+      kUnknownBody + "gzip\r\n\r\n" + kGet,
+      kUnknownBody + "identity\r\n\r\n" + kGet,
+      kUnknownBody + "chunked, identity\r\n\r\n" + kGet,
   };
   for (const auto& bytes : cases) {
     TestSocket client(server_->Port());
