--- a/src/persimmonstair/turns/stream_copies.cpp
+++ b/src/persimmonstair/turns/stream_copies.cpp
@@ -18,7 +18,8 @@
 
 bool StreamCopies::Append(Output& output, const StreamPart& part) {
   if (part.offset < output.data.size()) {
-    const std::string_view known = std::string_view(output.data).substr(part.offset);
+    const std::string_view data = output.data;
+    const std::string_view known = data.substr(part.offset);
     const std::size_t n = std::min(known.size(), part.data.size());
     if (known.substr(0, n) != part.data.substr(0, n)) output.contradictory = true;
   }
@@ -60,7 +61,8 @@
   const auto end = std::find_if(held.ends.begin(), held.ends.end(),
                                 [event](const EventEnd& one) { return one.event == event; });
   if (end == held.ends.end()) return std::nullopt;
-  return std::string_view(held.data).substr(0, end->size);
+  const std::string_view data = held.data;
+  return data.substr(0, end->size);
 }
 
 std::optional<std::uint64_t> StreamCopies::FenceOf(const StreamKey& key) const {
