Test again that the turn cache takes over a later expiry of a record

Change: the test puts records with a later expiry and extends to an earlier one; the cached turns keep the latest.

--- a/src/persimmonstair/turns/turns_test.cpp
+++ b/src/persimmonstair/turns/turns_test.cpp
@@ -127,6 +127,14 @@
   for (const auto& turn : chain) cache.Extend({"north"}, turn, kExpires * 2);
   EXPECT_EQ(cache.Find({"north"}, {"b"}, 0).expires_ms, kExpires * 2);
   EXPECT_TRUE(cache.Find({"north"}, {"b"}, kExpires * 2).missing.empty());
+  // A record that was read with a later expiry extends the cached one, and nothing shortens it.
+  for (const char* turn : {"a", "b"}) {
+    schema::KeptTurn read = Turn(turn, {});
+    read.expires_ms = kExpires * 3;
+    cache.Put(read);
+    cache.Extend({"north"}, {turn}, kExpires);
+  }
+  EXPECT_EQ(cache.Find({"north"}, {"b"}, 0).expires_ms, kExpires * 3);
 }
 
 constexpr base::TimePoint kNow{std::chrono::hours{1}};
